--- /dev/null
+++ b/cmd/radishhoist-lab/main.go
@@ -0,0 +1,125 @@
+// Command radishhoist-lab runs the stand-ins of the platform and of targets,
+// the demo and the load tool. It is for development; hosts do not need it.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/radishhoist/radishhoist/internal/lab"
+	"github.com/radishhoist/radishhoist/internal/standin/platformd"
+	"github.com/radishhoist/radishhoist/internal/standin/target"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	cmd := &cli.Command{
+		Name:     "radishhoist-lab",
+		Usage:    "stand-ins, demo and load tool for development",
+		Commands: []*cli.Command{platformCommand(), targetCommand(), demoCommand(), loadCommand()},
+	}
+	if err := cmd.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "radishhoist-lab:", err)
+		os.Exit(1)
+	}
+}
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run a stand-in of the platform's object API",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7000", Usage: "`ADDRESS` to listen on"}},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			l, err := net.Listen("tcp", cmd.String("listen"))
+			if err != nil {
+				return err
+			}
+			server := &http.Server{Handler: platformd.NewServer().Handler(), ReadHeaderTimeout: 5 * time.Second}
+			go func() {
+				<-ctx.Done()
+				_ = server.Close()
+			}()
+			if err := server.Serve(l); err != http.ErrServerClosed {
+				return err
+			}
+			return nil
+		},
+	}
+}
+
+func targetCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "target",
+		Usage: "run a stand-in of one target instance",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "name", Required: true, Usage: "instance `NAME`"},
+			&cli.StringFlag{Name: "service", Required: true, Usage: "service `NAME`"},
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`ADDRESS` to listen on"},
+			&cli.StringFlag{Name: "announce", Required: true, Usage: "the daemon's announce `ADDRESS`"},
+			&cli.IntFlag{Name: "slots", Value: 7, Usage: "requests run at once"},
+			&cli.DurationFlag{Name: "service-time", Value: 10 * time.Millisecond, Usage: "median `TIME` of a request"},
+			&cli.FloatFlag{Name: "spread", Value: 0.3, Usage: "standard deviation of its logarithm"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			s, err := target.Start(target.Config{
+				Name: cmd.String("name"), Service: cmd.String("service"), Address: cmd.String("listen"),
+				Announce: cmd.String("announce"), Slots: cmd.Int("slots"),
+				ServiceTime: cmd.Duration("service-time"), Spread: cmd.Float("spread"),
+			})
+			if err != nil {
+				return err
+			}
+			<-ctx.Done()
+			s.Stop()
+			return nil
+		},
+	}
+}
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run platform, targets and daemons as processes, send traffic, turn a target gray",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "`DIRECTORY` of the built programs"},
+			&cli.BoolFlag{Name: "verbose", Usage: "show the processes' logs"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return lab.Demo(ctx, os.Stdout, cmd.String("bin"), cmd.Bool("verbose"))
+		},
+	}
+}
+
+func loadCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "send requests to loopback addresses at a fixed rate and report the latencies",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "to", Required: true, Usage: "`URL` on a loopback address; several take turns"},
+			&cli.StringFlag{Name: "method", Value: "GET", Usage: "HTTP `METHOD`"},
+			&cli.IntFlag{Name: "rate", Value: 100, Usage: "requests a second"},
+			&cli.DurationFlag{Name: "for", Value: 10 * time.Second, Usage: "`TIME` to run, 10 minutes at most"},
+			&cli.IntFlag{Name: "body", Usage: "size of the request body in bytes"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			r, err := lab.Load(ctx, lab.LoadConfig{
+				URLs: cmd.StringSlice("to"), Method: cmd.String("method"),
+				Rate: cmd.Int("rate"), For: cmd.Duration("for"), Body: cmd.Int("body"),
+			})
+			if err != nil {
+				return err
+			}
+			fmt.Print(r.String())
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,379 @@
+// Package control keeps a host's view of the fleet: membership, the record set
+// in force, the directory compiled from both, and the summary of what is in
+// force. It puts sockets and timers round the cores in internal/core.
+package control
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/core/member"
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/peer"
+	"github.com/radishhoist/radishhoist/internal/platform"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+// Config has the parameters of a Control.
+type Config struct {
+	// Host, DC, Peer and Admin are what the host says of itself.
+	Host, DC, Peer, Admin string
+	// Incarnation is the process's start, in Unix milliseconds.
+	Incarnation uint64
+	// Seeds are peer addresses to start from.
+	Seeds []string
+	// Member and Replica are the parameters of the cores.
+	Member  member.Config
+	Replica config.Config
+	// WatchersPerDC is how many hosts of a data centre watch the platform.
+	WatchersPerDC int
+}
+
+// Hooks are what Control drives.
+type Hooks struct {
+	// Directory is called with each new directory, one at a time.
+	Directory func(*directory.Directory)
+	// Instances lists this host's own instances.
+	Instances func() []directory.Instance
+}
+
+// Control is one host's control role. It is safe for concurrent use.
+type Control struct {
+	cfg   Config
+	hooks Hooks
+	log   *slog.Logger
+	store platform.Store
+	pool  *peer.Pool
+	udp   *net.UDPConn
+	sendq [senders]chan outbound
+
+	mu       sync.Mutex
+	members  *member.Node
+	replica  *config.Node
+	version  int64
+	leaving  bool
+	selfDue  bool
+	hosts    map[string]*directory.Host
+	forgetAt map[string]time.Time
+	records  *recordSet
+	compiled *directory.Records
+	dir      *directory.Directory
+	dirty    bool
+	reports  map[string]report
+	reported time.Time
+	seeds    []string
+	// strangers are hosts to call, by name.
+	strangers map[string]stranger
+	seedAt    time.Time
+	watching  bool
+	away      bool
+	traffic   Traffic
+}
+
+// outbound is one message on its way to a peer address.
+type outbound struct {
+	addr string
+	msg  msg.Message
+}
+
+const (
+	// senders is the number of goroutines that send control messages; one
+	// address always goes through the same one, in order.
+	senders = 8
+	// senderDepth bounds the messages that wait for one sender.
+	senderDepth = 256
+	// tickInterval is the resolution of the timers.
+	tickInterval = 50 * time.Millisecond
+	// versionShift is where the count of changes starts in a host's version;
+	// the incarnation stands above it.
+	versionShift = 20
+	// maxPacket bounds a membership datagram, in bytes.
+	maxPacket = 60 << 10
+)
+
+// New makes a Control; Run starts it.
+func New(cfg Config, hooks Hooks, store platform.Store, log *slog.Logger) *Control {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	version := int64(cfg.Incarnation) << versionShift
+	c := &Control{
+		cfg: cfg, hooks: hooks, store: store, log: log,
+		members:   member.New(cfg.Member, cfg.DC, cfg.Peer, version, rng),
+		replica:   config.NewNode(cfg.Replica, rng),
+		version:   version,
+		hosts:     make(map[string]*directory.Host),
+		forgetAt:  make(map[string]time.Time),
+		records:   newRecordSet(),
+		compiled:  directory.Compile(nil, false),
+		dir:       &directory.Directory{},
+		reports:   make(map[string]report),
+		seeds:     append([]string{}, cfg.Seeds...),
+		strangers: make(map[string]stranger),
+		selfDue:   true,
+	}
+	for i := range c.sendq {
+		c.sendq[i] = make(chan outbound, senderDepth)
+	}
+	return c
+}
+
+// SetPool sets the connections to the other hosts, before Run.
+func (c *Control) SetPool(p *peer.Pool) { c.pool = p }
+
+// Listen opens the membership socket, before Run.
+func (c *Control) Listen() error {
+	addr, err := net.ResolveUDPAddr("udp", c.cfg.Peer)
+	if err != nil {
+		return errors.Wrapf(err, "membership address %s", c.cfg.Peer)
+	}
+	c.udp, err = net.ListenUDP("udp", addr)
+	return errors.Wrapf(err, "listen for membership on %s", c.cfg.Peer)
+}
+
+// Run works until the context ends.
+func (c *Control) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	start := func(f func(context.Context)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f(ctx)
+		}()
+	}
+	for i := range c.sendq {
+		start(func(ctx context.Context) { c.sender(ctx, c.sendq[i]) })
+	}
+	start(c.readPackets)
+	start(c.watch)
+	start(c.tickLoop)
+	start(c.writeStatus)
+	<-ctx.Done()
+	_ = c.udp.Close()
+	wg.Wait()
+}
+
+func (c *Control) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			c.tick(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Control) tick(now time.Time) {
+	c.mu.Lock()
+	c.members.Tick(now)
+	if c.members.Accused() {
+		c.selfDue = true
+	}
+	if c.selfDue {
+		c.publishSelf()
+	}
+	c.replica.Tick(now, c.peers())
+	c.contactSeeds(now)
+	c.report(now)
+	c.flush(now)
+	dir := c.rebuild(now)
+	c.mu.Unlock()
+	if dir != nil {
+		c.hooks.Directory(dir)
+	}
+}
+
+// InstancesChanged says that what this host tells of its instances has
+// changed; the next tick spreads it.
+func (c *Control) InstancesChanged() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.selfDue = true
+}
+
+// Leave tells the fleet that this host takes no new work, or takes it again.
+func (c *Control) Leave(leaving bool) {
+	c.mu.Lock()
+	if c.leaving != leaving {
+		c.leaving = leaving
+		c.publishSelf()
+		c.flush(time.Now())
+	}
+	c.mu.Unlock()
+}
+
+// publishSelf writes a new version of what this host says of itself.
+func (c *Control) publishSelf() {
+	c.selfDue = false
+	c.version++
+	c.members.SetVersion(c.version)
+	state := msg.HostState{
+		DC: c.cfg.DC, Peer: c.cfg.Peer, Admin: c.cfg.Admin,
+		Incarnation: c.cfg.Incarnation, Leaving: c.leaving,
+	}
+	for _, inst := range c.hooks.Instances() {
+		state.Instances = append(state.Instances, toWire(inst))
+	}
+	value, err := state.MarshalMsg(nil)
+	if err != nil {
+		return
+	}
+	entry := msg.Entry{Kind: hostKind, Name: c.cfg.Host, Version: c.version, Value: value}
+	c.replica.Local(c.peers(), msg.SetHosts, []msg.Entry{entry})
+}
+
+// hostKind is the kind of the entries in msg.SetHosts.
+const hostKind = string(record.KindHost)
+
+// peers lists whom to replicate with.
+func (c *Control) peers() config.Peers {
+	near, far := c.members.Live()
+	return config.Peers{Near: near, Far: far}
+}
+
+// HandleControl takes a message from another host.
+func (c *Control) HandleControl(from *msg.Hello, m msg.Message) {
+	if from.Host == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.traffic.MessagesIn++
+	if r, ok := m.(*msg.Report); ok {
+		c.takeReport(from.Host, r)
+		return
+	}
+	c.replica.Step(c.peers(), from.Host, m)
+	c.flush(time.Now())
+}
+
+// flush takes the cores' output: it applies what has come into force and
+// queues what is to be sent. The caller holds the lock.
+func (c *Control) flush(now time.Time) {
+	for {
+		out, applied := c.replica.Take()
+		c.apply(now, applied)
+		for _, o := range out {
+			c.queue(o)
+		}
+		if len(out) == 0 && len(applied) == 0 {
+			break
+		}
+	}
+	datagrams, changes := c.members.Take()
+	for _, ch := range changes {
+		c.hostChanged(now, ch)
+	}
+	for _, d := range datagrams {
+		c.sendPacket(d)
+	}
+}
+
+// queue hands a message to the sender of its address. A full queue drops it:
+// repair finds what was lost.
+func (c *Control) queue(o config.Outbound) {
+	h, ok := c.hosts[o.To]
+	if !ok || o.To == c.cfg.Host {
+		return
+	}
+	c.queueTo(h.Peer, o.Msg)
+}
+
+func (c *Control) queueTo(addr string, m msg.Message) {
+	select {
+	case c.sendq[senderOf(addr)] <- outbound{addr: addr, msg: m}:
+		c.traffic.MessagesOut++
+		c.traffic.BytesOut += uint64(m.(interface{ Msgsize() int }).Msgsize())
+	default:
+		c.traffic.Dropped++
+	}
+}
+
+func senderOf(addr string) int {
+	sum := 0
+	for _, b := range []byte(addr) {
+		sum = sum*31 + int(b)
+	}
+	return (sum%senders + senders) % senders
+}
+
+func (c *Control) sender(ctx context.Context, q <-chan outbound) {
+	for {
+		select {
+		case o := <-q:
+			_ = c.pool.SendControl(ctx, o.addr, o.msg)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Control) sendPacket(d member.Datagram) {
+	buf, err := d.Packet.MarshalMsg(nil)
+	if err != nil {
+		return
+	}
+	addr, err := net.ResolveUDPAddr("udp", d.To)
+	if err != nil {
+		return
+	}
+	c.traffic.PacketsOut++
+	c.traffic.BytesOut += uint64(len(buf))
+	_, _ = c.udp.WriteToUDP(buf, addr)
+}
+
+func (c *Control) readPackets(ctx context.Context) {
+	buf := make([]byte, maxPacket)
+	for ctx.Err() == nil {
+		n, _, err := c.udp.ReadFromUDP(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		var p msg.Packet
+		if _, err := p.UnmarshalMsg(buf[:n]); err != nil {
+			continue
+		}
+		c.mu.Lock()
+		c.traffic.PacketsIn++
+		now := time.Now()
+		c.members.Step(now, &p)
+		c.flush(now)
+		c.mu.Unlock()
+	}
+}
+
+// Traffic counts control messages since the start.
+type Traffic struct {
+	PacketsIn   uint64 `json:"packetsIn"`
+	PacketsOut  uint64 `json:"packetsOut"`
+	MessagesIn  uint64 `json:"messagesIn"`
+	MessagesOut uint64 `json:"messagesOut"`
+	BytesOut    uint64 `json:"bytesOut"`
+	Dropped     uint64 `json:"dropped"`
+}
+
+func (c *Control) hostChanged(now time.Time, ch member.Change) {
+	e := event.HostJoined
+	switch ch.Status {
+	case member.Suspect:
+		e = event.HostSuspect
+	case member.Dead:
+		e = event.HostDead
+		c.forgetAt[ch.Host] = now.Add(forgetAfter)
+	}
+	event.Log(c.log, e, slog.String("peer", ch.Host))
+	c.dirty = true
+}
--- /dev/null
+++ b/internal/control/hosts.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/detect"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/core/member"
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/internal/msg"
+)
+
+const (
+	// forgetAfter is how long a dead host is remembered: it counts against
+	// its services' healthy capacity until then.
+	forgetAfter = 10 * time.Minute
+	// seedInterval is the time between two calls to seeds while alone.
+	seedInterval = 2 * time.Second
+	// seedsAtOnce bounds the seeds called at once.
+	seedsAtOnce = 3
+)
+
+// apply takes entries that have come into force in the replicated sets.
+func (c *Control) apply(now time.Time, applied []config.Applied) {
+	for _, a := range applied {
+		switch a.Set {
+		case msg.SetHosts:
+			c.applyHost(now, a.Entry)
+		case msg.SetRecords:
+			c.records.apply(c.log, a.Entry)
+		}
+		c.dirty = true
+	}
+}
+
+func (c *Control) applyHost(now time.Time, e msg.Entry) {
+	if e.Deleted {
+		delete(c.hosts, e.Name)
+		c.members.Forget(e.Name)
+		return
+	}
+	var state msg.HostState
+	if _, err := state.UnmarshalMsg(e.Value); err != nil {
+		return
+	}
+	if e.Name == c.cfg.Host && e.Version > c.version {
+		// Somebody has this host at a greater version, from an earlier life
+		// with a clock ahead of this one's. Overtake it.
+		c.version = e.Version
+		c.selfDue = true
+		return
+	}
+	if old, ok := c.hosts[e.Name]; state.Leaving && (!ok || !old.Leaving) {
+		event.Log(c.log, event.HostLeft, slog.String("peer", e.Name))
+	}
+	h := &directory.Host{
+		Name: e.Name, DC: state.DC, Peer: state.Peer, Admin: state.Admin,
+		Incarnation: state.Incarnation, Leaving: state.Leaving,
+	}
+	for _, inst := range state.Instances {
+		h.Instances = append(h.Instances, fromWire(inst))
+	}
+	c.hosts[e.Name] = h
+	delete(c.forgetAt, e.Name)
+	c.members.Learn(now, e.Name, state.DC, state.Peer, e.Version)
+}
+
+func toWire(i directory.Instance) msg.HostInstance {
+	return msg.HostInstance{
+		Name: i.Name, Service: i.Service, Slots: uint32(i.Slots), Conns: uint32(i.Conns), Version: i.Version,
+		State: uint8(i.State), Health: uint8(i.Health), Evidence: i.Evidence, StartedMS: i.StartedMS,
+	}
+}
+
+func fromWire(i msg.HostInstance) directory.Instance {
+	return directory.Instance{
+		Name: i.Name, Service: i.Service, Slots: int(i.Slots), Conns: int(i.Conns), Version: i.Version,
+		State: directory.InstanceState(i.State), Health: detect.Health(i.Health), Evidence: i.Evidence, StartedMS: i.StartedMS,
+	}
+}
+
+// rebuild compiles a new directory where anything has changed. The caller
+// holds the lock; nil means no change.
+func (c *Control) rebuild(now time.Time) *directory.Directory {
+	c.forgetDead(now)
+	if !c.dirty {
+		return nil
+	}
+	c.dirty = false
+	if c.records.dirty || c.replica.Whole() != c.dir.Whole {
+		c.records.dirty = false
+		if c.replica.Whole() && !c.dir.Whole {
+			event.Log(c.log, event.SetLoaded, slog.Int("records", c.replica.Set(msg.SetRecords).Len()),
+				slog.Int64("newest", c.replica.Set(msg.SetRecords).Newest()))
+		}
+		c.compiled = directory.Compile(c.records.list(), c.replica.Whole())
+	}
+	hosts := make([]*directory.Host, 0, len(c.hosts))
+	for _, h := range c.hosts {
+		status := c.members.Status(h.Name)
+		copied := *h
+		copied.Alive = status != member.Dead
+		copied.Suspected = status == member.Suspect
+		hosts = append(hosts, &copied)
+	}
+	c.dir = directory.Build(c.compiled, hosts)
+	return c.dir
+}
+
+// forgetDead drops hosts that have been dead for long.
+func (c *Control) forgetDead(now time.Time) {
+	for host, at := range c.forgetAt {
+		if now.Before(at) {
+			continue
+		}
+		delete(c.forgetAt, host)
+		if c.members.Status(host) != member.Dead {
+			continue
+		}
+		if e, ok := c.replica.Set(msg.SetHosts).Get(config.Key{Kind: hostKind, Name: host}); ok {
+			e.Version++
+			e.Deleted, e.Value = true, nil
+			c.replica.Local(c.peers(), msg.SetHosts, []msg.Entry{e})
+			c.flush(now)
+		}
+	}
+}
+
+// stranger is a host that the platform names and that is not known yet.
+type stranger struct {
+	addr  string
+	tries int
+	next  time.Time
+}
+
+// strangerTries bounds the calls to one stranger, which may be long gone.
+const strangerTries = 5
+
+// contactSeeds tells hosts that are not known of this one, and asks them for
+// all others: strangers that the platform names, so that no two parts of the
+// fleet stay apart, and seeds while nobody else is known.
+func (c *Control) contactSeeds(now time.Time) {
+	c.contactStrangers(now)
+	if !c.members.Alone() || now.Before(c.seedAt) {
+		return
+	}
+	c.seedAt = now.Add(seedInterval)
+	called := 0
+	for range len(c.seeds) {
+		addr := c.seeds[0]
+		c.seeds = append(c.seeds[1:], addr)
+		if addr == c.cfg.Peer {
+			continue
+		}
+		c.callSeed(addr)
+		if called++; called == seedsAtOnce {
+			return
+		}
+	}
+}
+
+func (c *Control) contactStrangers(now time.Time) {
+	called := 0
+	for name, s := range c.strangers {
+		if _, known := c.hosts[name]; known || s.tries >= strangerTries {
+			delete(c.strangers, name)
+			continue
+		}
+		if now.Before(s.next) || called == seedsAtOnce {
+			continue
+		}
+		called++
+		c.callSeed(s.addr)
+		s.tries++
+		s.next = now.Add(seedInterval)
+		c.strangers[name] = s
+	}
+}
+
+// callSeed sends what this host says of itself and asks for what others say.
+func (c *Control) callSeed(addr string) {
+	self, ok := c.replica.Set(msg.SetHosts).Get(config.Key{Kind: hostKind, Name: c.cfg.Host})
+	if !ok {
+		return
+	}
+	c.queueTo(addr, &msg.Rumor{Set: msg.SetHosts, Entries: []msg.Entry{self}})
+	c.queueTo(addr, &msg.Pull{Set: msg.SetHosts, All: true})
+}
--- /dev/null
+++ b/internal/control/watch.go
@@ -0,0 +1,240 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/platform"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+const (
+	// watchPause is the least time between two watch calls: it bounds the
+	// calls a burst of changes makes.
+	watchPause = 200 * time.Millisecond
+	// awayMin and awayMax bound the jittered pause after a failed call.
+	awayMin = 500 * time.Millisecond
+	awayMax = 20 * time.Second
+	// rankInterval is how often a host looks whether it is to watch.
+	rankInterval = 500 * time.Millisecond
+)
+
+// replicated are the kinds that are spread to every host.
+var replicated = map[record.Kind]bool{
+	record.KindService: true, record.KindRoute: true, record.KindTeam: true,
+	record.KindStop: true, record.KindShardMap: true,
+}
+
+// watch joins the fleet and then, while this host ranks among its data
+// centre's watchers, follows the platform. The platform may be away for hours:
+// nothing but this goroutine waits for it.
+func (c *Control) watch(ctx context.Context) {
+	joined := false
+	pause := awayMin
+	for ctx.Err() == nil {
+		var err error
+		if !joined {
+			err = c.join(ctx)
+			joined = err == nil
+		}
+		if err == nil && c.ranksAsWatcher() {
+			err = c.follow(ctx)
+		}
+		if err == nil {
+			pause = awayMin
+			c.wait(ctx, rankInterval)
+			continue
+		}
+		c.platformAway(err)
+		c.wait(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+		pause = min(2*pause, awayMax)
+	}
+}
+
+func (c *Control) wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// join writes this host's record, then reads who else is there: of two hosts
+// that start at once, at least one sees the other.
+func (c *Control) join(ctx context.Context) error {
+	key := record.Key{Kind: record.KindHost, Name: c.cfg.Host}
+	value, err := record.Marshal(key, &record.Host{DC: c.cfg.DC, Peer: c.cfg.Peer, Admin: c.cfg.Admin, Incarnation: c.cfg.Incarnation})
+	if err != nil {
+		return err
+	}
+	var version int64
+	current, err := c.store.Get(ctx, key)
+	var missing *platform.NotFoundError
+	switch {
+	case err == nil:
+		version = current.Version
+	case !errors.As(err, &missing):
+		return err
+	}
+	mine := func(stored []byte) bool { return string(stored) == string(value) }
+	if _, err := platform.PutSettled(ctx, c.store, key, value, version, mine); err != nil {
+		return err
+	}
+	page, err := c.store.List(ctx, record.KindHost)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.meet(page.Objects)
+	return nil
+}
+
+// meet takes Host records: their addresses become seeds, and hosts not known
+// yet are called.
+func (c *Control) meet(objects []platform.Object) {
+	for _, obj := range objects {
+		r, err := record.Parse(obj.Value)
+		if err != nil || obj.Name == c.cfg.Host {
+			continue
+		}
+		host, ok := r.Spec.(*record.Host)
+		if !ok {
+			continue
+		}
+		if !slices.Contains(c.seeds, host.Peer) {
+			c.seeds = append(c.seeds, host.Peer)
+		}
+		if _, known := c.hosts[obj.Name]; !known {
+			c.strangers[obj.Name] = stranger{addr: host.Peer}
+		}
+	}
+}
+
+// ranksAsWatcher says whether this host is among the first few live hosts of
+// its data centre, in an order that all compute alike. Where views differ, a
+// few hosts more or less watch, which is harmless.
+func (c *Control) ranksAsWatcher() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	watch := c.rank() < c.cfg.WatchersPerDC
+	if watch != c.watching {
+		c.watching = watch
+		e := event.WatchStopped
+		if watch {
+			e = event.WatchStarted
+		}
+		event.Log(c.log, e)
+	}
+	return watch
+}
+
+// rank is this host's place among the live hosts of its data centre.
+func (c *Control) rank() int {
+	near, _ := c.members.Live()
+	own := xxhash.Sum64String(c.cfg.Host)
+	before := 0
+	for _, host := range near {
+		if h, ok := c.hosts[host]; ok && h.Leaving {
+			continue
+		}
+		if xxhash.Sum64String(host) < own {
+			before++
+		}
+	}
+	return before
+}
+
+// follow lists everything and then watches, until a call fails or this host
+// ranks as watcher no more.
+func (c *Control) follow(ctx context.Context) error {
+	page, err := c.store.List(ctx)
+	if err != nil {
+		return err
+	}
+	c.platformBack()
+	c.load(page)
+	revision := page.Revision
+	for ctx.Err() == nil && c.ranksAsWatcher() {
+		page, err := c.store.Watch(ctx, revision)
+		var compacted *platform.CompactedError
+		if errors.As(err, &compacted) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		c.takeEvents(page)
+		revision = max(revision, page.Revision)
+		c.wait(ctx, watchPause)
+	}
+	return nil
+}
+
+func (c *Control) load(page platform.Page) {
+	entries := toEntries(page.Objects)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replica.LoadList(c.peers(), entries, page.Revision)
+	c.dirty = true
+	c.meet(only(page.Objects, record.KindHost))
+	c.flush(time.Now())
+}
+
+func (c *Control) takeEvents(page platform.Page) {
+	entries := toEntries(page.Objects)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replica.Local(c.peers(), msg.SetRecords, entries)
+	c.meet(only(page.Objects, record.KindHost))
+	c.flush(time.Now())
+}
+
+func only(objects []platform.Object, kind record.Kind) []platform.Object {
+	var out []platform.Object
+	for _, obj := range objects {
+		if obj.Kind == kind && !obj.Deleted {
+			out = append(out, obj)
+		}
+	}
+	return out
+}
+
+func toEntries(objects []platform.Object) []msg.Entry {
+	var out []msg.Entry
+	for _, obj := range objects {
+		if replicated[obj.Kind] {
+			out = append(out, msg.Entry{Kind: string(obj.Kind), Name: obj.Name, Version: obj.Version, Deleted: obj.Deleted, Value: obj.Value})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Version < out[j].Version })
+	return out
+}
+
+func (c *Control) platformAway(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.away {
+		c.away = true
+		event.Log(c.log, event.PlatformAway, slog.String("cause", err.Error()))
+	}
+}
+
+func (c *Control) platformBack() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.away {
+		c.away = false
+		event.Log(c.log, event.PlatformBack)
+	}
+}
--- /dev/null
+++ b/internal/core/config/step.go
@@ -0,0 +1,127 @@
+package config
+
+import "github.com/radishhoist/radishhoist/internal/msg"
+
+// Step takes one message from a peer. Messages that do not belong to the
+// replication, or name an unknown set, are ignored.
+func (n *Node) Step(peers Peers, from string, m msg.Message) {
+	switch m := m.(type) {
+	case *msg.Rumor:
+		if m.Set < msg.Sets {
+			n.take(peers, m.Set, from, m.Entries)
+		}
+	case *msg.Digest:
+		n.stepDigest(from, m)
+	case *msg.Buckets:
+		n.stepBuckets(from, m)
+	case *msg.Versions:
+		n.stepVersions(from, m)
+	case *msg.Pull:
+		n.stepPull(from, m)
+	case *msg.Snapshot:
+		n.stepSnapshot(peers, from, m)
+	}
+}
+
+// stepDigest answers a digest that differs with this host's bucket hashes.
+func (n *Node) stepDigest(from string, m *msg.Digest) {
+	if m.Set >= msg.Sets || m.Root == n.sets[m.Set].Root() {
+		return
+	}
+	n.send(from, &msg.Buckets{Set: m.Set, Hashes: n.sets[m.Set].Hashes()})
+}
+
+// maxRepairItems bounds the versions listed in one step of a repair; what
+// remains is found by the next one.
+const maxRepairItems = 16384
+
+// stepBuckets lists what this host has in the buckets that differ.
+func (n *Node) stepBuckets(from string, m *msg.Buckets) {
+	if m.Set >= msg.Sets {
+		return
+	}
+	s := n.sets[m.Set]
+	var buckets []uint32
+	var items []msg.VersionItem
+	for _, b := range s.Differ(m.Hashes) {
+		more := s.Items([]uint32{b})
+		if len(items)+len(more) > maxRepairItems {
+			break
+		}
+		buckets = append(buckets, b)
+		items = append(items, more...)
+	}
+	if len(buckets) > 0 {
+		n.send(from, &msg.Versions{Set: m.Set, Buckets: buckets, Items: items})
+	}
+}
+
+// stepVersions pulls what the peer has newer and pushes what is newer here.
+func (n *Node) stepVersions(from string, m *msg.Versions) {
+	if m.Set >= msg.Sets {
+		return
+	}
+	pull, push := n.sets[m.Set].Compare(m.Buckets, m.Items)
+	if len(pull) > 0 {
+		n.send(from, &msg.Pull{Set: m.Set, Items: pull})
+	}
+	if len(push) > 0 {
+		n.push(from, m.Set, push)
+	}
+}
+
+func (n *Node) stepPull(from string, m *msg.Pull) {
+	if m.Set >= msg.Sets {
+		return
+	}
+	if m.All {
+		n.sendSnapshot(from, m.Set)
+		return
+	}
+	s := n.sets[m.Set]
+	var entries []msg.Entry
+	for _, it := range m.Items {
+		if e, ok := s.Get(Key{it.Kind, it.Name}); ok {
+			entries = append(entries, e)
+		}
+	}
+	if len(entries) > 0 {
+		n.push(from, m.Set, entries)
+	}
+}
+
+// sendSnapshot sends the whole set in parts. A host that is not whole itself
+// says so at once, so that the asker goes on to another.
+func (n *Node) sendSnapshot(to string, id msg.SetID) {
+	var entries []msg.Entry
+	n.sets[id].Each(func(e msg.Entry) { entries = append(entries, e) })
+	if id == msg.SetHosts {
+		n.push(to, id, entries)
+		return
+	}
+	if !n.whole[id] {
+		n.send(to, &msg.Snapshot{Set: id, Last: true})
+		return
+	}
+	parts := n.batches(entries)
+	for i, part := range parts {
+		n.send(to, &msg.Snapshot{Set: id, Entries: part, Part: uint32(i), Last: i == len(parts)-1, Whole: true})
+	}
+}
+
+// stepSnapshot takes parts in order from the peer that was asked; a part that
+// is missing leaves the set not whole, and another peer is asked.
+func (n *Node) stepSnapshot(peers Peers, from string, m *msg.Snapshot) {
+	if m.Set >= msg.Sets || n.whole[m.Set] || from != n.snapshot[m.Set].from || m.Part != n.snapshot[m.Set].next || !m.Whole {
+		return
+	}
+	n.snapshot[m.Set].next++
+	for _, e := range m.Entries {
+		if n.sets[m.Set].Apply(e) {
+			n.applied = append(n.applied, Applied{Set: m.Set, Entry: e, From: from})
+		}
+	}
+	if m.Last {
+		n.whole[m.Set] = true
+	}
+}
--- /dev/null
+++ b/internal/core/header/header.go
@@ -0,0 +1,72 @@
+// Package header names the HTTP headers the system reads and writes, and
+// drops those that belong to one hop.
+package header
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/radishhoist/radishhoist/internal/msg"
+)
+
+const (
+	// RequestID binds an answer to its request. A target that repeats it in
+	// its answer lets the guard find answers to another request.
+	RequestID = "X-Request-Id"
+	// TimeoutMS is the time left, in milliseconds: a caller may shorten the
+	// route's deadline with it, and a target sees what is left.
+	TimeoutMS = "Radishhoist-Timeout-Ms"
+	// Team names the caller's team.
+	Team = "Radishhoist-Team"
+	// IdempotencyKey marks repeats of one request that is not idempotent.
+	IdempotencyKey = "Idempotency-Key"
+	// Target tells the caller which instance answered.
+	Target = "Radishhoist-Target"
+	// Attempts tells the caller how many attempts were made.
+	Attempts = "Radishhoist-Attempts"
+)
+
+// hopByHop are the headers of RFC 9110 section 7.6.1 that end at each hop.
+var hopByHop = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+// ToFields lists the headers that go beyond this hop.
+func ToFields(h http.Header) []msg.Field {
+	named := listed(h["Connection"])
+	out := make([]msg.Field, 0, len(h))
+	for name, values := range h {
+		if hopByHop[name] || named[name] {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, msg.Field{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// listed gives the headers that Connection names as its own.
+func listed(connection []string) map[string]bool {
+	if len(connection) == 0 {
+		return nil
+	}
+	out := make(map[string]bool)
+	for _, line := range connection {
+		for _, name := range strings.Split(line, ",") {
+			out[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return out
+}
+
+// FromFields is the inverse of ToFields.
+func FromFields(fields []msg.Field) http.Header {
+	h := make(http.Header, len(fields)+2)
+	for _, f := range fields {
+		h.Add(f.Name, f.Value)
+	}
+	return h
+}
--- /dev/null
+++ b/internal/core/member/member.go
@@ -0,0 +1,278 @@
+// Package member finds out which hosts live, in the manner of SWIM: direct
+// and indirect probes, suspicion before death, and refutation by the accused.
+//
+// What a host says of itself travels as a versioned entry with the host as its
+// only writer (package config); here a version is only compared. A claim about
+// a host is about one version of it, and the host refutes by writing a greater
+// one. Probes are dense within a data centre and sparse across. The package
+// does no I/O.
+package member
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/msg"
+)
+
+// Status is a host's life as this process sees it.
+type Status uint8
+
+const (
+	// Alive is the state of a host that answers.
+	Alive Status = iota
+	// Suspect is a host that did not answer and may still refute.
+	Suspect
+	// Dead is a host that did not refute in time.
+	Dead
+)
+
+// String names the status.
+func (s Status) String() string {
+	switch s {
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	default:
+		return "alive"
+	}
+}
+
+// Config has the parameters of a Node.
+type Config struct {
+	// Host is this host's name.
+	Host string
+	// ProbeInterval is the time between two probes. Shorter finds dead hosts
+	// sooner and sends more.
+	ProbeInterval time.Duration
+	// ProbeTimeout is how long a direct probe may go unanswered before
+	// others are asked; it must exceed the round trip across data centres.
+	ProbeTimeout time.Duration
+	// Suspicion is how long a suspect may refute. Shorter is quicker and
+	// wrong more often.
+	Suspicion time.Duration
+	// Helpers is how many hosts are asked to probe indirectly.
+	Helpers int
+	// FarShare is the share of probes that go to another data centre.
+	FarShare float64
+	// DeadProbe is the time between two probes of a host held for dead, which
+	// heal a split whose both sides hold each other for dead.
+	DeadProbe time.Duration
+	// NotesPerPacket bounds the claims in one packet.
+	NotesPerPacket int
+}
+
+// DefaultConfig suits data centres a few milliseconds apart.
+func DefaultConfig(host string) Config {
+	return Config{
+		Host:           host,
+		ProbeInterval:  time.Second,
+		ProbeTimeout:   300 * time.Millisecond,
+		Suspicion:      4 * time.Second,
+		Helpers:        3,
+		FarShare:       0.1,
+		DeadProbe:      5 * time.Second,
+		NotesPerPacket: 12,
+	}
+}
+
+// Member is one host as this process sees it.
+type Member struct {
+	Host    string
+	DC      string
+	Peer    string
+	Version int64
+	Status  Status
+	// Since is when the status began.
+	Since time.Time
+	// LastHeard is when a packet of the host last came.
+	LastHeard time.Time
+}
+
+// Change is a status that has changed.
+type Change struct {
+	Host   string
+	Status Status
+}
+
+// Datagram is one packet to send, to an address.
+type Datagram struct {
+	To     string
+	Packet *msg.Packet
+}
+
+// Node is one host's membership. It is not safe for concurrent use.
+type Node struct {
+	cfg     Config
+	rng     *rand.Rand
+	dc      string
+	peer    string
+	version int64
+
+	members map[string]*Member
+	near    []string
+	far     [][]string
+	ring    []string
+
+	seq       uint64
+	probes    map[uint64]*probe
+	relays    map[uint64]relay
+	nextProbe time.Time
+	nextDead  time.Time
+	failed    int
+	notes     map[string]*rumor
+
+	accused bool
+	out     []Datagram
+	changes []Change
+}
+
+// probe is one probe under way.
+type probe struct {
+	host     string
+	sent     time.Time
+	indirect bool
+}
+
+// relay is a probe made for another host.
+type relay struct {
+	peer string
+	seq  uint64
+	sent time.Time
+}
+
+// rumor is a claim still to be spread.
+type rumor struct {
+	note msg.Note
+	left int
+}
+
+// New makes a Node for a host at an address.
+func New(cfg Config, dc, peer string, version int64, rng *rand.Rand) *Node {
+	return &Node{
+		cfg: cfg, rng: rng, dc: dc, peer: peer, version: version,
+		members: make(map[string]*Member),
+		probes:  make(map[uint64]*probe),
+		relays:  make(map[uint64]relay),
+		notes:   make(map[string]*rumor),
+	}
+}
+
+// SetVersion tells the Node that this host has written a new version of
+// itself.
+func (n *Node) SetVersion(v int64) {
+	n.version = v
+	n.accused = false
+}
+
+// Accused says that others claim this host's present version is not alive:
+// the caller writes a greater version to refute.
+func (n *Node) Accused() bool { return n.accused }
+
+// Isolated says that this host hears almost nobody, so that its judgement of
+// others is worth nothing.
+func (n *Node) Isolated() bool { return n.failed >= isolatedAfter }
+
+// isolatedAfter is how many probes in a row, of different hosts, may fail
+// before the fault is sought here.
+const isolatedAfter = 3
+
+// Members lists the known hosts by name, without this one.
+func (n *Node) Members() []Member {
+	out := make([]Member, 0, len(n.members))
+	for _, m := range n.members {
+		out = append(out, *m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Host < out[j].Host })
+	return out
+}
+
+// Status reads one host's status; an unknown host is Dead.
+func (n *Node) Status(host string) Status {
+	if host == n.cfg.Host {
+		return Alive
+	}
+	if m, ok := n.members[host]; ok {
+		return m.Status
+	}
+	return Dead
+}
+
+// Live lists the hosts not held for dead: those of the own data centre, and a
+// list for each other one.
+func (n *Node) Live() (near []string, far [][]string) { return n.near, n.far }
+
+// Alone says that no other host is known to live.
+func (n *Node) Alone() bool { return len(n.near)+len(n.far) == 0 }
+
+// Take gives what is to be sent and which statuses have changed.
+func (n *Node) Take() ([]Datagram, []Change) {
+	out, changes := n.out, n.changes
+	n.out, n.changes = nil, nil
+	return out, changes
+}
+
+// Learn takes what a host says of itself. A greater version than known is
+// proof of life and refutes older claims.
+func (n *Node) Learn(now time.Time, host, dc, peer string, version int64) {
+	if host == n.cfg.Host {
+		return
+	}
+	m, ok := n.members[host]
+	if !ok {
+		m = &Member{Host: host, Status: Dead}
+		n.members[host] = m
+	}
+	if ok && version <= m.Version {
+		return
+	}
+	m.DC, m.Peer, m.Version = dc, peer, version
+	delete(n.notes, host)
+	n.setStatus(now, m, Alive)
+	n.index()
+}
+
+// Forget drops a host that has left for good.
+func (n *Node) Forget(host string) {
+	delete(n.members, host)
+	delete(n.notes, host)
+	n.index()
+}
+
+func (n *Node) setStatus(now time.Time, m *Member, s Status) {
+	if m.Status == s {
+		return
+	}
+	wasDead := m.Status == Dead
+	m.Status = s
+	m.Since = now
+	n.changes = append(n.changes, Change{Host: m.Host, Status: s})
+	if wasDead != (s == Dead) {
+		n.index()
+	}
+}
+
+// index rebuilds the lists of live hosts, in an order that does not depend on
+// how they were learnt.
+func (n *Node) index() {
+	n.near = nil
+	byDC := make(map[string][]string)
+	for _, m := range n.members {
+		switch {
+		case m.Status == Dead:
+		case m.DC == n.dc:
+			n.near = append(n.near, m.Host)
+		default:
+			byDC[m.DC] = append(byDC[m.DC], m.Host)
+		}
+	}
+	sort.Strings(n.near)
+	n.far = make([][]string, 0, len(byDC))
+	for _, hosts := range byDC {
+		sort.Strings(hosts)
+		n.far = append(n.far, hosts)
+	}
+	sort.Slice(n.far, func(i, j int) bool { return n.far[i][0] < n.far[j][0] })
+}
--- /dev/null
+++ b/internal/core/member/probe.go
@@ -0,0 +1,265 @@
+package member
+
+import (
+	"sort"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/msg"
+)
+
+// Tick sends the probes that are due and judges those that went unanswered.
+func (n *Node) Tick(now time.Time) {
+	n.judgeProbes(now)
+	n.burySuspects(now)
+	if !now.Before(n.nextProbe) {
+		n.nextProbe = now.Add(n.cfg.ProbeInterval)
+		if host, ok := n.nextTarget(); ok {
+			n.probe(now, host)
+		}
+	}
+	if !now.Before(n.nextDead) {
+		// Jitter keeps two sides of a healed split from meeting in step.
+		n.nextDead = now.Add(n.cfg.DeadProbe/2 + time.Duration(n.rng.Int64N(int64(n.cfg.DeadProbe))))
+		n.probeDead(now)
+	}
+}
+
+// nextTarget goes round the near hosts in random order, so that each is
+// probed once a round; now and then it takes a far one.
+func (n *Node) nextTarget() (string, bool) {
+	if len(n.far) > 0 && (len(n.near) == 0 || n.rng.Float64() < n.cfg.FarShare) {
+		dc := n.far[n.rng.IntN(len(n.far))]
+		return dc[n.rng.IntN(len(dc))], true
+	}
+	for {
+		if len(n.ring) == 0 {
+			if len(n.near) == 0 {
+				return "", false
+			}
+			n.ring = append(n.ring[:0], n.near...)
+			n.rng.Shuffle(len(n.ring), func(i, j int) { n.ring[i], n.ring[j] = n.ring[j], n.ring[i] })
+		}
+		host := n.ring[0]
+		n.ring = n.ring[1:]
+		if m, ok := n.members[host]; ok && m.Status != Dead {
+			return host, true
+		}
+	}
+}
+
+func (n *Node) probe(now time.Time, host string) {
+	m := n.members[host]
+	n.seq++
+	n.probes[n.seq] = &probe{host: host, sent: now}
+	n.send(m.Peer, &msg.Packet{Kind: msg.PacketPing, Seq: n.seq, Target: host})
+}
+
+// probeDead pings one random host that is held for dead. An answer is not
+// proof of life by itself; the host learns of the claim and refutes it.
+func (n *Node) probeDead(now time.Time) {
+	var dead []string
+	for _, m := range n.members {
+		if m.Status == Dead && m.Peer != "" {
+			dead = append(dead, m.Host)
+		}
+	}
+	if len(dead) == 0 {
+		return
+	}
+	host := dead[n.rng.IntN(len(dead))]
+	m := n.members[host]
+	n.seq++
+	p := &msg.Packet{Kind: msg.PacketPing, Seq: n.seq, Target: host}
+	p.Notes = append(p.Notes, msg.Note{Host: host, Version: m.Version, Status: uint8(Dead)})
+	n.send(m.Peer, p)
+}
+
+// judgeProbes asks helpers after ProbeTimeout and accuses after ProbeInterval.
+func (n *Node) judgeProbes(now time.Time) {
+	for seq, p := range n.probes {
+		age := now.Sub(p.sent)
+		if age >= n.cfg.ProbeTimeout && !p.indirect {
+			p.indirect = true
+			n.askHelpers(seq, p)
+		}
+		if age >= max(n.cfg.ProbeInterval, 3*n.cfg.ProbeTimeout) {
+			delete(n.probes, seq)
+			n.probeFailed(now, p.host)
+		}
+	}
+	for seq, r := range n.relays {
+		if now.Sub(r.sent) > 2*n.cfg.ProbeInterval {
+			delete(n.relays, seq)
+		}
+	}
+}
+
+func (n *Node) askHelpers(seq uint64, p *probe) {
+	m, ok := n.members[p.host]
+	if !ok || len(n.near) == 0 {
+		return
+	}
+	asked := 0
+	for _, i := range n.rng.Perm(len(n.near)) {
+		helper := n.members[n.near[i]]
+		if helper.Host == p.host || helper.Status != Alive {
+			continue
+		}
+		n.send(helper.Peer, &msg.Packet{Kind: msg.PacketPingRequest, Seq: seq, Target: p.host, TargetPeer: m.Peer})
+		if asked++; asked == n.cfg.Helpers {
+			return
+		}
+	}
+}
+
+// probeFailed accuses a host, unless the fault is likely this host's own: a
+// host that hears nobody accuses nobody.
+func (n *Node) probeFailed(now time.Time, host string) {
+	n.failed++
+	m, ok := n.members[host]
+	if !ok || m.Status != Alive || n.Isolated() {
+		return
+	}
+	n.accuse(now, m, Suspect)
+}
+
+func (n *Node) accuse(now time.Time, m *Member, s Status) {
+	n.setStatus(now, m, s)
+	n.spread(msg.Note{Host: m.Host, Version: m.Version, Status: uint8(s)})
+}
+
+// burySuspects holds suspects for dead that did not refute in time.
+func (n *Node) burySuspects(now time.Time) {
+	if n.Isolated() {
+		return
+	}
+	for _, m := range n.members {
+		if m.Status == Suspect && now.Sub(m.Since) >= n.cfg.Suspicion {
+			n.accuse(now, m, Dead)
+		}
+	}
+}
+
+// spreadFactor is how many packets per doubling of the fleet carry a claim.
+const spreadFactor = 3
+
+func (n *Node) spread(note msg.Note) {
+	left := spreadFactor
+	for size := len(n.members); size > 0; size /= 2 {
+		left += spreadFactor
+	}
+	n.notes[note.Host] = &rumor{note: note, left: left}
+}
+
+// takeNotes picks the claims for one packet: first what is said of the target
+// itself, then those least spread.
+func (n *Node) takeNotes(target string) []msg.Note {
+	if len(n.notes) == 0 {
+		return nil
+	}
+	order := make([]*rumor, 0, len(n.notes))
+	for _, r := range n.notes {
+		order = append(order, r)
+	}
+	sort.Slice(order, func(i, j int) bool {
+		a, b := order[i], order[j]
+		if (a.note.Host == target) != (b.note.Host == target) {
+			return a.note.Host == target
+		}
+		if a.left != b.left {
+			return a.left > b.left
+		}
+		return a.note.Host < b.note.Host
+	})
+	order = order[:min(len(order), n.cfg.NotesPerPacket)]
+	out := make([]msg.Note, 0, len(order))
+	for _, r := range order {
+		out = append(out, r.note)
+		if r.left--; r.left <= 0 {
+			delete(n.notes, r.note.Host)
+		}
+	}
+	return out
+}
+
+func (n *Node) send(to string, p *msg.Packet) {
+	p.From, p.FromVersion, p.FromPeer = n.cfg.Host, n.version, n.peer
+	p.Notes = append(p.Notes, n.takeNotes(p.Target)...)
+	n.out = append(n.out, Datagram{To: to, Packet: p})
+}
+
+// Step takes one packet that came from an address.
+func (n *Node) Step(now time.Time, p *msg.Packet) {
+	if m, ok := n.members[p.From]; ok {
+		m.LastHeard = now
+	}
+	for _, note := range p.Notes {
+		n.stepNote(now, note)
+	}
+	switch p.Kind {
+	case msg.PacketPing:
+		n.stepPing(p)
+	case msg.PacketPingRequest:
+		n.stepPingRequest(now, p)
+	case msg.PacketAck:
+		n.stepAck(now, p)
+	}
+}
+
+// stepPing answers, and tells a sender that is held for dead or suspect what
+// is claimed of it, so that it can refute.
+func (n *Node) stepPing(p *msg.Packet) {
+	if p.Target != n.cfg.Host {
+		return
+	}
+	ack := &msg.Packet{Kind: msg.PacketAck, Seq: p.Seq, Target: p.From}
+	if m, ok := n.members[p.From]; ok && m.Status != Alive {
+		ack.Notes = append(ack.Notes, msg.Note{Host: m.Host, Version: m.Version, Status: uint8(m.Status)})
+	}
+	n.send(p.FromPeer, ack)
+}
+
+func (n *Node) stepPingRequest(now time.Time, p *msg.Packet) {
+	n.seq++
+	n.relays[n.seq] = relay{peer: p.FromPeer, seq: p.Seq, sent: now}
+	n.send(p.TargetPeer, &msg.Packet{Kind: msg.PacketPing, Seq: n.seq, Target: p.Target})
+}
+
+func (n *Node) stepAck(now time.Time, p *msg.Packet) {
+	if r, ok := n.relays[p.Seq]; ok {
+		delete(n.relays, p.Seq)
+		n.send(r.peer, &msg.Packet{Kind: msg.PacketAck, Seq: r.seq})
+		return
+	}
+	probe, ok := n.probes[p.Seq]
+	if !ok {
+		return
+	}
+	delete(n.probes, p.Seq)
+	n.failed = 0
+	// An answer in time takes this host's own suspicion back where nothing
+	// newer is claimed; others' suspicions need the accused's refutation.
+	if m, ok := n.members[probe.host]; ok && m.Status == Suspect && p.From == probe.host {
+		n.setStatus(now, m, Alive)
+		delete(n.notes, m.Host)
+	}
+}
+
+// stepNote takes a claim about one version of a host.
+func (n *Node) stepNote(now time.Time, note msg.Note) {
+	status := Status(note.Status)
+	if status != Suspect && status != Dead {
+		return
+	}
+	if note.Host == n.cfg.Host {
+		if note.Version >= n.version {
+			n.accused = true
+		}
+		return
+	}
+	m, ok := n.members[note.Host]
+	if !ok || note.Version < m.Version || status <= m.Status {
+		return
+	}
+	n.accuse(now, m, status)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,218 @@
+// Package daemon puts the three roles of radishhoistd together: front, guard
+// and control, with their sockets, the admin endpoints and the drain.
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/control"
+	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/core/member"
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/internal/front"
+	"github.com/radishhoist/radishhoist/internal/guard"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/peer"
+	"github.com/radishhoist/radishhoist/internal/platform"
+	"github.com/radishhoist/radishhoist/internal/settings"
+	"github.com/radishhoist/radishhoist/internal/wire"
+)
+
+// Daemon is one host's process.
+type Daemon struct {
+	cfg     *settings.Config
+	log     *slog.Logger
+	started time.Time
+	store   *platform.Client
+	front   *front.Front
+	guard   *guard.Guard
+	control *control.Control
+	pool    *peer.Pool
+
+	callers  *http.Server
+	announce *http.Server
+	admin    *http.Server
+	ready    atomic.Bool
+	stopped  atomic.Bool
+	// stopHost says that a Stop record covers this host.
+	stopHost atomic.Bool
+
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+const (
+	// firstMessage bounds the wait for a stream's first message.
+	firstMessage = 10 * time.Second
+	// guardTick is the resolution of grants and deadlines at the guard.
+	guardTick = 20 * time.Millisecond
+	// sweepInterval is how often idle peer connections are looked for.
+	sweepInterval = time.Minute
+	// adminTimeout bounds the reading of an admin or announce request.
+	adminTimeout = 5 * time.Second
+)
+
+// noFence lets every run start: keys are claimed at no epoch.
+type noFence struct{}
+
+// MayRun implements guard.Fence.
+func (noFence) MayRun(string, uint32, uint64) bool { return true }
+
+// Start opens every socket and starts the roles. On an error nothing is left
+// running.
+func Start(cfg *settings.Config, log *slog.Logger) (*Daemon, error) {
+	log = log.With(slog.String("host", cfg.Host), slog.String("dc", cfg.DC))
+	d := &Daemon{cfg: cfg, log: log, started: time.Now(), store: platform.NewClient(cfg.Platform)}
+	d.guard = guard.New(guard.Config{
+		Host: cfg.Host, QueuePerSlot: cfg.QueuePerSlot, GrantLife: cfg.GrantLife,
+		AnnounceExpiry: cfg.AnnounceExpiry, TargetIdle: cfg.TargetIdle,
+	}, log, noFence{}, func() { d.control.InstancesChanged() })
+	d.control = control.New(controlConfig(cfg, d.started), control.Hooks{
+		Directory: d.setDirectory,
+		Instances: d.guard.Instances,
+	}, d.store, log)
+	d.front = front.New(front.Config{
+		Host: cfg.Host, DC: cfg.DC, MaxBodyBytes: int64(cfg.MaxBodyBytes), BufferBodyBytes: cfg.BufferBodyBytes,
+		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxConns: cfg.MaxConns,
+		HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout,
+	}, log, nil, d.guard, nil)
+	if err := d.listen(); err != nil {
+		d.close()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.goRun(func() { d.control.Run(ctx) })
+	d.goRun(func() { d.tick(ctx) })
+	event.Log(log, event.Started, slog.String("callers", cfg.Callers), slog.String("peer", cfg.Peer),
+		slog.String("announce", cfg.Announce), slog.String("admin", cfg.Admin))
+	return d, nil
+}
+
+func controlConfig(cfg *settings.Config, started time.Time) control.Config {
+	m := member.DefaultConfig(cfg.Host)
+	m.ProbeInterval, m.ProbeTimeout, m.Suspicion = cfg.ProbeInterval, cfg.ProbeTimeout, cfg.Suspicion
+	r := config.DefaultConfig()
+	r.RepairInterval = cfg.RepairInterval
+	return control.Config{
+		Host: cfg.Host, DC: cfg.DC, Peer: cfg.Peer, Admin: cfg.Admin, Seeds: cfg.Seeds,
+		Incarnation: uint64(started.UnixMilli()), Member: m, Replica: r, WatchersPerDC: cfg.WatchersPerDC,
+	}
+}
+
+func (d *Daemon) goRun(f func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		f()
+	}()
+}
+
+// listen opens the sockets in the order in which others depend on them.
+func (d *Daemon) listen() error {
+	cfg := d.cfg
+	if err := d.control.Listen(); err != nil {
+		return err
+	}
+	self := msg.Hello{Host: cfg.Host, DC: cfg.DC, Incarnation: uint64(d.started.UnixMilli())}
+	handlers := peer.Handlers{Stream: d.handleStream, Control: d.control.HandleControl}
+	pool, err := peer.Listen(cfg.Peer, self, handlers, d.log)
+	if err != nil {
+		return err
+	}
+	d.pool = pool
+	d.control.SetPool(pool)
+	d.front.SetPool(pool)
+	d.announce = smallServer(d.guard.AnnounceHandler())
+	if err := d.serve(cfg.Announce, "targets' announcements", d.announce, nil); err != nil {
+		return err
+	}
+	d.admin = smallServer(d.adminHandler())
+	if err := d.serve(cfg.Admin, "operators", d.admin, nil); err != nil {
+		return err
+	}
+	d.callers = d.front.Server()
+	return d.serve(cfg.Callers, "callers", d.callers, d.front.Limit)
+}
+
+func smallServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: adminTimeout, ReadTimeout: adminTimeout,
+		IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
+	}
+}
+
+func (d *Daemon) serve(addr, whom string, s *http.Server, wrap func(net.Listener) net.Listener) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s on %s", whom, addr)
+	}
+	if wrap != nil {
+		l = wrap(l)
+	}
+	d.goRun(func() { _ = s.Serve(l) })
+	return nil
+}
+
+// handleStream takes a stream that another host opened.
+func (d *Daemon) handleStream(_ *msg.Hello, s wire.Stream) {
+	ctx, cancel := context.WithTimeout(context.Background(), firstMessage)
+	first, err := s.Recv(ctx)
+	cancel()
+	if err != nil {
+		s.Close()
+		return
+	}
+	switch first.(type) {
+	case *msg.Run, *msg.Reserve:
+		d.guard.Serve(s, first)
+	default:
+		s.Close()
+	}
+}
+
+func (d *Daemon) tick(ctx context.Context) {
+	ticker := time.NewTicker(guardTick)
+	defer ticker.Stop()
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			d.guard.Tick(now)
+		case <-sweep.C:
+			d.pool.Sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// setDirectory brings a new directory into force in all roles.
+func (d *Daemon) setDirectory(dir *directory.Directory) {
+	d.front.SetView(dir)
+	d.guard.Apply(dir)
+	stop := dir.Stopping(d.cfg.Host, "")
+	covered := stop != nil && stop.Instance == ""
+	if d.stopHost.Swap(covered) != covered && !d.stopped.Load() {
+		d.control.Leave(covered)
+		if covered {
+			event.Log(d.log, event.Draining, slog.String("cause", "planned stop: "+stop.Reason))
+		}
+	}
+	if dir.Whole && !d.ready.Swap(true) {
+		event.Log(d.log, event.Ready)
+	}
+}
+
+// Log gives the daemon's logger.
+func (d *Daemon) Log() *slog.Logger { return d.log }
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,68 @@
+// Package event is the catalogue of numbered log events. docs/EVENTS.md says
+// what each means and what to do; a test keeps the two equal.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	Number int
+	Name   string
+	Level  slog.Level
+}
+
+// The events. Numbers are never reused: 1xx process, 2xx front, 3xx guard,
+// 4xx records and platform, 5xx membership, 6xx keys.
+var (
+	Started           = Event{100, "started", slog.LevelInfo}
+	Ready             = Event{101, "ready", slog.LevelInfo}
+	Draining          = Event{102, "draining", slog.LevelInfo}
+	Drained           = Event{103, "drained", slog.LevelInfo}
+	DrainTimeout      = Event{104, "drain timed out", slog.LevelError}
+	StartFailed       = Event{105, "start failed", slog.LevelError}
+	RequestFailed     = Event{200, "request failed", slog.LevelWarn}
+	AnswerAborted     = Event{201, "answer aborted", slog.LevelWarn}
+	LinkLost          = Event{202, "link lost", slog.LevelWarn}
+	PathLeftOut       = Event{203, "path left out", slog.LevelWarn}
+	PathBack          = Event{204, "path back", slog.LevelInfo}
+	PeerRefused       = Event{205, "peer refused", slog.LevelWarn}
+	InstanceAnnounced = Event{300, "instance announced", slog.LevelInfo}
+	InstanceGone      = Event{301, "instance gone", slog.LevelWarn}
+	InstanceLeaving   = Event{302, "instance leaving", slog.LevelInfo}
+	InstanceSuspect   = Event{303, "instance suspect", slog.LevelWarn}
+	InstanceTrusted   = Event{304, "instance trusted", slog.LevelInfo}
+	AnnounceRefused   = Event{305, "announce refused", slog.LevelWarn}
+	RecordApplied     = Event{400, "record applied", slog.LevelInfo}
+	RecordRefused     = Event{401, "record refused", slog.LevelError}
+	PlatformAway      = Event{402, "platform away", slog.LevelWarn}
+	PlatformBack      = Event{403, "platform back", slog.LevelInfo}
+	WatchStarted      = Event{404, "watch started", slog.LevelInfo}
+	WatchStopped      = Event{405, "watch stopped", slog.LevelInfo}
+	SetLoaded         = Event{406, "record set loaded", slog.LevelInfo}
+	HostJoined        = Event{500, "host joined", slog.LevelInfo}
+	HostSuspect       = Event{501, "host suspect", slog.LevelWarn}
+	HostDead          = Event{502, "host dead", slog.LevelWarn}
+	HostLeft          = Event{503, "host left", slog.LevelInfo}
+	ShardOwned        = Event{600, "shard owned", slog.LevelInfo}
+	ShardLost         = Event{601, "shard lost", slog.LevelWarn}
+)
+
+// All lists every event, for the catalogue test.
+func All() []Event {
+	return []Event{
+		Started, Ready, Draining, Drained, DrainTimeout, StartFailed,
+		RequestFailed, AnswerAborted, LinkLost, PathLeftOut, PathBack, PeerRefused,
+		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
+		RecordApplied, RecordRefused, PlatformAway, PlatformBack, WatchStarted, WatchStopped, SetLoaded,
+		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
+	}
+}
+
+// Log writes one event with its number and the given attributes.
+func Log(l *slog.Logger, e Event, attrs ...slog.Attr) {
+	all := append([]slog.Attr{slog.Int("event", e.Number)}, attrs...)
+	l.LogAttrs(context.Background(), e.Level, e.Name, all...)
+}
--- /dev/null
+++ b/internal/front/attempt.go
@@ -0,0 +1,366 @@
+package front
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/core/header"
+	"github.com/radishhoist/radishhoist/internal/core/once"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/wire"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+// outcome is how one attempt ended.
+type outcome struct {
+	target *target
+	// fail is nil where answer holds a whole answer, or one too large to keep
+	// that is still under way.
+	fail   *verdict.Error
+	answer *answer
+	load   msg.Load
+	// judged says that the target's own behaviour was seen: serviceTime and
+	// failed are worth passing on.
+	judged      bool
+	failed      bool
+	serviceTime time.Duration
+}
+
+// try is one attempt under way.
+type try struct {
+	front  *Front
+	req    *request
+	target *target
+	sample msg.Sample
+	claim  *claimTask
+	epoch  uint64
+	shard  uint32
+
+	state  once.Attempt
+	stream wire.Stream
+	conn   *wire.Conn
+	sent   time.Time
+	answer *answer
+	// quietAt is when the host's silence is looked at next.
+	quietAt     time.Time
+	quietChecks int
+}
+
+// claimTask is a claim under way at the key's owner; result is set once done
+// is closed.
+type claimTask struct {
+	done   chan struct{}
+	result claimResult
+}
+
+// claimResult is the key owner's word on a request that waits for it.
+type claimResult struct {
+	answer KeyAnswer
+	err    error
+}
+
+const (
+	// silence is how long a host may send no frame at all before it is asked
+	// for a sign of life, and then again before its path counts as cut.
+	silence = 150 * time.Millisecond
+	// cancelTimeout bounds the sending of Cancel.
+	cancelTimeout = time.Second
+)
+
+// attempt makes one attempt at a target and waits for its end.
+func (f *Front) attempt(ctx context.Context, req *request, t *target, sample msg.Sample, claim *claimTask) *outcome {
+	y := &try{front: f, req: req, target: t, sample: sample, claim: claim}
+	o := y.run(ctx)
+	o.target = t
+	req.state.release(t)
+	return o
+}
+
+func (y *try) run(ctx context.Context) *outcome {
+	stream, conn, err := y.front.open(ctx, y.target.Host)
+	if err != nil {
+		y.front.paths.missed(time.Now(), y.target.Host.Name)
+		return &outcome{fail: verdict.New(verdict.NotRun, verdict.ReasonLinkLost, err.Error())}
+	}
+	y.stream, y.conn, y.sent = stream, conn, time.Now()
+	if err := y.act(ctx, y.state.Begin(y.req.idempotent, y.claim != nil)); err != nil {
+		return y.giveUp(err)
+	}
+	return y.receive(ctx)
+}
+
+// act sends what the state machine asks for.
+func (y *try) act(ctx context.Context, s once.Send) error {
+	switch s {
+	case once.SendReserve:
+		return y.stream.Send(ctx, &msg.Reserve{
+			RequestID: y.req.id, Service: y.target.Service, Instance: y.target.Name,
+			TimeoutMS: y.left(), Class: y.req.class, Priority: uint8(y.req.route.Priority), Sample: y.sample,
+		})
+	case once.SendRun:
+		return y.sendRun(ctx)
+	default:
+		return nil
+	}
+}
+
+// left is the time to the deadline, in milliseconds.
+func (y *try) left() uint32 { return uint32(max(time.Until(y.req.deadline).Milliseconds(), 0)) }
+
+func (y *try) sendRun(ctx context.Context) error {
+	r := y.req.http
+	run := &msg.Run{
+		RequestID: y.req.id, Service: y.target.Service, Instance: y.target.Name,
+		TimeoutMS: y.left(), Class: y.req.class, Priority: uint8(y.req.route.Priority),
+		Reserved: !y.req.idempotent, Idempotent: y.req.idempotent, Shard: y.shard, Epoch: y.epoch,
+		Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host,
+		Header: header.ToFields(r.Header), BodyLength: y.req.length, Sample: y.sample,
+	}
+	body, ok := y.req.bodyReader()
+	if !ok {
+		return errors.New("the request body was sent before and was too large to keep")
+	}
+	if err := y.stream.Send(ctx, run); err != nil {
+		return err
+	}
+	if y.req.length == 0 {
+		return nil
+	}
+	if y.req.rest == nil && y.req.length <= inlineBody {
+		return sendBody(ctx, y.stream, body)
+	}
+	go func() { _ = sendBody(ctx, y.stream, body) }()
+	return nil
+}
+
+// inlineBody is the body size sent without a goroutine: it always fits the
+// stream's window, so that sending cannot block on the target.
+const inlineBody = 64 << 10
+
+// sendBody sends a body in chunks, with its length and hash. A body that the
+// caller cuts short ends without End, which the guard takes for a cancel.
+func sendBody(ctx context.Context, s wire.Stream, body io.Reader) error {
+	hash := xxhash.New()
+	end := &msg.End{}
+	for {
+		chunk := make([]byte, wire.ChunkSize)
+		n, err := io.ReadFull(body, chunk)
+		if n > 0 {
+			_, _ = hash.Write(chunk[:n])
+			end.Length += uint64(n)
+			if err := s.Send(ctx, &msg.Data{Bytes: chunk[:n]}); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF, errors.Is(err, io.ErrUnexpectedEOF):
+			end.Hash = hash.Sum64()
+			return s.Send(ctx, end)
+		case err != nil:
+			_ = s.Send(ctx, &msg.Cancel{})
+			return err
+		}
+	}
+}
+
+// receive takes the guard's messages until the attempt is over.
+func (y *try) receive(ctx context.Context) *outcome {
+	y.quietAt = y.sent.Add(silence)
+	for {
+		m, err := y.next(ctx)
+		switch {
+		case err == nil:
+			if o := y.step(ctx, m); o != nil {
+				return o
+			}
+		case errors.Is(err, errWoken):
+			if o := y.woken(ctx); o != nil {
+				return o
+			}
+		default:
+			return y.giveUp(err)
+		}
+	}
+}
+
+// errWoken says that next returned for the claim or the quiet time, not for a
+// message.
+var errWoken = errors.New("woken")
+
+// next waits for a message, the claim's result or the end of the quiet time.
+func (y *try) next(ctx context.Context) (msg.Message, error) {
+	if y.quietChecks == quietDone && y.claim == nil {
+		return y.stream.Recv(ctx)
+	}
+	wait, cancel := context.WithCancel(ctx)
+	if y.quietChecks != quietDone {
+		wait, cancel = context.WithDeadline(ctx, y.quietAt)
+	}
+	defer cancel()
+	if y.claim != nil {
+		go func() {
+			select {
+			case <-y.claim.done:
+				cancel()
+			case <-wait.Done():
+			}
+		}()
+	}
+	m, err := y.stream.Recv(wait)
+	if err != nil && wait.Err() != nil && ctx.Err() == nil {
+		return nil, errWoken
+	}
+	return m, err
+}
+
+// quietDone is how many quiet times are watched: after the first the host is
+// asked for a sign of life, after the second its path counts as cut.
+const quietDone = 2
+
+// woken looks at the claim and at the quiet time.
+func (y *try) woken(ctx context.Context) *outcome {
+	if y.claim != nil {
+		select {
+		case <-y.claim.done:
+			result := y.claim.result
+			y.claim = nil
+			return y.claimed(ctx, result)
+		default:
+		}
+	}
+	if y.quietChecks == quietDone || time.Now().Before(y.quietAt) {
+		return nil
+	}
+	y.quietChecks++
+	y.quietAt = time.Now().Add(silence)
+	if y.heard() {
+		y.quietChecks = quietDone
+		return nil
+	}
+	if y.quietChecks < quietDone {
+		y.conn.Ping()
+		return nil
+	}
+	y.front.paths.missed(time.Now(), y.target.Host.Name)
+	if y.req.idempotent || y.state.Phase() == once.Reserving {
+		return y.giveUp(errors.New("no frame comes from the host"))
+	}
+	return nil
+}
+
+// heard says that the host has sent some frame since the attempt began.
+func (y *try) heard() bool { return y.conn == nil || y.conn.LastRead().After(y.sent) }
+
+// step takes one message; an outcome means that the attempt is over.
+func (y *try) step(ctx context.Context, m msg.Message) *outcome {
+	switch m := m.(type) {
+	case *msg.Grant:
+		if err := y.act(ctx, y.state.Granted()); err != nil {
+			return y.giveUp(err)
+		}
+	case *msg.Head:
+		if m.RequestID != y.req.id {
+			return y.broken(verdict.ReasonAnswerMismatch, "the answer is for another request")
+		}
+		y.state.Head()
+		y.answer = newAnswer(y, m)
+	case *msg.Data:
+		return y.data(m)
+	case *msg.End:
+		return y.end(m)
+	case *msg.Fail:
+		return y.failed(m)
+	}
+	return nil
+}
+
+// claimed takes the key owner's word.
+func (y *try) claimed(ctx context.Context, c claimResult) *outcome {
+	if c.err != nil || c.answer.Outcome != once.ClaimRun {
+		o := y.giveUp(c.err)
+		o.fail = keyFailure(c)
+		return o
+	}
+	y.epoch, y.shard = c.answer.Epoch, c.answer.Shard
+	if err := y.act(ctx, y.state.Claimed()); err != nil {
+		return y.giveUp(err)
+	}
+	return nil
+}
+
+func (y *try) data(m *msg.Data) *outcome {
+	if y.answer == nil {
+		return y.broken(verdict.ReasonTargetBroke, "body before head")
+	}
+	y.answer.add(m.Bytes)
+	if len(y.answer.kept) <= y.req.service.Record.AnswerBuffer() {
+		return nil
+	}
+	// Too large to keep: the caller gets it as it comes.
+	y.answer.open = true
+	return &outcome{answer: y.answer}
+}
+
+func (y *try) end(m *msg.End) *outcome {
+	if y.answer == nil {
+		return y.broken(verdict.ReasonTargetBroke, "end before head")
+	}
+	if !y.answer.whole(m) {
+		return y.broken(verdict.ReasonTargetBroke, "the answer arrived damaged")
+	}
+	y.state.End(true)
+	y.stream.Close()
+	o := &outcome{answer: y.answer, load: m.Load, judged: true}
+	o.serviceTime = time.Duration(m.ServiceUS) * time.Microsecond
+	o.failed = retriableStatus(y.answer.head.Status)
+	queue := time.Duration(m.QueueUS) * time.Microsecond
+	y.front.paths.heard(y.target.Host.Name, time.Since(y.sent)-o.serviceTime-queue)
+	return o
+}
+
+func (y *try) failed(m *msg.Fail) *outcome {
+	y.state.Failed(m.Verdict)
+	y.stream.Close()
+	y.front.paths.heard(y.target.Host.Name, 0)
+	fail := verdict.New(y.state.Verdict(), m.Reason, m.Detail)
+	fail.RetryAfterMS = int64(m.RetryAfterMS)
+	o := &outcome{fail: fail, load: m.Load}
+	switch m.Reason {
+	case verdict.ReasonTargetDown, verdict.ReasonTargetBroke, verdict.ReasonAnswerMismatch:
+		o.judged, o.failed = true, true
+	}
+	return o
+}
+
+// broken ends the attempt over an answer that cannot be used.
+func (y *try) broken(reason verdict.Reason, detail string) *outcome {
+	o := y.giveUp(nil)
+	o.fail = verdict.New(verdict.Ran, reason, detail)
+	o.judged, o.failed = true, true
+	return o
+}
+
+// giveUp ends the attempt from this side and tells the guard.
+func (y *try) giveUp(cause error) *outcome {
+	send := y.state.GiveUp()
+	if send == once.SendCancel {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = y.stream.Send(ctx, &msg.Cancel{})
+	}
+	y.stream.Close()
+	reason, detail := verdict.ReasonLinkLost, ""
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
+		reason = verdict.ReasonDeadline
+	case errors.Is(cause, context.Canceled):
+		reason = verdict.ReasonCancelled
+	case cause != nil:
+		detail = cause.Error()
+	}
+	return &outcome{fail: verdict.New(y.state.Verdict(), reason, detail)}
+}
--- /dev/null
+++ b/internal/front/choose.go
@@ -0,0 +1,125 @@
+package front
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/core/balance"
+	"github.com/radishhoist/radishhoist/internal/msg"
+)
+
+// trialShare is the share of a healthy instance's requests that an instance
+// that is left out still gets, so that it can show it is well again. Only
+// idempotent requests are used, and they are hedged like any other.
+const trialShare = 0.05
+
+// choose picks a target that was not tried yet and counts the request as
+// under way there. The sample is to ride on the request. nil means that no
+// target is left.
+func (f *Front) choose(req *request, tried []*target, rng *rand.Rand) (*target, msg.Sample) {
+	st := req.state
+	now := time.Now()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if now.Sub(st.choice.at) > rechooseAfter {
+		st.rechoose(now, req.service, f.paths, f.cfg)
+	}
+	t := st.pickTrial(req, tried, rng)
+	if t == nil {
+		t = st.pickUsable(now, tried, rng, f.paths, f.cfg)
+	}
+	if t == nil {
+		t = st.pickAny(tried)
+	}
+	if t == nil {
+		return nil, msg.Sample{}
+	}
+	t.pending++
+	return t, st.takeSample(now, t.hash)
+}
+
+// pickTrial sends a small share of idempotent requests to instances that are
+// left out.
+func (st *serviceState) pickTrial(req *request, tried []*target, rng *rand.Rand) *target {
+	c := &st.choice
+	if !req.idempotent || len(tried) > 0 || len(c.out) == 0 {
+		return nil
+	}
+	share := trialShare * float64(len(c.out)) / float64(len(st.targets))
+	if rng.Float64() >= share {
+		return nil
+	}
+	return st.targets[c.out[rng.IntN(len(c.out))]]
+}
+
+// pickUsable makes the regular choice.
+func (st *serviceState) pickUsable(now time.Time, tried []*target, rng *rand.Rand, p *paths, cfg Config) *target {
+	usable, local := st.choice.usable, st.choice.local
+	if len(tried) > 0 {
+		usable, local = st.without(usable, tried), st.without(local, tried)
+	}
+	at := localPositions(usable, local)
+	i := balance.Pick(rng, len(usable), at, func(k int) float64 {
+		return balance.Cost(st.targets[usable[k]].candidate(now, p, cfg))
+	})
+	if i < 0 {
+		return nil
+	}
+	return st.targets[usable[i]]
+}
+
+// pickAny falls back to a target that is left out, then to one whose path is
+// left out: it beats refusing.
+func (st *serviceState) pickAny(tried []*target) *target {
+	for _, i := range st.without(st.choice.out, tried) {
+		if st.targets[i].Usable() {
+			return st.targets[i]
+		}
+	}
+	for _, t := range st.targets {
+		if t.Usable() && !wasTried(tried, t) {
+			return t
+		}
+	}
+	return nil
+}
+
+// localPositions finds the local targets within the usable ones; both lists
+// hold ascending indexes.
+func localPositions(usable, local []int) []int {
+	out := make([]int, 0, len(local))
+	j := 0
+	for k, i := range usable {
+		if j < len(local) && local[j] == i {
+			out = append(out, k)
+			j++
+		}
+	}
+	return out
+}
+
+func (st *serviceState) without(list []int, tried []*target) []int {
+	out := make([]int, 0, len(list))
+	for _, i := range list {
+		if !wasTried(tried, st.targets[i]) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func wasTried(tried []*target, t *target) bool {
+	for _, other := range tried {
+		if other == t {
+			return true
+		}
+	}
+	return false
+}
+
+// release ends a request's count at its target.
+func (st *serviceState) release(t *target) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	t.pending--
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,177 @@
+// Package front takes callers' HTTP requests: it matches the route, fixes the
+// deadline, checks the team's rate, chooses targets, retries and hedges within
+// the budget, and answers with a whole answer or an honest verdict.
+package front
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/guard"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/peer"
+	"github.com/radishhoist/radishhoist/internal/wire"
+)
+
+// Config has the parameters of a Front.
+type Config struct {
+	// Host and DC name this host and its data centre.
+	Host string
+	DC   string
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int64
+	// BufferBodyBytes is how much of a request body is kept for a retry.
+	BufferBodyBytes int
+	// MaxHeaderBytes bounds a request header.
+	MaxHeaderBytes int
+	// MaxConns bounds the callers' connections.
+	MaxConns int
+	// HeaderTimeout bounds the reading of a request header.
+	HeaderTimeout time.Duration
+	// IdleTimeout closes idle callers' connections.
+	IdleTimeout time.Duration
+}
+
+// Keys decides whether a keyed request may run; nil Keys refuse every key.
+type Keys interface {
+	// Claim asks the owner of the key's shard.
+	Claim(ctx context.Context, service *directory.Service, c KeyRequest) (KeyAnswer, error)
+	// Done tells the owner how the request ended.
+	Done(service *directory.Service, c KeyRequest, a KeyAnswer, end KeyEnd)
+}
+
+// Front serves callers. It is safe for concurrent use.
+type Front struct {
+	cfg   Config
+	log   *slog.Logger
+	pool  *peer.Pool
+	guard *guard.Guard
+	keys  Keys
+
+	view     atomic.Pointer[directory.Directory]
+	teams    teamLimits
+	paths    *paths
+	services services
+	draining atomic.Bool
+	counts   counters
+	seed     atomic.Uint64
+}
+
+// New makes a Front. guard is this host's own, reached without frames.
+func New(cfg Config, log *slog.Logger, pool *peer.Pool, g *guard.Guard, keys Keys) *Front {
+	f := &Front{cfg: cfg, log: log, pool: pool, guard: g, keys: keys, paths: newPaths(log)}
+	f.seed.Store(rand.Uint64())
+	f.view.Store(&directory.Directory{})
+	f.services.byName = make(map[string]*serviceState)
+	f.counts = newCounters()
+	return f
+}
+
+// SetView replaces the directory that requests are served from.
+func (f *Front) SetView(d *directory.Directory) {
+	f.services.update(d, f.paths, f.cfg)
+	f.teams.update(d.Teams)
+	f.view.Store(d)
+}
+
+// SetPool sets the connections to the other hosts, before the first request.
+func (f *Front) SetPool(p *peer.Pool) { f.pool = p }
+
+// View gives the directory in force.
+func (f *Front) View() *directory.Directory { return f.view.Load() }
+
+// Drain makes the front tell its callers' connections to close.
+func (f *Front) Drain() { f.draining.Store(true) }
+
+// Server makes the HTTP server for callers; the caller serves and shuts down.
+func (f *Front) Server() *http.Server {
+	return &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: f.cfg.HeaderTimeout,
+		IdleTimeout:       f.cfg.IdleTimeout,
+		MaxHeaderBytes:    f.cfg.MaxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+	}
+}
+
+// rng gives a random source for one request; requests do not share one, so
+// that they need no lock.
+func (f *Front) rng() *rand.Rand {
+	n := f.seed.Add(1)
+	return rand.New(rand.NewPCG(n, n^0x9e3779b97f4a7c15))
+}
+
+// open starts a stream to the guard of a host: a function call on the own
+// host, frames to any other.
+func (f *Front) open(ctx context.Context, h *directory.Host) (wire.Stream, *wire.Conn, error) {
+	if h.Name == f.cfg.Host {
+		near, far := wire.Pipe()
+		go f.serveLocal(far)
+		return near, nil, nil
+	}
+	conn, err := f.pool.Conn(ctx, h.Peer)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := conn.Open()
+	return s, conn, err
+}
+
+func (f *Front) serveLocal(s wire.Stream) {
+	ctx, cancel := context.WithTimeout(context.Background(), localFirst)
+	defer cancel()
+	first, err := s.Recv(ctx)
+	if err != nil {
+		s.Close()
+		return
+	}
+	f.guard.Serve(s, first)
+}
+
+// localFirst bounds the wait for the first message on the own host.
+const localFirst = 10 * time.Second
+
+// limitListener bounds the connections accepted at once; further ones wait in
+// the kernel's queue.
+type limitListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+// Limit bounds a listener's connections.
+func (f *Front) Limit(l net.Listener) net.Listener {
+	return &limitListener{Listener: l, slots: make(chan struct{}, f.cfg.MaxConns)}
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	l.slots <- struct{}{}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
+}
+
+type limitedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
+
+func sampleOf(hash uint64, service time.Duration, failed bool) msg.Sample {
+	return msg.Sample{Instance: hash, ServiceUS: uint32(min(service.Microseconds(), 1<<32-1)), Failed: failed}
+}
--- /dev/null
+++ b/internal/front/request.go
@@ -0,0 +1,198 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/radishhoist/radishhoist/internal/core/admit"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/core/header"
+	"github.com/radishhoist/radishhoist/internal/core/route"
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/internal/guard"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+// request is one caller's request on its way through the front.
+type request struct {
+	id         string
+	arrived    time.Time
+	deadline   time.Time
+	route      *route.Route
+	service    *directory.Service
+	state      *serviceState
+	idempotent bool
+	class      uint32
+	http       *http.Request
+	key        string
+
+	// body is the buffered request body; rest is what follows where the body
+	// is too large to keep, and can be sent only once.
+	body     []byte
+	rest     io.Reader
+	restUsed bool
+	length   int64
+	attempts int
+}
+
+// ServeHTTP implements http.Handler.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req, fail := f.prepare(w, r)
+	if fail == nil {
+		f.counts.requests.Inc()
+		w.Header().Set(header.RequestID, req.id)
+		fail = f.run(w, req)
+	}
+	if fail != nil {
+		f.answerFailure(w, req, r, fail)
+		return
+	}
+	f.counts.answered.Inc()
+	f.counts.duration.UpdateDuration(req.arrived)
+}
+
+func (f *Front) answerFailure(w http.ResponseWriter, req *request, r *http.Request, fail *verdict.Error) {
+	id := requestID(r)
+	attempts := 0
+	if req != nil {
+		id, attempts = req.id, req.attempts
+		w.Header().Set(header.Attempts, strconv.Itoa(attempts))
+	}
+	f.counts.failed(fail)
+	event.Log(f.log, event.RequestFailed, slog.String("request", id), slog.String("method", r.Method),
+		slog.String("path", r.URL.Path), slog.String("verdict", fail.Verdict.String()),
+		slog.String("reason", string(fail.Reason)), slog.String("detail", fail.Detail), slog.Int("attempts", attempts))
+	fail.Write(w, id)
+}
+
+// maxRequestID bounds a caller's own request id, in bytes.
+const maxRequestID = 64
+
+// requestID takes the caller's id where it is a plain one, else makes one.
+func requestID(r *http.Request) string {
+	id := r.Header.Get(header.RequestID)
+	if id == "" || len(id) > maxRequestID || strings.ContainsAny(id, " \t\"\\") {
+		id = uuid.NewString()
+	}
+	return id
+}
+
+// prepare finds route, service, limits and deadline, and reads the body.
+func (f *Front) prepare(w http.ResponseWriter, r *http.Request) (*request, *verdict.Error) {
+	view := f.view.Load()
+	if !view.Whole {
+		return nil, retryLater(verdict.ReasonNotReady, "this host does not have the whole configuration yet", time.Second)
+	}
+	req := &request{id: uuid.NewString(), arrived: time.Now(), http: r}
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	req.route = view.Routes.Match(strings.ToLower(host), r.URL.Path, r.Method)
+	if req.route == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoRoute, "no route matches "+r.Method+" "+host+r.URL.Path)
+	}
+	var ok bool
+	if req.service, ok = view.Services[req.route.Service]; !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoRoute,
+			"route "+req.route.Name+" leads to service "+req.route.Service+", which has no record")
+	}
+	req.state = f.services.get(req.service.Name)
+	req.idempotent = req.route.IsIdempotent(r.Method)
+	req.key = r.Header.Get(header.IdempotencyKey)
+	req.deadline = req.arrived.Add(callerTimeout(r, req.route.Timeout()))
+	if fail := f.limitTeam(req, r); fail != nil {
+		return nil, fail
+	}
+	return req, f.readBody(w, req)
+}
+
+// limitTeam checks the rate of the caller's team and finds its class.
+func (f *Front) limitTeam(req *request, r *http.Request) *verdict.Error {
+	team := r.Header.Get(header.Team)
+	req.class = uint32(guard.InstanceHash(team) % admit.Classes)
+	if wait := f.teams.take(req.arrived, team); wait > 0 {
+		return retryLater(verdict.ReasonTeamLimit, "team "+team+" is over its rate at this host", wait)
+	}
+	return nil
+}
+
+func retryLater(reason verdict.Reason, detail string, wait time.Duration) *verdict.Error {
+	e := verdict.New(verdict.NotRun, reason, detail)
+	e.RetryAfterMS = max(wait.Milliseconds(), 1)
+	return e
+}
+
+// callerTimeout shortens the route's timeout to what the caller asks for.
+func callerTimeout(r *http.Request, timeout time.Duration) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(header.TimeoutMS), 10, 64)
+	if err != nil || ms <= 0 || ms > timeout.Milliseconds() {
+		return timeout
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// readBody keeps the body where it is small enough to be sent again.
+func (f *Front) readBody(w http.ResponseWriter, req *request) *verdict.Error {
+	r := req.http
+	req.length = r.ContentLength
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		req.length = 0
+		return nil
+	}
+	if r.ContentLength > f.cfg.MaxBodyBytes {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the request body is too large")
+	}
+	reader := http.MaxBytesReader(w, r.Body, f.cfg.MaxBodyBytes)
+	kept, err := io.ReadAll(io.LimitReader(reader, int64(f.cfg.BufferBodyBytes)+1))
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the request body could not be read: "+err.Error())
+	}
+	req.body = kept
+	if len(kept) <= f.cfg.BufferBodyBytes {
+		req.length = int64(len(kept))
+		return nil
+	}
+	req.rest = reader
+	return nil
+}
+
+// bodyReader gives the body for one attempt; false where it was sent before
+// and could not be kept.
+func (req *request) bodyReader() (io.Reader, bool) {
+	if req.rest == nil {
+		return bytes.NewReader(req.body), true
+	}
+	if req.restUsed {
+		return nil, false
+	}
+	req.restUsed = true
+	return io.MultiReader(bytes.NewReader(req.body), req.rest), true
+}
+
+// repeatable says that another attempt could send the body again.
+func (req *request) repeatable() bool { return req.rest == nil || !req.restUsed }
+
+// run answers the request or says why not.
+func (f *Front) run(w http.ResponseWriter, req *request) *verdict.Error {
+	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
+	defer cancel()
+	req.state.fresh()
+	answer, fail := f.runKeyed(ctx, req)
+	if fail != nil {
+		return fail
+	}
+	return answer.finish(w, req)
+}
--- /dev/null
+++ b/internal/front/status.go
@@ -0,0 +1,170 @@
+package front
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/core/detect"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+)
+
+// ServiceStatus is one service as this front sees it.
+type ServiceStatus struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+	Preset  string `json:"preset"`
+	// Known, Healthy and Required are slots: all, in use, and the floor.
+	Known    int `json:"knownSlots"`
+	Healthy  int `json:"healthySlots"`
+	Required int `json:"requiredSlots"`
+	// Kept counts suspects that are used only because of the floor.
+	Kept    int            `json:"suspectsKept"`
+	Targets []TargetStatus `json:"targets"`
+}
+
+// TargetStatus is one target as this front sees it.
+type TargetStatus struct {
+	Name  string `json:"name"`
+	Host  string `json:"host"`
+	DC    string `json:"dc"`
+	Slots int    `json:"slots"`
+	// Use is "used", "left out" or "unusable"; Why says on what evidence.
+	Use       string  `json:"use"`
+	Why       string  `json:"why,omitempty"`
+	ServiceMS float64 `json:"serviceMS"`
+	Running   int     `json:"running"`
+	Queued    int     `json:"queued"`
+}
+
+// Status lists every service with the outcome of the floor rule.
+func (f *Front) Status() []ServiceStatus {
+	view := f.view.Load()
+	out := []ServiceStatus{}
+	for name, svc := range view.Services {
+		if st := f.services.get(name); st != nil {
+			out = append(out, f.serviceStatus(svc, st))
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+func (f *Front) serviceStatus(svc *directory.Service, st *serviceState) ServiceStatus {
+	now := time.Now()
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.rechoose(now, svc, f.paths, f.cfg)
+	r := st.choice.result
+	out := ServiceStatus{
+		Name: svc.Name, Version: svc.Version, Preset: svc.Record.Preset,
+		Known: r.Known, Healthy: r.Healthy, Required: r.Required, Kept: r.Kept, Targets: []TargetStatus{},
+	}
+	for i, t := range st.targets {
+		use, why := f.explainUse(now, t, r.Out[i])
+		out.Targets = append(out.Targets, TargetStatus{
+			Name: t.Name, Host: t.Host.Name, DC: t.Host.DC, Slots: t.Slots, Use: use, Why: why,
+			ServiceMS: float64(t.service.Microseconds()) / 1000,
+			Running:   int(t.load.Running), Queued: int(t.load.Queued),
+		})
+	}
+	return out
+}
+
+// explainUse says how a target is used, and why.
+func (f *Front) explainUse(now time.Time, t *target, out bool) (use, why string) {
+	evidence := fmt.Sprintf("suspect, evidence %.1f nats", float64(t.Evidence)/100)
+	switch {
+	case !t.Host.Alive:
+		return "unusable", "host does not answer"
+	case t.Host.Leaving:
+		return "unusable", "host is leaving"
+	case t.State == directory.Leaving:
+		return "unusable", "instance is leaving"
+	case !f.paths.usable(now, t.Host.Name):
+		return "unusable", "no frame comes back from the host"
+	case out:
+		return "left out", evidence
+	case t.Health == detect.Suspect:
+		return "used", evidence + ", kept by the floor"
+	case now.Before(t.Warm):
+		return "used", "warming up"
+	default:
+		return "used", ""
+	}
+}
+
+// Paths lists the paths to other hosts.
+func (f *Front) Paths() []PathState { return f.paths.state() }
+
+// Explanation says what would happen to a request, and why.
+type Explanation struct {
+	Matched    bool     `json:"matched"`
+	Route      string   `json:"route,omitempty"`
+	Version    int64    `json:"version,omitempty"`
+	Service    string   `json:"service,omitempty"`
+	Idempotent bool     `json:"idempotent"`
+	Because    string   `json:"because,omitempty"`
+	TimeoutMS  int64    `json:"timeoutMS,omitempty"`
+	Priority   int      `json:"priority"`
+	Team       string   `json:"team,omitempty"`
+	TeamRate   int      `json:"teamRatePerSecond,omitempty"`
+	Target     string   `json:"targetNow,omitempty"`
+	TargetHost string   `json:"targetHost,omitempty"`
+	TargetWhy  string   `json:"targetWhy,omitempty"`
+	LeftOut    []string `json:"leftOut,omitempty"`
+	Problem    string   `json:"problem,omitempty"`
+}
+
+// Explain says what would happen to a request now. Nothing is sent.
+func (f *Front) Explain(method, host, path, team string) Explanation {
+	view := f.view.Load()
+	if view.Routes == nil {
+		return Explanation{Problem: "this host does not have the whole configuration yet"}
+	}
+	r := view.Routes.Match(strings.ToLower(host), path, method)
+	if r == nil {
+		return Explanation{Problem: "no route matches; `radishhoist list routes` shows what there is"}
+	}
+	out := Explanation{
+		Matched: true, Route: r.Name, Version: r.Version, Service: r.Service,
+		Idempotent: r.IsIdempotent(method), Because: "the method " + method + " says so",
+		TimeoutMS: r.Timeout().Milliseconds(), Priority: r.Priority, Team: team,
+	}
+	if r.Idempotent != "" {
+		out.Because = "the route says idempotent: " + r.Idempotent
+	}
+	if t, ok := view.Teams[team]; ok {
+		out.TeamRate = t.RatePerSecond
+	}
+	svc, ok := view.Services[r.Service]
+	if !ok {
+		out.Problem = "service " + r.Service + " has no record"
+		return out
+	}
+	f.explainTarget(svc, &out)
+	return out
+}
+
+func (f *Front) explainTarget(svc *directory.Service, out *Explanation) {
+	st := f.services.get(svc.Name)
+	if st == nil {
+		return
+	}
+	status := f.serviceStatus(svc, st)
+	for _, t := range status.Targets {
+		if t.Use != "used" {
+			out.LeftOut = append(out.LeftOut, t.Name+": "+t.Use+", "+t.Why)
+		}
+	}
+	st.mu.Lock()
+	t := st.pickUsable(time.Now(), nil, f.rng(), f.paths, f.cfg)
+	st.mu.Unlock()
+	if t == nil {
+		out.Problem = "service " + svc.Name + " has no target that takes work"
+		return
+	}
+	out.Target, out.TargetHost = t.Name, t.Host.Name
+	out.TargetWhy = fmt.Sprintf("least expected wait of a random few of %d usable; another call may choose another", len(status.Targets)-len(out.LeftOut))
+}
--- /dev/null
+++ b/internal/guard/call.go
@@ -0,0 +1,241 @@
+package guard
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/core/header"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/wire"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+// call runs the request at the instance and sends the answer. The slot is
+// held; call gives it back.
+func (x *exchange) call(m *msg.Run) {
+	ctx, cancel := context.WithDeadlineCause(x.ctx, x.deadline, errDeadline)
+	defer cancel()
+	go func() {
+		select {
+		case <-x.lost:
+			// Work that is not idempotent goes on: stopping it half way is
+			// worse than an answer that nobody hears.
+			if m.Idempotent {
+				cancel()
+			}
+		case <-ctx.Done():
+		}
+	}()
+	started := time.Now()
+	x.inst.start(started, x.waiter)
+	res, failure := x.exchangeHTTP(ctx, m, started)
+	res.service = time.Since(started)
+	if failure != nil && ctx.Err() != nil {
+		res.failed, res.cut = false, true
+		if errors.Is(context.Cause(ctx), errDeadline) {
+			failure = verdict.New(failure.Verdict, verdict.ReasonDeadline, "the target did not answer within the deadline")
+		}
+	}
+	x.inst.finish(time.Now(), x.id, res)
+	if failure != nil {
+		x.fail(failure)
+	}
+}
+
+var errDeadline = errors.New("deadline")
+
+// exchangeHTTP calls the target and relays its answer; the End message is
+// sent only once the whole answer has come.
+func (x *exchange) exchangeHTTP(ctx context.Context, m *msg.Run, started time.Time) (result, *verdict.Error) {
+	req, err := x.buildRequest(m)
+	if err != nil {
+		return result{shed: true}, refusal(verdict.ReasonBadRequest, err.Error())
+	}
+	resp, err := x.inst.call(ctx, req)
+	if err != nil {
+		return result{failed: true}, callFailure(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if got := resp.Header.Get(header.RequestID); got != "" && got != m.RequestID {
+		return result{failed: true}, verdict.New(verdict.Ran, verdict.ReasonAnswerMismatch, "the target answered another request")
+	}
+	res := judgeStatus(resp.StatusCode)
+	head := &msg.Head{
+		RequestID: m.RequestID, Status: uint16(resp.StatusCode),
+		Header: header.ToFields(resp.Header), Length: resp.ContentLength,
+	}
+	if err := x.stream.Send(ctx, head); err != nil {
+		return result{cut: true}, verdict.New(verdict.Ran, verdict.ReasonLinkLost, err.Error())
+	}
+	end, failure := x.relayBody(ctx, resp)
+	if failure != nil {
+		return result{failed: failure.Reason == verdict.ReasonTargetBroke, cut: failure.Reason == verdict.ReasonLinkLost}, failure
+	}
+	end.ServiceUS = micros(time.Since(started))
+	end.QueueUS = micros(started.Sub(x.arrived))
+	end.Load = x.inst.load()
+	if err := x.stream.Send(ctx, end); err != nil {
+		res.cut = true
+	}
+	return res, nil
+}
+
+func micros(d time.Duration) uint32 { return uint32(min(d.Microseconds(), 1<<32-1)) }
+
+// judgeStatus says what a status tells of the instance. A target that sheds
+// load says so with 503 or 429, which is no fault.
+func judgeStatus(status int) result {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return result{shed: true}
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+		return result{failed: true}
+	default:
+		return result{}
+	}
+}
+
+// callFailure gives the verdict of a call without an answer. Only a
+// connection that was never made proves that the request did not run.
+func callFailure(err error) *verdict.Error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return verdict.New(verdict.NotRun, verdict.ReasonTargetDown, "the target takes no connection")
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonTargetBroke, "the target broke the connection before it answered")
+}
+
+// relayBody sends the answer's body in chunks, with its length and hash.
+func (x *exchange) relayBody(ctx context.Context, resp *http.Response) (*msg.End, *verdict.Error) {
+	hash := xxhash.New()
+	end := &msg.End{}
+	size := wire.ChunkSize
+	if resp.ContentLength >= 0 {
+		size = int(min(resp.ContentLength+1, wire.ChunkSize))
+	}
+	for {
+		chunk := make([]byte, size)
+		n, err := io.ReadFull(resp.Body, chunk)
+		if n > 0 {
+			_, _ = hash.Write(chunk[:n])
+			end.Length += uint64(n)
+			if sendErr := x.stream.Send(ctx, &msg.Data{Bytes: chunk[:n]}); sendErr != nil {
+				return nil, verdict.New(verdict.Ran, verdict.ReasonLinkLost, sendErr.Error())
+			}
+		}
+		// ReadFull gives ErrUnexpectedEOF both at the body's proper end in the
+		// middle of a chunk and for a body cut short, so the next read tells.
+		switch {
+		case err == io.EOF:
+			end.Hash = hash.Sum64()
+			return end, nil
+		case errors.Is(err, io.ErrUnexpectedEOF) && resp.ContentLength < 0:
+			if _, again := resp.Body.Read(make([]byte, 1)); again != io.EOF {
+				return nil, brokenBody()
+			}
+			end.Hash = hash.Sum64()
+			return end, nil
+		case errors.Is(err, io.ErrUnexpectedEOF) && int64(end.Length) == resp.ContentLength:
+			end.Hash = hash.Sum64()
+			return end, nil
+		case err != nil:
+			return nil, brokenBody()
+		}
+	}
+}
+
+func brokenBody() *verdict.Error {
+	return verdict.New(verdict.Ran, verdict.ReasonTargetBroke, "the target cut its answer short")
+}
+
+// buildRequest makes the HTTP request for the target. A request that is not
+// idempotent gets a body without GetBody, so that the HTTP client never sends
+// it a second time on a fresh connection by itself.
+func (x *exchange) buildRequest(m *msg.Run) (*http.Request, error) {
+	u, err := url.ParseRequestURI(m.URI)
+	if err != nil {
+		return nil, errors.Wrap(err, "request target")
+	}
+	u.Scheme, u.Host = "http", x.inst.address
+	req := &http.Request{
+		Method: m.Method, URL: u, Host: m.Host, Header: header.FromFields(m.Header),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	req.Header.Set(header.RequestID, m.RequestID)
+	left := time.Until(x.deadline).Milliseconds()
+	req.Header.Set(header.TimeoutMS, strconv.FormatInt(max(left, 1), 10))
+	switch {
+	case m.BodyLength != 0:
+		req.Body = &bodyReader{x: x, hash: xxhash.New()}
+		req.ContentLength = m.BodyLength
+	case !m.Idempotent:
+		req.Body = io.NopCloser(strings.NewReader(""))
+	}
+	return req, nil
+}
+
+// bodyReader reads the request body from the stream.
+type bodyReader struct {
+	x      *exchange
+	hash   *xxhash.Digest
+	length uint64
+	rest   []byte
+	done   bool
+}
+
+// Read implements io.Reader. A body that is cut short, or whose length or
+// hash is wrong, is an error, which makes the HTTP client break the request.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	for len(b.rest) == 0 {
+		if b.done {
+			return 0, io.EOF
+		}
+		if err := b.next(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *bodyReader) next() error {
+	var m msg.Message
+	select {
+	case m = <-b.x.inbox:
+	case <-b.x.lost:
+		// What came before the loss is still in the inbox.
+		select {
+		case m = <-b.x.inbox:
+		default:
+			return errGone
+		}
+	}
+	switch m := m.(type) {
+	case *msg.Data:
+		_, _ = b.hash.Write(m.Bytes)
+		b.length += uint64(len(m.Bytes))
+		b.rest = m.Bytes
+		return nil
+	case *msg.End:
+		if m.Length != b.length || m.Hash != b.hash.Sum64() {
+			return errors.New("the request body arrived damaged")
+		}
+		b.done = true
+		return nil
+	default:
+		return errors.Errorf("message kind %d inside a request body", m.Kind())
+	}
+}
+
+// Close implements io.Closer.
+func (b *bodyReader) Close() error { return nil }
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,298 @@
+// Package guard runs the instances on its own host: it is the only way to
+// them. It takes their announcements, admits and runs requests, judges the
+// instances' health, and drains.
+package guard
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/core/admit"
+	"github.com/radishhoist/radishhoist/internal/core/detect"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+// Config has the parameters of a Guard.
+type Config struct {
+	// Host is this host's name.
+	Host string
+	// QueuePerSlot bounds the requests waiting at an instance, per slot.
+	QueuePerSlot int
+	// GrantLife is how long a reserved slot is held.
+	GrantLife time.Duration
+	// AnnounceExpiry is how long an instance may go without announcing.
+	AnnounceExpiry time.Duration
+	// TargetIdle is how long an idle connection to an instance is kept.
+	TargetIdle time.Duration
+}
+
+// Fence decides whether a run that was claimed at an epoch may still start.
+type Fence interface {
+	// MayRun reports false where this guard has promised a greater epoch.
+	MayRun(service string, shard uint32, epoch uint64) bool
+}
+
+// Guard holds the instances of one host. It is safe for concurrent use.
+type Guard struct {
+	cfg   Config
+	log   *slog.Logger
+	fence Fence
+	// changed is called, without locks, whenever what the host says of its
+	// instances has changed.
+	changed func()
+
+	mu        sync.Mutex
+	instances map[string]*instance
+	presets   map[string]detect.Params
+	draining  bool
+	// active counts the requests under way; idle is closed at the next time
+	// there are none.
+	active int
+	idle   chan struct{}
+}
+
+// New makes a Guard without instances.
+func New(cfg Config, log *slog.Logger, fence Fence, changed func()) *Guard {
+	return &Guard{
+		cfg: cfg, log: log, fence: fence, changed: changed,
+		instances: make(map[string]*instance),
+		presets:   make(map[string]detect.Params),
+	}
+}
+
+// Announcement is what an instance says of itself, again and again.
+type Announcement struct {
+	Service string `json:"service"`
+	// Address is where the instance answers HTTP, IP:port.
+	Address string `json:"address"`
+	// Slots is how many requests it runs at once.
+	Slots int `json:"slots"`
+	// Connections is how many connections it accepts.
+	Connections int    `json:"connections"`
+	Version     string `json:"version"`
+	// Leaving says that it wants no new work.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Announce takes an announcement and reports whether the instance is new.
+func (g *Guard) Announce(now time.Time, name string, a Announcement) error {
+	if err := a.check(name); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	inst, known := g.instances[name]
+	if !known && len(g.instances) >= maxInstances {
+		g.mu.Unlock()
+		return errTooMany
+	}
+	if !known || inst.service != a.Service || inst.address != a.Address {
+		if known {
+			inst.close()
+		}
+		inst = newInstance(g, name, a, now)
+		g.instances[name] = inst
+		known = false
+	}
+	g.mu.Unlock()
+	changed := inst.refresh(now, a) || !known
+	if !known {
+		event.Log(g.log, event.InstanceAnnounced, slog.String("instance", name),
+			slog.String("service", a.Service), slog.String("address", a.Address), slog.Int("slots", a.Slots))
+	}
+	if changed {
+		g.changed()
+	}
+	return nil
+}
+
+// Withdraw takes the word of an instance that it is gone.
+func (g *Guard) Withdraw(name string) {
+	g.mu.Lock()
+	inst, ok := g.instances[name]
+	delete(g.instances, name)
+	g.mu.Unlock()
+	if !ok {
+		return
+	}
+	inst.close()
+	event.Log(g.log, event.InstanceGone, slog.String("instance", name), slog.String("cause", "withdrawn"))
+	g.changed()
+}
+
+// Apply takes what the records in force say: the services' presets, and which
+// of this host's instances are to stop.
+func (g *Guard) Apply(d *directory.Directory) {
+	g.mu.Lock()
+	for name, s := range d.Services {
+		g.presets[name] = detect.ForPreset(s.Record.Preset)
+	}
+	all := g.list()
+	g.mu.Unlock()
+	changed := false
+	for _, inst := range all {
+		stop := d.Stopping(g.cfg.Host, inst.name)
+		if inst.apply(g.params(inst.service), stop != nil) {
+			changed = true
+		}
+	}
+	if changed {
+		g.changed()
+	}
+}
+
+// params gives a service's detection parameters; Careful where no record says.
+func (g *Guard) params(service string) detect.Params {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p, ok := g.presets[service]; ok {
+		return p
+	}
+	return detect.Careful()
+}
+
+func (g *Guard) list() []*instance {
+	out := make([]*instance, 0, len(g.instances))
+	for _, inst := range g.instances {
+		out = append(out, inst)
+	}
+	return out
+}
+
+func (g *Guard) all() []*instance {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.list()
+}
+
+func (g *Guard) find(service, name string) (*instance, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	inst, ok := g.instances[name]
+	return inst, ok && inst.service == service
+}
+
+// Tick lapses grants, drops late requests, judges stuck ones and notices
+// instances that no longer announce themselves.
+func (g *Guard) Tick(now time.Time) {
+	changed := false
+	for _, inst := range g.all() {
+		if inst.tick(now) {
+			changed = true
+		}
+		if inst.silent(now) {
+			g.drop(inst)
+			changed = true
+		}
+	}
+	if changed {
+		g.changed()
+	}
+}
+
+func (g *Guard) drop(inst *instance) {
+	g.mu.Lock()
+	if g.instances[inst.name] == inst {
+		delete(g.instances, inst.name)
+	}
+	g.mu.Unlock()
+	inst.close()
+	event.Log(g.log, event.InstanceGone, slog.String("instance", inst.name), slog.String("cause", "no announcement"))
+}
+
+// Drain refuses new work on every instance; what runs goes on.
+func (g *Guard) Drain() {
+	g.mu.Lock()
+	g.draining = true
+	all := g.list()
+	g.mu.Unlock()
+	for _, inst := range all {
+		inst.drain()
+	}
+	g.changed()
+}
+
+// enter counts a request that begins.
+func (g *Guard) enter() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.active++
+}
+
+// leave counts a request that has ended.
+func (g *Guard) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.active--
+	if g.active == 0 && g.idle != nil {
+		close(g.idle)
+		g.idle = nil
+	}
+}
+
+// Wait blocks until no request runs or holds a slot, or done is closed, and
+// reports whether all have ended.
+func (g *Guard) Wait(done <-chan struct{}) bool {
+	g.mu.Lock()
+	if g.active == 0 {
+		g.mu.Unlock()
+		return true
+	}
+	if g.idle == nil {
+		g.idle = make(chan struct{})
+	}
+	idle := g.idle
+	g.mu.Unlock()
+	select {
+	case <-idle:
+		return true
+	case <-done:
+		return false
+	}
+}
+
+// Draining says that the guard takes no new work.
+func (g *Guard) Draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
+// Instances lists what the host announces to its peers.
+func (g *Guard) Instances() []directory.Instance {
+	var out []directory.Instance
+	for _, inst := range g.all() {
+		out = append(out, inst.announced())
+	}
+	return out
+}
+
+// State lists every instance for the state dump.
+func (g *Guard) State() []InstanceState {
+	out := []InstanceState{}
+	for _, inst := range g.all() {
+		out = append(out, inst.state())
+	}
+	return out
+}
+
+// tellSiblings tells the other instances of the same service on this host of one
+// instance's answer.
+func (g *Guard) tellSiblings(from *instance, now time.Time, service time.Duration, failed bool) {
+	for _, inst := range g.all() {
+		if inst != from && inst.service == from.service {
+			inst.observePeer(now, service, failed)
+		}
+	}
+}
+
+func refusal(r verdict.Reason, detail string) *verdict.Error {
+	return verdict.New(verdict.NotRun, r, detail)
+}
+
+// queueConfig gives an instance's admission bounds.
+func (g *Guard) queueConfig(slots int) admit.Config {
+	return admit.Config{Slots: slots, QueuePerSlot: g.cfg.QueuePerSlot, GrantLife: g.cfg.GrantLife}
+}
--- /dev/null
+++ b/internal/guard/instance.go
@@ -0,0 +1,374 @@
+package guard
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/radishhoist/radishhoist/internal/core/admit"
+	"github.com/radishhoist/radishhoist/internal/core/detect"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+// instance is one running copy of a target on this host.
+type instance struct {
+	guard   *Guard
+	name    string
+	hash    uint64
+	service string
+	address string
+	started time.Time
+	client  *http.Transport
+
+	mu        sync.Mutex
+	queue     *admit.Queue
+	detector  *detect.Detector
+	reference detect.Reference
+	waiters   map[admit.ID]*waiter
+	nextID    admit.ID
+	slots     int
+	conns     int
+	version   string
+	leaving   bool
+	stopped   bool
+	heard     time.Time
+	counts    Counts
+}
+
+// waiter is the goroutine that serves one request.
+type waiter struct {
+	decisions chan admit.Decision
+	// started is when the target was called, zero before.
+	started time.Time
+	// reported is the age last reported to the detector.
+	reported time.Duration
+}
+
+// Counts are an instance's counters since it was announced.
+type Counts struct {
+	Ran       uint64 `json:"ran"`
+	Failed    uint64 `json:"failed"`
+	Refused   uint64 `json:"refused"`
+	Cancelled uint64 `json:"cancelled"`
+	Broken    uint64 `json:"broken"`
+}
+
+// InstanceHash names an instance in samples.
+func InstanceHash(name string) uint64 { return xxhash.Sum64String(name) }
+
+func newInstance(g *Guard, name string, a Announcement, now time.Time) *instance {
+	params := detect.Careful()
+	if p, ok := g.presets[a.Service]; ok {
+		params = p
+	}
+	return &instance{
+		guard: g, name: name, hash: InstanceHash(name),
+		service: a.Service, address: a.Address, started: now,
+		client: &http.Transport{
+			MaxConnsPerHost:     a.Connections,
+			MaxIdleConnsPerHost: min(a.Connections, 2*a.Slots),
+			IdleConnTimeout:     g.cfg.TargetIdle,
+			DisableCompression:  true,
+			WriteBufferSize:     4 << 10,
+			ReadBufferSize:      16 << 10,
+		},
+		queue:    admit.NewQueue(g.queueConfig(a.Slots)),
+		detector: detect.NewDetector(params),
+		waiters:  make(map[admit.ID]*waiter),
+		slots:    a.Slots, conns: a.Connections, version: a.Version, heard: now,
+	}
+}
+
+// refresh takes a repeated announcement and reports whether anything that
+// others must know has changed.
+func (i *instance) refresh(now time.Time, a Announcement) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.heard = now
+	changed := i.slots != a.Slots || i.version != a.Version || i.leaving != a.Leaving
+	if i.slots != a.Slots {
+		i.slots = a.Slots
+		i.deliver(i.queue.SetSlots(now, a.Slots))
+	}
+	i.version = a.Version
+	if i.leaving != a.Leaving {
+		i.leaving = a.Leaving
+		i.settle()
+		event.Log(i.guard.log, event.InstanceLeaving, slog.String("instance", i.name), slog.Bool("leaving", a.Leaving))
+	}
+	return changed
+}
+
+// apply takes the detection parameters and whether a planned stop covers the
+// instance, and reports whether the stop has changed.
+func (i *instance) apply(p detect.Params, stopped bool) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.detector.SetParams(p)
+	if i.stopped == stopped {
+		return false
+	}
+	i.stopped = stopped
+	i.settle()
+	event.Log(i.guard.log, event.InstanceLeaving, slog.String("instance", i.name), slog.Bool("leaving", stopped))
+	return true
+}
+
+func (i *instance) drain() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.stopped = true
+	i.settle()
+}
+
+// settle makes the queue take work or not. The caller holds the lock.
+func (i *instance) settle() {
+	if i.leaving || i.stopped {
+		i.deliver(i.queue.Drain())
+		return
+	}
+	i.queue.Resume()
+}
+
+// close refuses what waits and lets go of idle connections; what runs goes on.
+func (i *instance) close() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.stopped = true
+	i.deliver(i.queue.Drain())
+	i.client.CloseIdleConnections()
+}
+
+// deliver hands decisions to the goroutines that wait for them. The caller
+// holds the lock. Each waiter takes at most one grant and one refusal or start
+// from here, which its channel has room for.
+func (i *instance) deliver(decisions []admit.Decision) {
+	for _, d := range decisions {
+		if d.Action == admit.Wait {
+			continue
+		}
+		if w, ok := i.waiters[d.ID]; ok {
+			w.decisions <- d
+		}
+	}
+}
+
+// waiterDepth holds one grant and one refusal or start.
+const waiterDepth = 2
+
+// offer admits a request; its decisions come on the waiter's channel.
+func (i *instance) offer(now time.Time, r admit.Request) (admit.ID, *waiter) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.nextID++
+	r.ID = i.nextID
+	w := &waiter{decisions: make(chan admit.Decision, waiterDepth)}
+	i.waiters[r.ID] = w
+	i.deliver(i.queue.Offer(now, r))
+	return r.ID, w
+}
+
+// run uses up a grant.
+func (i *instance) run(now time.Time, id admit.ID) admit.Decision {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.queue.Run(now, id)
+}
+
+// cancel gives a request up and says whether it had started.
+func (i *instance) cancel(now time.Time, id admit.ID) verdict.Verdict {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	v, decisions := i.queue.Cancel(now, id)
+	i.counts.Cancelled++
+	i.deliver(decisions)
+	return v
+}
+
+// start marks the moment the target is called.
+func (i *instance) start(now time.Time, w *waiter) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	w.started = now
+	i.counts.Ran++
+}
+
+// forget drops the waiter of a request that never ran.
+func (i *instance) forget(id admit.ID) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.waiters, id)
+}
+
+// result is how a request that ran has ended.
+type result struct {
+	service time.Duration
+	// failed counts against the instance.
+	failed bool
+	// shed says the instance refused by load: no evidence either way.
+	shed bool
+	// cut says the request was stopped from outside before it ended.
+	cut bool
+}
+
+// finish frees the slot and judges the instance by the result.
+func (i *instance) finish(now time.Time, id admit.ID, r result) {
+	i.mu.Lock()
+	delete(i.waiters, id)
+	service := r.service
+	if r.failed || r.shed || r.cut {
+		service = 0
+	}
+	i.deliver(i.queue.Done(now, id, service))
+	if r.failed {
+		i.counts.Failed++
+	}
+	changed := false
+	switch ref := i.reference.At(now); {
+	case r.shed:
+	case r.cut && !r.failed:
+		changed = i.detector.Stuck(now, ref, r.service)
+	default:
+		changed = i.detector.Answer(now, ref, r.service, r.failed)
+	}
+	i.mu.Unlock()
+	if !r.shed && !r.cut {
+		i.guard.tellSiblings(i, now, r.service, r.failed)
+	}
+	if changed {
+		i.logHealth()
+		i.guard.changed()
+	}
+}
+
+// observe takes the sample that rides on a request.
+func (i *instance) observe(now time.Time, s msg.Sample) {
+	if s.Instance == 0 || s.Instance == i.hash {
+		return
+	}
+	i.observePeer(now, time.Duration(s.ServiceUS)*time.Microsecond, s.Failed)
+}
+
+func (i *instance) observePeer(now time.Time, service time.Duration, failed bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.reference.Add(now, service, failed)
+}
+
+// tick lapses grants and reports requests that are stuck.
+func (i *instance) tick(now time.Time) bool {
+	i.mu.Lock()
+	i.deliver(i.queue.Tick(now))
+	ref := i.reference.At(now)
+	changed := false
+	for _, w := range i.waiters {
+		age := now.Sub(w.started)
+		if w.started.IsZero() || age < 2*w.reported || age < stuckAge {
+			continue
+		}
+		w.reported = age
+		if i.detector.Stuck(now, ref, age) {
+			changed = true
+		}
+	}
+	i.mu.Unlock()
+	if changed {
+		i.logHealth()
+	}
+	return changed
+}
+
+// stuckAge is the least age at which a running request is looked at.
+const stuckAge = 20 * time.Millisecond
+
+func (i *instance) silent(now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return now.Sub(i.heard) > i.guard.cfg.AnnounceExpiry
+}
+
+func (i *instance) logHealth() {
+	i.mu.Lock()
+	health, evidence := i.detector.Health(), i.detector.Evidence()
+	ref := i.reference.At(time.Now())
+	i.mu.Unlock()
+	e := event.InstanceTrusted
+	if health == detect.Suspect {
+		e = event.InstanceSuspect
+	}
+	event.Log(i.guard.log, e, slog.String("instance", i.name), slog.String("service", i.service),
+		slog.Float64("evidence", evidence), slog.Float64("peerFailures", ref.Failures), slog.Int("peerSamples", ref.Count))
+}
+
+// evidenceScale turns nats into the hundredths that are sent.
+const evidenceScale = 100
+
+// load is the exact count that rides on answers.
+func (i *instance) load() msg.Load {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return msg.Load{
+		Slots: uint32(i.slots), Running: uint32(i.queue.Running()), Queued: uint32(i.queue.Queued()),
+		Health: uint8(i.detector.Health()), Evidence: uint32(i.detector.Evidence() * evidenceScale),
+	}
+}
+
+func (i *instance) announced() directory.Instance {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	out := directory.Instance{
+		Name: i.name, Service: i.service, Slots: i.slots, Conns: i.conns, Version: i.version,
+		Health: i.detector.Health(), StartedMS: i.started.UnixMilli(),
+	}
+	if out.Health == detect.Suspect {
+		// What made it a suspect, not what has come since: it must not change
+		// with every answer.
+		out.Evidence = uint32(i.detector.Conviction() * evidenceScale)
+	}
+	if i.leaving || i.stopped {
+		out.State = directory.Leaving
+	}
+	return out
+}
+
+// InstanceState is one instance in the state dump.
+type InstanceState struct {
+	Name       string  `json:"name"`
+	Service    string  `json:"service"`
+	Address    string  `json:"address"`
+	Version    string  `json:"version"`
+	Slots      int     `json:"slots"`
+	Running    int     `json:"running"`
+	Queued     int     `json:"queued"`
+	ServiceMS  float64 `json:"serviceMS"`
+	Leaving    bool    `json:"leaving"`
+	Health     string  `json:"health"`
+	Evidence   float64 `json:"evidence"`
+	References int     `json:"peerSamples"`
+	Counts     Counts  `json:"counts"`
+}
+
+func (i *instance) state() InstanceState {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return InstanceState{
+		Name: i.name, Service: i.service, Address: i.address, Version: i.version,
+		Slots: i.slots, Running: i.queue.Running(), Queued: i.queue.Queued(),
+		ServiceMS: float64(i.queue.Service().Microseconds()) / 1000,
+		Leaving:   i.leaving || i.stopped,
+		Health:    i.detector.Health().String(), Evidence: i.detector.Evidence(),
+		References: i.reference.At(time.Now()).Count, Counts: i.counts,
+	}
+}
+
+// call sends one request to the instance; the context bounds it.
+func (i *instance) call(ctx context.Context, r *http.Request) (*http.Response, error) {
+	return i.client.RoundTrip(r.WithContext(ctx))
+}
--- /dev/null
+++ b/internal/guard/serve.go
@@ -0,0 +1,191 @@
+package guard
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/core/admit"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/wire"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+// Serve runs one request stream from a front to its end.
+func (g *Guard) Serve(s wire.Stream, first msg.Message) {
+	g.enter()
+	defer g.leave()
+	defer s.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	x := &exchange{guard: g, stream: s, ctx: ctx, arrived: time.Now()}
+	x.serve(first)
+}
+
+// exchange is one request on its way through the guard.
+type exchange struct {
+	guard   *Guard
+	stream  wire.Stream
+	ctx     context.Context
+	arrived time.Time
+	inst    *instance
+	id      admit.ID
+	waiter  *waiter
+	inbox   chan msg.Message
+	lost    chan struct{}
+	// deadline is when the caller stops waiting, on this host's clock.
+	deadline time.Time
+}
+
+// errGone says the front gave the request up or was lost.
+var errGone = errors.New("the front gave the request up")
+
+func (x *exchange) serve(first msg.Message) {
+	switch m := first.(type) {
+	case *msg.Run:
+		if x.admit(m.Service, m.Instance, m.TimeoutMS, admit.Request{Class: m.Class, Priority: m.Priority}, m.Sample) {
+			x.runOneStep(m)
+		}
+	case *msg.Reserve:
+		r := admit.Request{Class: m.Class, Priority: m.Priority, Reserve: true}
+		if x.admit(m.Service, m.Instance, m.TimeoutMS, r, m.Sample) {
+			x.reserve()
+		}
+	default:
+		x.fail(refusal(verdict.ReasonBadRequest, "a request stream starts with Reserve or Run"))
+	}
+}
+
+// admit offers the request to its instance and starts reading the stream.
+func (x *exchange) admit(service, name string, timeoutMS uint32, r admit.Request, sample msg.Sample) bool {
+	inst, ok := x.guard.find(service, name)
+	if !ok {
+		x.fail(refusal(verdict.ReasonUnknownTarget, "no such instance on this host"))
+		return false
+	}
+	x.inst = inst
+	x.deadline = x.arrived.Add(time.Duration(timeoutMS) * time.Millisecond)
+	r.Deadline = x.deadline
+	inst.observe(x.arrived, sample)
+	x.id, x.waiter = inst.offer(x.arrived, r)
+	x.inbox = make(chan msg.Message, 1)
+	x.lost = make(chan struct{})
+	go x.read()
+	return true
+}
+
+// read moves the front's messages to the inbox until the front cancels, is
+// lost, or the exchange ends.
+func (x *exchange) read() {
+	defer close(x.lost)
+	for {
+		m, err := x.stream.Recv(x.ctx)
+		if err != nil {
+			return
+		}
+		if _, ok := m.(*msg.Cancel); ok {
+			return
+		}
+		select {
+		case x.inbox <- m:
+		case <-x.ctx.Done():
+			return
+		}
+	}
+}
+
+// runOneStep waits for a slot and runs.
+func (x *exchange) runOneStep(m *msg.Run) {
+	select {
+	case d := <-x.waiter.decisions:
+		if d.Action != admit.Start {
+			x.refused(d)
+			return
+		}
+		x.call(m)
+	case <-x.lost:
+		x.abandon()
+	}
+}
+
+// reserve waits for a slot, grants it, and waits for Run.
+func (x *exchange) reserve() {
+	select {
+	case d := <-x.waiter.decisions:
+		if d.Action != admit.Grant {
+			x.refused(d)
+			return
+		}
+	case <-x.lost:
+		x.abandon()
+		return
+	}
+	grant := &msg.Grant{LifeMS: uint32(x.guard.cfg.GrantLife.Milliseconds()), Load: x.inst.load()}
+	if err := x.stream.Send(x.ctx, grant); err != nil {
+		x.abandon()
+		return
+	}
+	select {
+	case m := <-x.inbox:
+		x.runReserved(m)
+	case d := <-x.waiter.decisions:
+		x.refused(d)
+	case <-x.lost:
+		x.abandon()
+	}
+}
+
+func (x *exchange) runReserved(m msg.Message) {
+	run, ok := m.(*msg.Run)
+	if !ok || !run.Reserved {
+		x.abandon()
+		x.fail(refusal(verdict.ReasonBadRequest, "a grant is followed by Run"))
+		return
+	}
+	if run.Epoch > 0 && !x.guard.fence.MayRun(run.Service, run.Shard, run.Epoch) {
+		x.abandon()
+		x.fail(refusal(verdict.ReasonKeyNoOwner, "the key's claim is of an older epoch"))
+		return
+	}
+	if d := x.inst.run(time.Now(), x.id); d.Action != admit.Start {
+		x.refused(d)
+		return
+	}
+	x.call(run)
+}
+
+// abandon gives the request up before it has run.
+func (x *exchange) abandon() {
+	v := x.inst.cancel(time.Now(), x.id)
+	if v != verdict.NotRun {
+		// The slot was given in the same moment; nothing has used it.
+		x.inst.finish(time.Now(), x.id, result{shed: true})
+	}
+	x.inst.forget(x.id)
+}
+
+// refused reports an admission decision that is not to run.
+func (x *exchange) refused(d admit.Decision) {
+	x.inst.forget(x.id)
+	x.inst.mu.Lock()
+	x.inst.counts.Refused++
+	x.inst.mu.Unlock()
+	e := refusal(d.Reason, "")
+	e.RetryAfterMS = d.RetryAfter.Milliseconds()
+	x.fail(e)
+}
+
+// fail ends the stream with a verdict.
+func (x *exchange) fail(e *verdict.Error) {
+	f := &msg.Fail{Verdict: e.Verdict, Reason: e.Reason, Detail: e.Detail, RetryAfterMS: uint32(e.RetryAfterMS)}
+	if x.inst != nil {
+		f.Load = x.inst.load()
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, failTimeout)
+	defer cancel()
+	_ = x.stream.Send(ctx, f)
+}
+
+// failTimeout bounds the sending of a failure.
+const failTimeout = 5 * time.Second
--- /dev/null
+++ b/internal/lab/demo.go
@@ -0,0 +1,174 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/standin/target"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+// The demo's shape: the Bureau's plans service on six hosts in three data
+// centres.
+const (
+	demoHosts   = 6
+	demoDCs     = 3
+	demoService = "plans"
+	demoSlots   = 7
+	demoRate    = 240
+	demoGray    = 8 * time.Second
+	demoTime    = 15 * time.Millisecond
+)
+
+// Demo runs the main job for a newcomer to watch.
+func Demo(ctx context.Context, out io.Writer, bin string, verbose bool) error {
+	dir, err := os.MkdirTemp("", "radishhoist-demo")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	logs := io.Discard
+	if verbose {
+		logs = out
+	}
+	f := NewFleet(bin, dir, logs)
+	defer f.Stop()
+	say := func(format string, args ...any) { fmt.Fprintf(out, format+"\n", args...) }
+
+	say("1. platform stand-in, %d daemons in %d data centres, one target stand-in beside each", demoHosts, demoDCs)
+	targets, err := startDemoFleet(ctx, f)
+	if err != nil {
+		return err
+	}
+	if err := f.UntilServing(20*time.Second, map[string]int{demoService: demoHosts}); err != nil {
+		return err
+	}
+	say("   every daemon has the records and knows all %d targets", demoHosts)
+
+	before, err := f.load(ctx, 4*time.Second)
+	if err != nil {
+		return err
+	}
+	say("2. all targets good, %d requests a second through every daemon\n%s", demoRate, indent(before.String()))
+
+	gray := targets[0]
+	say("3. target %s turns gray: five times slower, health unchanged", gray.Name)
+	if err := gray.Set(target.Behaviour{Mode: target.Slow, Factor: 5}); err != nil {
+		return err
+	}
+	during, leftOut, err := f.loadAndWatch(ctx, gray.Name)
+	if err != nil {
+		return err
+	}
+	say("%s", indent(during.String()))
+	if leftOut == 0 {
+		return errors.Errorf("the gray target %s was not left out within %s", gray.Name, demoGray)
+	}
+	say("   left out by every daemon %s after it turned gray", leftOut.Round(10*time.Millisecond))
+	f.sayStatus(say)
+	if failed := before.Sent - before.Whole + during.Sent - during.Whole; failed > 0 {
+		return errors.Errorf("%d callers did not get a whole answer", failed)
+	}
+	say("4. no caller failed; p99 was %s with all good, %s with one gray", before.Quantile(99), during.Quantile(99))
+	return nil
+}
+
+// startDemoFleet starts every process and writes the records.
+func startDemoFleet(ctx context.Context, f *Fleet) ([]*Target, error) {
+	if err := f.StartPlatform("127.0.0.1"); err != nil {
+		return nil, err
+	}
+	if err := f.PutDemoRecords(ctx); err != nil {
+		return nil, err
+	}
+	var targets []*Target
+	for i := range demoHosts {
+		h, err := f.StartHost(fmt.Sprintf("h%d", i+1), fmt.Sprintf("ub%d", i%demoDCs+1), fmt.Sprintf("127.0.0.%d", 11+i), "")
+		if err != nil {
+			return nil, err
+		}
+		t, err := f.StartTarget(h, demoService, 1, demoSlots, demoTime)
+		if err != nil {
+			return nil, err
+		}
+		targets = append(targets, t)
+	}
+	return targets, nil
+}
+
+// PutDemoRecords writes the service and the route of the demo.
+func (f *Fleet) PutDemoRecords(ctx context.Context) error {
+	service := &record.Service{Office: "bureau", Preset: record.PresetQuick, Floor: record.Floor{Percent: 60}}
+	if err := f.Put(ctx, record.Key{Kind: record.KindService, Name: demoService}, service); err != nil {
+		return err
+	}
+	route := &record.Route{PathPrefix: "/plans", Service: demoService, TimeoutMS: 2000}
+	return f.Put(ctx, record.Key{Kind: record.KindRoute, Name: demoService}, route)
+}
+
+func (f *Fleet) urls(path string) []string {
+	var out []string
+	for _, h := range f.Hosts {
+		out = append(out, "http://"+h.Callers()+path)
+	}
+	return out
+}
+
+func (f *Fleet) load(ctx context.Context, d time.Duration) (*Report, error) {
+	return Load(ctx, LoadConfig{URLs: f.urls("/plans/42"), Method: http.MethodGet, Rate: demoRate, For: d})
+}
+
+// loadAndWatch sends load and notes when every host leaves a target out; 0
+// means that some never did.
+func (f *Fleet) loadAndWatch(ctx context.Context, gray string) (*Report, time.Duration, error) {
+	start := time.Now()
+	out := make(chan time.Duration, 1)
+	watchCtx, cancel := context.WithTimeout(ctx, demoGray)
+	defer cancel()
+	go func() {
+		for watchCtx.Err() == nil {
+			if f.allLeaveOut(gray) {
+				out <- time.Since(start)
+				return
+			}
+			time.Sleep(pollInterval)
+		}
+		out <- 0
+	}()
+	r, err := f.load(ctx, demoGray)
+	return r, <-out, err
+}
+
+func (f *Fleet) allLeaveOut(name string) bool {
+	for _, h := range f.Hosts {
+		s, err := h.Status()
+		if err != nil || !leavesOut(s.Services, name) {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *Fleet) sayStatus(say func(string, ...any)) {
+	s, err := f.Hosts[0].Status()
+	if err != nil {
+		return
+	}
+	for _, svc := range s.Services {
+		say("   as %s sees %s: %d of %d slots in use, the floor is %d", f.Hosts[0].Name, svc.Name, svc.Healthy, svc.Known, svc.Required)
+		for _, t := range svc.Targets {
+			say("     %-14s %-4s %-9s %s", t.Name, t.DC, t.Use, t.Why)
+		}
+	}
+}
+
+func indent(s string) string {
+	return "   " + strings.ReplaceAll(strings.TrimSpace(s), "\n", "\n   ")
+}
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,314 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/front"
+	"github.com/radishhoist/radishhoist/internal/platform"
+	"github.com/radishhoist/radishhoist/internal/standin/platformd"
+	"github.com/radishhoist/radishhoist/internal/standin/target"
+	"github.com/radishhoist/radishhoist/internal/state"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+// Fleet is a small fleet of real processes on loopback addresses.
+type Fleet struct {
+	bin      string
+	dir      string
+	logs     io.Writer
+	Platform string
+	Hosts    []*Host
+	procs    []*Process
+}
+
+// Host is one host of a Fleet: an address of its own with a daemon on it.
+type Host struct {
+	Name, DC string
+	IP       string
+	Config   string
+	Daemon   *Process
+}
+
+// Process is one child process, ended by its pid.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// The ports of every host of a Fleet.
+const (
+	CallersPort  = 18080
+	PeerPort     = 17300
+	AnnouncePort = 17700
+	AdminPort    = 17900
+	PlatformPort = 17000
+	firstTarget  = 18100
+)
+
+// Callers is where the host takes callers' requests.
+func (h *Host) Callers() string { return fmt.Sprintf("%s:%d", h.IP, CallersPort) }
+
+// Admin is the host's admin address.
+func (h *Host) Admin() string { return fmt.Sprintf("%s:%d", h.IP, AdminPort) }
+
+// NewFleet prepares a fleet of programs in bin; settings files go below dir.
+func NewFleet(bin, dir string, logs io.Writer) *Fleet {
+	return &Fleet{bin: bin, dir: dir, logs: logs}
+}
+
+// StartPlatform starts the platform's stand-in on an address of its own.
+func (f *Fleet) StartPlatform(ip string) error {
+	f.Platform = fmt.Sprintf("http://%s:%d", ip, PlatformPort)
+	_, err := f.start("platform", "radishhoist-lab", "platform", "--listen", fmt.Sprintf("%s:%d", ip, PlatformPort))
+	if err != nil {
+		return err
+	}
+	return f.until(5*time.Second, "the platform stand-in", func() bool {
+		_, err := http.Get(f.Platform + "/standin/counts")
+		return err == nil
+	})
+}
+
+// StartHost writes a host's settings and starts its daemon.
+func (f *Fleet) StartHost(name, dc, ip string, extra string) (*Host, error) {
+	h := &Host{Name: name, DC: dc, IP: ip, Config: filepath.Join(f.dir, name+".ini")}
+	text := fmt.Sprintf(`[host]
+name = %s
+dc = %s
+
+[listen]
+callers = %s
+peer = %s:%d
+announce = %s:%d
+admin = %s
+
+[platform]
+url = %s
+
+%s
+`, name, dc, h.Callers(), ip, PeerPort, ip, AnnouncePort, h.Admin(), f.Platform, extra)
+	if err := os.WriteFile(h.Config, []byte(text), 0o600); err != nil {
+		return nil, errors.Wrap(err, "settings of "+name)
+	}
+	f.Hosts = append(f.Hosts, h)
+	return h, f.Restart(h)
+}
+
+// Restart starts a host's daemon, which must not be running.
+func (f *Fleet) Restart(h *Host) error {
+	p, err := f.start(h.Name, "radishhoistd", "-config", h.Config)
+	h.Daemon = p
+	return err
+}
+
+// StartTarget starts a stand-in of one instance on a host.
+func (f *Fleet) StartTarget(h *Host, service string, index, slots int, serviceTime time.Duration) (*Target, error) {
+	t := &Target{Name: fmt.Sprintf("%s-%s-%d", service, h.Name, index), Address: fmt.Sprintf("%s:%d", h.IP, firstTarget+len(f.procs))}
+	p, err := f.start(t.Name, "radishhoist-lab", "target", "--name", t.Name, "--service", service,
+		"--listen", t.Address, "--announce", fmt.Sprintf("%s:%d", h.IP, AnnouncePort),
+		"--slots", fmt.Sprint(slots), "--service-time", serviceTime.String())
+	t.Process = p
+	return t, err
+}
+
+// Target is one stand-in of an instance.
+type Target struct {
+	Name    string
+	Address string
+	Process *Process
+}
+
+// Set changes the stand-in's behaviour.
+func (t *Target) Set(b target.Behaviour) error {
+	return putJSON("http://"+t.Address+"/standin/behaviour", b)
+}
+
+// Runs reads the stand-in's counters.
+func (t *Target) Runs() (target.Runs, error) {
+	var r target.Runs
+	return r, getJSON("http://"+t.Address+"/standin/runs", &r)
+}
+
+// SetPlatformFaults sets the platform stand-in's switches.
+func (f *Fleet) SetPlatformFaults(faults platformd.Faults) error {
+	return putJSON(f.Platform+"/standin/faults", faults)
+}
+
+func (f *Fleet) start(name, program string, args ...string) (*Process, error) {
+	cmd := exec.Command(filepath.Join(f.bin, program), args...)
+	cmd.Stdout, cmd.Stderr = f.logs, f.logs
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		close(p.done)
+	}()
+	f.procs = append(f.procs, p)
+	return p, nil
+}
+
+// Signal sends a signal to the process's own pid.
+func (p *Process) Signal(sig syscall.Signal) error { return p.cmd.Process.Signal(sig) }
+
+// Wait waits for the end and gives its error; false on a time-out.
+func (p *Process) Wait(timeout time.Duration) (bool, error) {
+	select {
+	case <-p.done:
+		return true, p.err
+	case <-time.After(timeout):
+		return false, nil
+	}
+}
+
+// Stop ends every process of the fleet by its pid.
+func (f *Fleet) Stop() {
+	for _, p := range f.procs {
+		_ = p.Signal(syscall.SIGCONT)
+		_ = p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range f.procs {
+		_, _ = p.Wait(5 * time.Second)
+	}
+}
+
+// Put writes a record, replacing what is there.
+func (f *Fleet) Put(ctx context.Context, key record.Key, spec record.Spec) error {
+	value, err := record.Marshal(key, spec)
+	if err != nil {
+		return err
+	}
+	client := platform.NewClient(f.Platform)
+	defer client.Close()
+	current, _ := client.Get(ctx, key)
+	_, err = client.Put(ctx, key, value, current.Version)
+	return err
+}
+
+// Delete removes a record.
+func (f *Fleet) Delete(ctx context.Context, key record.Key) error {
+	client := platform.NewClient(f.Platform)
+	defer client.Close()
+	current, err := client.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	_, err = client.Delete(ctx, key, current.Version)
+	return err
+}
+
+// Status reads a host's status.
+func (h *Host) Status() (*state.Status, error) {
+	var s state.Status
+	return &s, getJSON("http://"+h.Admin()+state.PathStatus, &s)
+}
+
+// UntilServing waits until every host serves every service with at least the
+// given number of targets in use.
+func (f *Fleet) UntilServing(timeout time.Duration, targets map[string]int) error {
+	for _, h := range f.Hosts {
+		err := f.until(timeout, "host "+h.Name, func() bool {
+			s, err := h.Status()
+			return err == nil && servesAll(s, targets)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func servesAll(s *state.Status, targets map[string]int) bool {
+	found := 0
+	for _, svc := range s.Services {
+		used := 0
+		for _, t := range svc.Targets {
+			if t.Use == "used" {
+				used++
+			}
+		}
+		if want, ok := targets[svc.Name]; ok && used >= want {
+			found++
+		}
+	}
+	return found == len(targets)
+}
+
+const pollInterval = 50 * time.Millisecond
+
+func (f *Fleet) until(timeout time.Duration, what string, ok func() bool) error {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		if ok() {
+			return nil
+		}
+	}
+	return errors.Errorf("%s was not ready within %s", what, timeout)
+}
+
+// Until waits for a condition.
+func (f *Fleet) Until(timeout time.Duration, what string, ok func() bool) error {
+	return f.until(timeout, what, ok)
+}
+
+// client is for the small calls of tests and demo.
+var client = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{
+	DialContext:       (&net.Dialer{Timeout: time.Second}).DialContext,
+	DisableKeepAlives: true,
+}}
+
+func getJSON(url string, into any) error {
+	resp, err := client.Get(url)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+func putJSON(url string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errors.Errorf("PUT %s: status %d", url, resp.StatusCode)
+	}
+	return nil
+}
+
+// leavesOut says that a status shows a target as left out.
+func leavesOut(services []front.ServiceStatus, name string) bool {
+	for _, svc := range services {
+		for _, t := range svc.Targets {
+			if t.Name == name {
+				return t.Use == "left out"
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/msg/kinds.go
@@ -0,0 +1,92 @@
+package msg
+
+import "github.com/pkg/errors"
+
+// Kind implements Message.
+func (*Hello) Kind() Kind        { return KindHello }
+func (*Reserve) Kind() Kind      { return KindReserve }      // Kind implements Message.
+func (*Grant) Kind() Kind        { return KindGrant }        // Kind implements Message.
+func (*Run) Kind() Kind          { return KindRun }          // Kind implements Message.
+func (*Data) Kind() Kind         { return KindData }         // Kind implements Message.
+func (*End) Kind() Kind          { return KindEnd }          // Kind implements Message.
+func (*Cancel) Kind() Kind       { return KindCancel }       // Kind implements Message.
+func (*Window) Kind() Kind       { return KindWindow }       // Kind implements Message.
+func (*Fail) Kind() Kind         { return KindFail }         // Kind implements Message.
+func (*Head) Kind() Kind         { return KindHead }         // Kind implements Message.
+func (*KeyClaim) Kind() Kind     { return KindKeyClaim }     // Kind implements Message.
+func (*KeyClaimed) Kind() Kind   { return KindKeyClaimed }   // Kind implements Message.
+func (*KeyDone) Kind() Kind      { return KindKeyDone }      // Kind implements Message.
+func (*Promise) Kind() Kind      { return KindPromise }      // Kind implements Message.
+func (*Promised) Kind() Kind     { return KindPromised }     // Kind implements Message.
+func (*Handover) Kind() Kind     { return KindHandover }     // Kind implements Message.
+func (*HandoverDone) Kind() Kind { return KindHandoverDone } // Kind implements Message.
+func (*Rumor) Kind() Kind        { return KindRumor }        // Kind implements Message.
+func (*Digest) Kind() Kind       { return KindDigest }       // Kind implements Message.
+func (*Buckets) Kind() Kind      { return KindBuckets }      // Kind implements Message.
+func (*Versions) Kind() Kind     { return KindVersions }     // Kind implements Message.
+func (*Pull) Kind() Kind         { return KindPull }         // Kind implements Message.
+func (*Snapshot) Kind() Kind     { return KindSnapshot }     // Kind implements Message.
+
+func (*Ping) Kind() Kind   { return KindPing }   // Kind implements Message.
+func (*Report) Kind() Kind { return KindReport } // Kind implements Message.
+func (*Pong) Kind() Kind   { return KindPong }   // Kind implements Message.
+
+// New makes an empty message of a kind; an unknown kind is an error.
+func New(k Kind) (Message, error) {
+	switch k {
+	case KindHello:
+		return &Hello{}, nil
+	case KindReserve:
+		return &Reserve{}, nil
+	case KindGrant:
+		return &Grant{}, nil
+	case KindRun:
+		return &Run{}, nil
+	case KindData:
+		return &Data{}, nil
+	case KindEnd:
+		return &End{}, nil
+	case KindCancel:
+		return &Cancel{}, nil
+	case KindWindow:
+		return &Window{}, nil
+	case KindFail:
+		return &Fail{}, nil
+	case KindHead:
+		return &Head{}, nil
+	case KindKeyClaim:
+		return &KeyClaim{}, nil
+	case KindKeyClaimed:
+		return &KeyClaimed{}, nil
+	case KindKeyDone:
+		return &KeyDone{}, nil
+	case KindPromise:
+		return &Promise{}, nil
+	case KindPromised:
+		return &Promised{}, nil
+	case KindHandover:
+		return &Handover{}, nil
+	case KindHandoverDone:
+		return &HandoverDone{}, nil
+	case KindRumor:
+		return &Rumor{}, nil
+	case KindDigest:
+		return &Digest{}, nil
+	case KindBuckets:
+		return &Buckets{}, nil
+	case KindVersions:
+		return &Versions{}, nil
+	case KindPull:
+		return &Pull{}, nil
+	case KindSnapshot:
+		return &Snapshot{}, nil
+	case KindPing:
+		return &Ping{}, nil
+	case KindPong:
+		return &Pong{}, nil
+	case KindReport:
+		return &Report{}, nil
+	default:
+		return nil, errors.Errorf("unknown message kind %d", k)
+	}
+}
--- /dev/null
+++ b/internal/msg/msg.go
@@ -0,0 +1,48 @@
+// Package msg holds the typed messages between the system's processes, with
+// generated msgpack codecs. It does no I/O; package wire frames them.
+package msg
+
+import (
+	"github.com/tinylib/msgp/msgp"
+)
+
+// Kind is the one-byte tag in front of every message in a frame.
+type Kind uint8
+
+// The kinds of message. Numbers are never reused.
+const (
+	KindHello Kind = iota + 1
+	KindReserve
+	KindGrant
+	KindRun
+	KindData
+	KindEnd
+	KindCancel
+	KindWindow
+	KindFail
+	KindHead
+	KindKeyClaim
+	KindKeyClaimed
+	KindKeyDone
+	KindPromise
+	KindPromised
+	KindHandover
+	KindHandoverDone
+	KindRumor
+	KindDigest
+	KindBuckets
+	KindVersions
+	KindPull
+	KindSnapshot
+	KindPing
+	KindPong
+	KindReport
+)
+
+// Message is one typed message between two processes of the system.
+type Message interface {
+	msgp.Marshaler
+	msgp.Unmarshaler
+	// Kind is the tag that selects the type when the frame is decoded.
+	Kind() Kind
+}
--- /dev/null
+++ b/internal/msg/requests.go
@@ -0,0 +1,140 @@
+package msg
+
+import "github.com/radishhoist/radishhoist/verdict"
+
+//go:generate go tool msgp -o requests_gen.go -tests=false -io=false
+
+//msgp:limit arrays:1200000 maps:64
+//msgp:tuple Field Load Sample Hello Reserve Grant Run Data End Cancel Window Fail Head Ping Pong
+//msgp:shim verdict.Verdict as:uint8 using:uint8/verdict.Verdict
+//msgp:shim verdict.Reason as:string using:string/verdict.Reason
+
+// Field is one HTTP header field.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Load is a guard's exact count for one instance at the moment it was sent.
+type Load struct {
+	Slots   uint32
+	Running uint32
+	Queued  uint32
+	// Health is the guard's judgement of the instance, see detect.Health.
+	Health uint8
+	// Evidence is the detector's score, in hundredths of a nat.
+	Evidence uint32
+}
+
+// Sample is the last service time a front saw from some other instance of the
+// same service. It rides on requests so that a guard can compare its own
+// instances with their peers without any message of its own.
+type Sample struct {
+	// Instance is a hash of the instance's name, 0 for no sample.
+	Instance uint64
+	// ServiceUS is the service time in microseconds.
+	ServiceUS uint32
+	// Failed says the instance failed the request.
+	Failed bool
+}
+
+// Hello opens a connection.
+type Hello struct {
+	Proto       uint32
+	Host        string
+	DC          string
+	Incarnation uint64
+}
+
+// Reserve asks a guard for a slot before a request that is not idempotent.
+type Reserve struct {
+	RequestID string
+	Service   string
+	Instance  string
+	// TimeoutMS is the time left to the caller's deadline, in milliseconds.
+	TimeoutMS uint32
+	// Class is the hashed fairness class of the caller's team.
+	Class    uint32
+	Priority uint8
+	Sample   Sample
+}
+
+// Grant gives the slot that Reserve asked for.
+type Grant struct {
+	// LifeMS is how long the guard holds the slot, on the guard's clock.
+	LifeMS uint32
+	Load   Load
+}
+
+// Run tells a guard to run a request. With Reserved it uses up a Grant on the
+// same stream; without, the guard admits and runs in one step.
+type Run struct {
+	RequestID  string
+	Service    string
+	Instance   string
+	TimeoutMS  uint32
+	Class      uint32
+	Priority   uint8
+	Reserved   bool
+	Idempotent bool
+	// Shard and Epoch fence a run that was claimed by key; Epoch 0 is none.
+	Shard  uint32
+	Epoch  uint64
+	Method string
+	URI    string
+	Host   string
+	Header []Field `msg:"header,limit=256"`
+	// BodyLength is the body's length in bytes, -1 where it is not known.
+	BodyLength int64
+	Sample     Sample
+}
+
+// Data is a piece of a request or answer body, at most ChunkSize bytes.
+type Data struct {
+	Bytes []byte
+}
+
+// End closes a body in either direction and proves it whole.
+type End struct {
+	Length uint64
+	// Hash is the xxhash64 of the whole body.
+	Hash uint64
+	// ServiceUS is the target's own time in microseconds, answers only.
+	ServiceUS uint32
+	// QueueUS is the time spent waiting at the guard, answers only.
+	QueueUS uint32
+	Load    Load
+}
+
+// Cancel asks the guard to give the request up.
+type Cancel struct{}
+
+// Window returns credit for body bytes that have been consumed.
+type Window struct {
+	Bytes uint32
+}
+
+// Fail ends a stream without a whole answer.
+type Fail struct {
+	Verdict      verdict.Verdict
+	Reason       verdict.Reason
+	Detail       string
+	RetryAfterMS uint32
+	Load         Load
+}
+
+// Head is the start of an answer.
+type Head struct {
+	RequestID string
+	Status    uint16
+	Header    []Field `msg:"header,limit=256"`
+	// Length is the body's declared length in bytes, -1 where not known.
+	Length int64
+}
+
+// Ping asks the other end of a connection for a Pong, to tell a slow answer
+// from a path that is cut.
+type Ping struct{}
+
+// Pong answers Ping.
+type Pong struct{}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,337 @@
+// Package peer holds this process's connections to the other hosts: one
+// outbound connection a host, made on demand, and the inbound ones.
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/wire"
+)
+
+const (
+	// dialTimeout bounds one attempt to connect.
+	dialTimeout = 500 * time.Millisecond
+	// backoffMin and backoffMax bound the pause after a failed attempt.
+	backoffMin = 100 * time.Millisecond
+	backoffMax = 3 * time.Second
+	// idleClose is how long a connection without streams is kept.
+	idleClose = 5 * time.Minute
+	// maxInbound bounds the connections other hosts may open to this one.
+	maxInbound = 8192
+	// helloTimeout bounds the wait for an inbound connection's Hello.
+	helloTimeout = 5 * time.Second
+)
+
+// keepAlive finds connections whose other end is gone or cut off.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 4}
+
+// Handlers take what other hosts start.
+type Handlers struct {
+	// Stream is called in a goroutine of its own for each stream.
+	Stream func(from *msg.Hello, s wire.Stream)
+	// Control is called in order for each host's messages; it must not block.
+	Control func(from *msg.Hello, m msg.Message)
+}
+
+// Pool is the set of connections. It is safe for concurrent use.
+type Pool struct {
+	self     msg.Hello
+	handlers Handlers
+	log      *slog.Logger
+	listener net.Listener
+	wg       sync.WaitGroup
+
+	mu      sync.Mutex
+	closed  bool
+	links   map[string]*link
+	inbound map[*wire.Conn]*msg.Hello
+}
+
+// link is the outbound connection to one address.
+type link struct {
+	mu      sync.Mutex
+	conn    *wire.Conn
+	retryAt time.Time
+	backoff time.Duration
+	lastErr error
+	used    time.Time
+	// dialling is closed when the attempt under way has ended, nil for none.
+	dialling chan struct{}
+}
+
+// Listen starts a Pool that takes connections on addr, IP:port.
+func Listen(addr string, self msg.Hello, h Handlers, log *slog.Logger) (*Pool, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for peers on %s", addr)
+	}
+	self.Proto = wire.Proto
+	p := &Pool{
+		self: self, handlers: h, log: log, listener: listener,
+		links: make(map[string]*link), inbound: make(map[*wire.Conn]*msg.Hello),
+	}
+	p.wg.Add(1)
+	go p.acceptLoop()
+	return p, nil
+}
+
+// Close ends every connection and waits for the accept loop.
+func (p *Pool) Close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	for _, l := range p.links {
+		l.close()
+	}
+	for c := range p.inbound {
+		c.Close()
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		l.conn.Close()
+	}
+}
+
+func (p *Pool) acceptLoop() {
+	defer p.wg.Done()
+	for {
+		nc, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		full := len(p.inbound) >= maxInbound || p.closed
+		p.mu.Unlock()
+		if full {
+			_ = nc.Close()
+			continue
+		}
+		p.wg.Add(1)
+		go p.serve(nc)
+	}
+}
+
+// serve takes one inbound connection. Its first message must be Hello.
+func (p *Pool) serve(nc net.Conn) {
+	defer p.wg.Done()
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(keepAlive)
+	}
+	hello := make(chan *msg.Hello, 1)
+	var from *msg.Hello
+	ready := make(chan struct{})
+	conn := wire.NewConn(nc, wire.Handlers{
+		Accept: func(s wire.Stream) {
+			<-ready
+			p.handlers.Stream(from, s)
+		},
+		Control: func(m msg.Message) {
+			if h, ok := m.(*msg.Hello); ok {
+				select {
+				case hello <- h:
+				default:
+				}
+				<-ready
+				return
+			}
+			select {
+			case <-ready:
+				p.handlers.Control(from, m)
+			default:
+			}
+		},
+	})
+	timer := time.NewTimer(helloTimeout)
+	defer timer.Stop()
+	select {
+	case from = <-hello:
+	case <-timer.C:
+		from = &msg.Hello{}
+	case <-conn.Done():
+		from = &msg.Hello{}
+	}
+	if from.Proto != wire.Proto {
+		event.Log(p.log, event.PeerRefused, slog.String("peer", nc.RemoteAddr().String()),
+			slog.Uint64("proto", uint64(from.Proto)), slog.String("peer", from.Host))
+		conn.Close()
+	}
+	p.track(conn, from)
+	close(ready)
+	<-conn.Done()
+	p.untrack(conn, from)
+}
+
+func (p *Pool) track(c *wire.Conn, from *msg.Hello) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		c.Close()
+	}
+	p.inbound[c] = from
+}
+
+func (p *Pool) untrack(c *wire.Conn, from *msg.Hello) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.inbound, c)
+	if err := c.Err(); err != nil && from.Host != "" && !p.closed {
+		event.Log(p.log, event.LinkLost, slog.String("peer", from.Host),
+			slog.String("direction", "in"), slog.String("cause", err.Error()))
+	}
+}
+
+// Conn gives the connection to a peer address, making it where there is none.
+// While a recent attempt has failed it returns that error at once.
+func (p *Pool) Conn(ctx context.Context, addr string) (*wire.Conn, error) {
+	l, err := p.link(addr)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		conn, wait, err := l.get(func() { go p.dialLink(l, addr) })
+		if wait == nil {
+			return conn, err
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// get gives the connection or the last error, or a channel to wait on while
+// an attempt is under way, which it starts where needed.
+func (l *link) get(dial func()) (*wire.Conn, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.used = time.Now()
+	switch {
+	case l.conn != nil && l.conn.Err() == nil:
+		return l.conn, nil, nil
+	case l.dialling != nil:
+		return nil, l.dialling, nil
+	case time.Now().Before(l.retryAt):
+		return nil, nil, l.lastErr
+	}
+	l.dialling = make(chan struct{})
+	dial()
+	return nil, l.dialling, nil
+}
+
+// dialLink makes one attempt to connect and records how it ended.
+func (p *Pool) dialLink(l *link, addr string) {
+	conn, err := p.dial(addr)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.dialling)
+	l.dialling = nil
+	if err != nil {
+		l.backoff = min(max(2*l.backoff, backoffMin), backoffMax)
+		l.retryAt = time.Now().Add(l.backoff)
+		l.lastErr = errors.Wrapf(err, "connect to %s", addr)
+		return
+	}
+	l.conn, l.backoff = conn, 0
+}
+
+func (p *Pool) link(addr string) (*link, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, wire.ErrClosed
+	}
+	l, ok := p.links[addr]
+	if !ok {
+		l = &link{}
+		p.links[addr] = l
+	}
+	return l, nil
+}
+
+func (p *Pool) dial(addr string) (*wire.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	conn := wire.NewConn(nc, wire.Handlers{})
+	hello := p.self
+	if err := conn.SendControl(ctx, &hello); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// SendControl sends a message to a peer without waiting for room: the message
+// is dropped, and the sender told, where the peer cannot be reached now.
+func (p *Pool) SendControl(ctx context.Context, addr string, m msg.Message) error {
+	conn, err := p.Conn(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return conn.SendControl(ctx, m)
+}
+
+// Sweep closes connections that have been idle for long.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, l := range p.links {
+		l.mu.Lock()
+		idle := time.Since(l.used) > idleClose
+		if idle && l.conn != nil && l.conn.Streams() == 0 {
+			l.conn.Close()
+		}
+		if idle && l.dialling == nil && (l.conn == nil || l.conn.Err() != nil) {
+			delete(p.links, addr)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// Stats counts the connections, for the state dump.
+type Stats struct {
+	Outbound int    `json:"outbound"`
+	Inbound  int    `json:"inbound"`
+	Streams  int    `json:"streams"`
+	Strays   uint64 `json:"strayFrames"`
+}
+
+// Stats reads the counts.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := Stats{Inbound: len(p.inbound)}
+	for c := range p.inbound {
+		s.Streams += c.Streams()
+		s.Strays += c.Strays()
+	}
+	for _, l := range p.links {
+		l.mu.Lock()
+		if l.conn != nil && l.conn.Err() == nil {
+			s.Outbound++
+			s.Streams += l.conn.Streams()
+			s.Strays += l.conn.Strays()
+		}
+		l.mu.Unlock()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,221 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// key is one row of the settings reference.
+type key struct {
+	section, name string
+	def           string
+	required      bool
+	// unit and bound are shown in the reference.
+	unit, bound string
+	doc         string
+	// remedy says what to write instead of a bad value.
+	remedy string
+	set    func(*Config, string) error
+}
+
+const addressRemedy = "an IP number and a port, for example 127.0.0.1:8080"
+
+var keys = []key{
+	text("host", "name", "this host's name, unique in the fleet", func(c *Config) *string { return &c.Host }),
+	text("host", "dc", "the data centre this host stands in", func(c *Config) *string { return &c.DC }),
+	address("listen", "callers", "where callers' HTTP requests come in", false, func(c *Config) *string { return &c.Callers }),
+	address("listen", "peer", "where other hosts reach this one, TCP and UDP", false, func(c *Config) *string { return &c.Peer }),
+	address("listen", "announce", "where targets on this host announce themselves", true, func(c *Config) *string { return &c.Announce }),
+	address("listen", "admin", "where operators read state, metrics and readiness", false, func(c *Config) *string { return &c.Admin }),
+	platformKey(),
+	seedsKey(),
+	levelKey(),
+	number("limits", "max_header_bytes", "65536", "bytes", 4096, 1<<20, "largest request header from a caller", func(c *Config) *int { return &c.MaxHeaderBytes }),
+	number("limits", "max_body_bytes", "33554432", "bytes", 1024, 1<<30, "largest request body from a caller", func(c *Config) *int { return &c.MaxBodyBytes }),
+	number("limits", "buffer_body_bytes", "262144", "bytes", 0, 8<<20, "how much of a request body is kept so that a retry can send it again; larger bodies are sent once", func(c *Config) *int { return &c.BufferBodyBytes }),
+	number("limits", "max_conns", "4096", "connections", 16, 1<<20, "callers' connections held at once; more wait to be accepted", func(c *Config) *int { return &c.MaxConns }),
+	duration("limits", "header_timeout", "5s", 100*time.Millisecond, time.Minute, "time a caller has to send a request header", func(c *Config) *time.Duration { return &c.HeaderTimeout }),
+	duration("limits", "idle_timeout", "90s", time.Second, time.Hour, "time an idle caller's connection is kept", func(c *Config) *time.Duration { return &c.IdleTimeout }),
+	number("guard", "queue_per_slot", "4", "requests per slot", 0, 100, "requests that may wait at an instance; more means fewer refusals in a burst and longer waits", func(c *Config) *int { return &c.QueuePerSlot }),
+	duration("guard", "grant_life", "250ms", 10*time.Millisecond, 10*time.Second, "time a reserved slot is held for a request that is not idempotent; longer survives slower paths and wastes more slots on lost fronts", func(c *Config) *time.Duration { return &c.GrantLife }),
+	duration("guard", "announce_expiry", "5s", time.Second, time.Minute, "time a target may go without announcing itself before it counts as gone", func(c *Config) *time.Duration { return &c.AnnounceExpiry }),
+	duration("guard", "drain_timeout", "60s", time.Second, time.Hour, "bound of a graceful shutdown; requests still running then are reported", func(c *Config) *time.Duration { return &c.DrainTimeout }),
+	duration("guard", "target_idle", "30s", time.Second, 10*time.Minute, "time an idle connection to a target is kept; keep it under the target's own idle time", func(c *Config) *time.Duration { return &c.TargetIdle }),
+	duration("control", "probe_interval", "1s", 50*time.Millisecond, time.Minute, "time between two membership probes of one host; shorter finds dead hosts sooner and sends more", func(c *Config) *time.Duration { return &c.ProbeInterval }),
+	duration("control", "probe_timeout", "300ms", 10*time.Millisecond, 10*time.Second, "time a direct probe may go unanswered before other hosts are asked", func(c *Config) *time.Duration { return &c.ProbeTimeout }),
+	duration("control", "suspicion", "4s", 100*time.Millisecond, time.Minute, "time a suspected host has to refute; shorter is quicker and wrong more often", func(c *Config) *time.Duration { return &c.Suspicion }),
+	duration("control", "repair_interval", "5s", 100*time.Millisecond, time.Minute, "time between two digests of the record set to a random peer", func(c *Config) *time.Duration { return &c.RepairInterval }),
+	number("control", "watchers_per_dc", "2", "hosts", 1, 16, "hosts of a data centre that watch the platform; each waiting watch counts as a platform read", func(c *Config) *int { return &c.WatchersPerDC }),
+	duration("control", "promise_life", "3s", 100*time.Millisecond, time.Minute, "life of a promise to a key owner; longer rides out longer cuts and delays the successor more", func(c *Config) *time.Duration { return &c.PromiseLife }),
+}
+
+func text(section, name, doc string, field func(*Config) *string) key {
+	return key{
+		section: section, name: name, required: true, doc: doc,
+		unit: "name", bound: "1 to 64 letters, digits, '.', '_' or '-'",
+		remedy: "1 to 64 letters, digits, '.', '_' or '-'",
+		set: func(c *Config, v string) error {
+			if !validName(v) {
+				return errors.Errorf("%q is not a name", v)
+			}
+			*field(c) = v
+			return nil
+		},
+	}
+}
+
+const maxName = 64
+
+func validName(v string) bool {
+	if v == "" || len(v) > maxName {
+		return false
+	}
+	return strings.Trim(v, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-") == ""
+}
+
+func address(section, name, doc string, loopback bool, field func(*Config) *string) key {
+	k := key{
+		section: section, name: name, required: true, doc: doc,
+		unit: "IP:port", bound: "an IP number, port 1 to 65535", remedy: addressRemedy,
+	}
+	if loopback {
+		k.bound = "a loopback IP number, port 1 to 65535"
+		k.remedy = "a loopback IP number and a port, for example 127.0.0.1:7700"
+	}
+	k.set = func(c *Config, v string) error {
+		if err := checkAddress(v, loopback); err != nil {
+			return err
+		}
+		*field(c) = v
+		return nil
+	}
+	return k
+}
+
+func checkAddress(v string, loopback bool) error {
+	host, port, err := net.SplitHostPort(v)
+	if err != nil {
+		return errors.Errorf("%q is not an address", v)
+	}
+	ip := net.ParseIP(host)
+	if ip == nil {
+		return errors.Errorf("%q is not an IP number", host)
+	}
+	if loopback && !ip.IsLoopback() {
+		return errors.Errorf("%q is not a loopback IP number", host)
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		return errors.Errorf("%q is not a port", port)
+	}
+	return nil
+}
+
+func number(section, name, def, unit string, low, high int, doc string, field func(*Config) *int) key {
+	bound := fmt.Sprintf("%d to %d", low, high)
+	return key{
+		section: section, name: name, def: def, unit: unit, bound: bound, doc: doc, remedy: "a whole number, " + bound,
+		set: func(c *Config, v string) error {
+			n, err := strconv.Atoi(v)
+			if err != nil {
+				return errors.Errorf("%q is not a whole number", v)
+			}
+			if n < low || n > high {
+				return errors.Errorf("%d is out of bounds", n)
+			}
+			*field(c) = n
+			return nil
+		},
+	}
+}
+
+func duration(section, name, def string, low, high time.Duration, doc string, field func(*Config) *time.Duration) key {
+	bound := fmt.Sprintf("%s to %s", low, high)
+	return key{
+		section: section, name: name, def: def, unit: "time with its unit", bound: bound, doc: doc,
+		remedy: "a time with its unit, " + bound + ", for example " + def,
+		set: func(c *Config, v string) error {
+			d, err := time.ParseDuration(v)
+			if err != nil {
+				return errors.Errorf("%q is not a time with its unit", v)
+			}
+			if d < low || d > high {
+				return errors.Errorf("%s is out of bounds", d)
+			}
+			*field(c) = d
+			return nil
+		},
+	}
+}
+
+func platformKey() key {
+	return key{
+		section: "platform", name: "url", required: true, unit: "URL", bound: "http or https, host and port",
+		doc:    "base URL of the platform's object API",
+		remedy: "a URL, for example http://127.0.0.1:7000",
+		set: func(c *Config, v string) error {
+			u, err := url.Parse(v)
+			if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+				return errors.Errorf("%q is not an http URL", v)
+			}
+			c.Platform = v
+			return nil
+		},
+	}
+}
+
+func seedsKey() key {
+	return key{
+		section: "peers", name: "seeds", def: "", unit: "IP:port list", bound: "addresses with commas between",
+		doc:    "peer addresses to start from while the platform is away",
+		remedy: "addresses with commas between, for example 10.0.0.1:7300, 10.0.0.2:7300",
+		set: func(c *Config, v string) error {
+			c.Seeds = nil
+			for _, part := range strings.Split(v, ",") {
+				part = strings.TrimSpace(part)
+				if part == "" {
+					continue
+				}
+				if err := checkAddress(part, false); err != nil {
+					return err
+				}
+				c.Seeds = append(c.Seeds, part)
+			}
+			return nil
+		},
+	}
+}
+
+func levelKey() key {
+	return key{
+		section: "log", name: "level", def: "info", unit: "word", bound: "debug, info, warn or error",
+		doc: "least level of events that are logged", remedy: "debug, info, warn or error",
+		set: func(c *Config, v string) error {
+			switch v {
+			case "debug", "info", "warn", "error":
+				c.LogLevel = v
+				return nil
+			}
+			return errors.Errorf("%q is not a level", v)
+		},
+	}
+}
+
+// Reference is the settings reference as a Markdown table.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("| section | key | unit | default | bound | meaning |\n|---|---|---|---|---|---|\n")
+	for _, k := range keys {
+		def := k.def
+		if k.required {
+			def = "(must be written)"
+		}
+		fmt.Fprintf(&b, "| %s | `%s` | %s | %s | %s | %s |\n", k.section, k.name, k.unit, def, k.bound, k.doc)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,171 @@
+// Package settings reads and checks the daemon's INI file.
+//
+// Every key is one row of the table in keys.go with its unit, default, bound
+// and meaning; the reference page and `radishhoistd -reference` come from the
+// same table.
+package settings
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
+)
+
+// Config is the whole of a daemon's settings.
+type Config struct {
+	// Host is this host's name, unique in the fleet.
+	Host string
+	// DC is the data centre.
+	DC string
+	// Callers is where callers' HTTP requests come in, IP:port.
+	Callers string
+	// Peer is where other hosts reach this one by TCP and UDP, IP:port.
+	Peer string
+	// Announce is where targets announce themselves, a loopback IP:port.
+	Announce string
+	// Admin is where operators read state and metrics, IP:port.
+	Admin string
+	// Platform is the base URL of the platform's object API.
+	Platform string
+	// Seeds are peer addresses to start from while the platform is away.
+	Seeds []string
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+
+	// MaxHeaderBytes bounds a caller's request header, in bytes.
+	MaxHeaderBytes int
+	// MaxBodyBytes bounds a caller's request body, in bytes.
+	MaxBodyBytes int
+	// BufferBodyBytes is how much of a request body is kept for a retry.
+	BufferBodyBytes int
+	// MaxConns bounds the callers' connections.
+	MaxConns int
+	// HeaderTimeout bounds the reading of a caller's request header.
+	HeaderTimeout time.Duration
+	// IdleTimeout closes idle callers' connections.
+	IdleTimeout time.Duration
+
+	// QueuePerSlot bounds the requests waiting at an instance, per slot.
+	QueuePerSlot int
+	// GrantLife is how long a reserved slot is held before run must come.
+	GrantLife time.Duration
+	// AnnounceExpiry is how long a target may go without announcing itself.
+	AnnounceExpiry time.Duration
+	// DrainTimeout bounds a graceful shutdown.
+	DrainTimeout time.Duration
+	// TargetIdle is how long an idle connection to a target is kept.
+	TargetIdle time.Duration
+
+	// ProbeInterval is the time between two membership probes.
+	ProbeInterval time.Duration
+	// ProbeTimeout is how long a direct probe may go unanswered.
+	ProbeTimeout time.Duration
+	// Suspicion is how long a suspected host may refute before it is dead.
+	Suspicion time.Duration
+	// RepairInterval is the time between two digests to a random peer.
+	RepairInterval time.Duration
+	// WatchersPerDC is how many hosts of a data centre watch the platform.
+	WatchersPerDC int
+	// PromiseLife is how long a promise to a key owner lasts.
+	PromiseLife time.Duration
+}
+
+// Default gives every key's default; addresses have none.
+func Default() *Config {
+	c := &Config{}
+	for _, k := range keys {
+		if k.def != "" {
+			if err := k.set(c, k.def); err != nil {
+				panic(fmt.Sprintf("settings: default of %s: %v", k.name, err))
+			}
+		}
+	}
+	return c
+}
+
+// Load reads a file and reports every fault in it at once.
+func Load(path string) (*Config, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, path)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s: cannot be read as INI", path)
+	}
+	return fromFile(path, file)
+}
+
+// Parse is Load for a text in memory; name stands for the file in errors.
+func Parse(name string, text []byte) (*Config, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, text)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s: cannot be read as INI", name)
+	}
+	return fromFile(name, file)
+}
+
+func fromFile(path string, file *ini.File) (*Config, error) {
+	c := Default()
+	var wrong []string
+	wrong = append(wrong, unknownKeys(path, file)...)
+	for _, k := range keys {
+		section := file.Section(k.section)
+		if !section.HasKey(k.name) {
+			if k.required {
+				wrong = append(wrong, fmt.Sprintf("%s: [%s] %s: is missing; write %s", path, k.section, k.name, k.remedy))
+			}
+			continue
+		}
+		value := section.Key(k.name).String()
+		if err := k.set(c, value); err != nil {
+			wrong = append(wrong, fmt.Sprintf("%s: [%s] %s: %v; write %s", path, k.section, k.name, err, k.remedy))
+		}
+	}
+	if len(wrong) > 0 {
+		return nil, errors.New(strings.Join(wrong, "\n"))
+	}
+	return c, nil
+}
+
+func unknownKeys(path string, file *ini.File) []string {
+	var wrong []string
+	for _, section := range file.Sections() {
+		for _, key := range section.Keys() {
+			if _, ok := find(section.Name(), key.Name()); ok {
+				continue
+			}
+			remedy := "remove it; `radishhoistd -reference` lists every key"
+			if near, ok := nearest(key.Name()); ok {
+				remedy = fmt.Sprintf("did you mean [%s] %s?", near.section, near.name)
+			}
+			wrong = append(wrong, fmt.Sprintf("%s: [%s] %s: is not a key; %s", path, section.Name(), key.Name(), remedy))
+		}
+	}
+	return wrong
+}
+
+func find(section, name string) (key, bool) {
+	for _, k := range keys {
+		if k.section == section && k.name == name {
+			return k, true
+		}
+	}
+	return key{}, false
+}
+
+// nearest finds a key of the same name elsewhere, or one that shares a prefix.
+func nearest(name string) (key, bool) {
+	const prefix = 4
+	name = strings.ToLower(name)
+	for _, k := range keys {
+		if k.name == name {
+			return k, true
+		}
+	}
+	for _, k := range keys {
+		if len(name) >= prefix && strings.HasPrefix(k.name, name[:prefix]) {
+			return k, true
+		}
+	}
+	return key{}, false
+}
--- /dev/null
+++ b/internal/wire/pipe.go
@@ -0,0 +1,73 @@
+package wire
+
+import (
+	"context"
+	"sync"
+
+	"github.com/radishhoist/radishhoist/internal/msg"
+)
+
+// pipeDepth bounds the messages under way in one direction of a pipe.
+const pipeDepth = 8
+
+// pipeEnd is one end of an in-process Stream: a front and a guard in the same
+// process talk through it without encoding a frame.
+type pipeEnd struct {
+	in, out chan msg.Message
+	peer    *pipeEnd
+	gone    chan struct{}
+	once    sync.Once
+}
+
+// Pipe gives the two ends of an in-process Stream.
+func Pipe() (Stream, Stream) {
+	ab, ba := make(chan msg.Message, pipeDepth), make(chan msg.Message, pipeDepth)
+	a := &pipeEnd{in: ba, out: ab, gone: make(chan struct{})}
+	b := &pipeEnd{in: ab, out: ba, gone: make(chan struct{})}
+	a.peer, b.peer = b, a
+	return a, b
+}
+
+// Send implements Stream.
+func (p *pipeEnd) Send(ctx context.Context, m msg.Message) error {
+	select {
+	case <-p.peer.gone:
+		return ErrClosed
+	default:
+	}
+	select {
+	case p.out <- m:
+		return nil
+	case <-p.peer.gone:
+		return ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Recv implements Stream.
+func (p *pipeEnd) Recv(ctx context.Context) (msg.Message, error) {
+	select {
+	case m := <-p.in:
+		return m, nil
+	default:
+	}
+	select {
+	case m := <-p.in:
+		return m, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-p.peer.gone:
+	}
+	select {
+	case m := <-p.in:
+		return m, nil
+	default:
+		return nil, ErrClosed
+	}
+}
+
+// Close implements Stream.
+func (p *pipeEnd) Close() {
+	p.once.Do(func() { close(p.gone) })
+}
--- /dev/null
+++ b/record/schema.go
@@ -0,0 +1,80 @@
+package record
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// newestSchema is the newest schema version this program reads and writes.
+func newestSchema(k Kind) int {
+	if k == KindService {
+		return 2
+	}
+	return 1
+}
+
+// parseSpec reads a spec of any known schema version into the newest form.
+func parseSpec(key Key, version int, raw json.RawMessage) (Spec, error) {
+	newest := newestSchema(key.Kind)
+	if version < 1 {
+		return nil, errors.Errorf("%s: schemaVersion %d is not a version; write %d", key, version, newest)
+	}
+	if version > newest {
+		return nil, &TooNewError{Key: key, Got: version, Newest: newest}
+	}
+	if len(raw) == 0 {
+		return nil, errors.Errorf("%s: spec is missing; see docs/operate/records.md for an example", key)
+	}
+	if key.Kind == KindService && version == 1 {
+		return parseServiceV1(key, raw)
+	}
+	spec := emptySpec(key.Kind)
+	if err := strictJSON(raw, spec); err != nil {
+		return nil, errors.Wrapf(err, "%s: spec of schemaVersion %d", key, version)
+	}
+	return spec, nil
+}
+
+func emptySpec(k Kind) Spec {
+	switch k {
+	case KindService:
+		return &Service{}
+	case KindRoute:
+		return &Route{}
+	case KindTeam:
+		return &Team{}
+	case KindStop:
+		return &Stop{}
+	case KindHost:
+		return &Host{}
+	case KindShardMap:
+		return &ShardMap{}
+	default:
+		return &Status{}
+	}
+}
+
+// serviceV1 is schema version 1 of Service: its floor was one percentage.
+type serviceV1 struct {
+	Office       string `json:"office"`
+	FloorPercent int    `json:"floorPercent"`
+	Preset       string `json:"preset"`
+}
+
+func parseServiceV1(key Key, raw json.RawMessage) (Spec, error) {
+	var v1 serviceV1
+	if err := strictJSON(raw, &v1); err != nil {
+		return nil, errors.Wrapf(err, "%s: spec of schemaVersion 1", key)
+	}
+	return &Service{Office: v1.Office, Preset: v1.Preset, Floor: Floor{Percent: v1.FloorPercent}}, nil
+}
+
+// between reports a number outside its bounds.
+func (f *faults) between(field string, got, low, high int) {
+	if got < low || got > high {
+		f.add(field, strconv.Itoa(got)+" is out of bounds",
+			"write "+strconv.Itoa(low)+" to "+strconv.Itoa(high))
+	}
+}
--- /dev/null
+++ b/verdict/problem.go
@@ -0,0 +1,71 @@
+package verdict
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+)
+
+// Header names the response header that carries the verdict of a failure.
+const Header = "Radishhoist-Verdict"
+
+// ProblemType is the media type of RFC 9457.
+const ProblemType = "application/problem+json"
+
+// Problem is the RFC 9457 body of every failure a caller gets from a front.
+type Problem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail,omitempty"`
+	Verdict string `json:"verdict"`
+	Request string `json:"request"`
+}
+
+// Status gives the HTTP status of a failure.
+func (e *Error) Status() int {
+	switch e.Reason {
+	case ReasonNoRoute:
+		return http.StatusNotFound
+	case ReasonBadRequest:
+		return http.StatusBadRequest
+	case ReasonTeamLimit:
+		return http.StatusTooManyRequests
+	case ReasonKeyBusy:
+		return http.StatusConflict
+	case ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case ReasonDeadline:
+		return http.StatusGatewayTimeout
+	case ReasonTargetBroke, ReasonAnswerMismatch, ReasonAnswerTooLarge, ReasonLinkLost:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// Write sends the failure to a caller: status, verdict header, Retry-After in
+// whole seconds rounded up, and a problem body that names the request.
+func (e *Error) Write(w http.ResponseWriter, requestID string) {
+	h := w.Header()
+	h.Set("Content-Type", ProblemType)
+	h.Set(Header, e.Verdict.String())
+	h.Set("Cache-Control", "no-store")
+	if e.RetryAfterMS > 0 {
+		h.Set("Retry-After", strconv.FormatInt((e.RetryAfterMS+999)/1000, 10))
+	}
+	body, err := json.Marshal(Problem{
+		Type:    "urn:radishhoist:" + string(e.Reason),
+		Title:   string(e.Reason),
+		Status:  e.Status(),
+		Detail:  e.Detail,
+		Verdict: e.Verdict.String(),
+		Request: requestID,
+	})
+	if err != nil {
+		body = []byte(`{}`)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(e.Status())
+	_, _ = w.Write(body)
+}
