--- /dev/null
+++ b/internal/cli/records.go
@@ -0,0 +1,198 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/radishhoist/radishhoist/internal/platform"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+func (a *app) getCommand() *cli.Command {
+	return &cli.Command{
+		Name: "get", Usage: "show one record in the form to edit", ArgsUsage: "KIND NAME",
+		Description: "The record is printed with the version it has now. Edit it and give it to `apply -f`: the write\n" +
+			"takes effect only if nobody has changed the record in between.",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			key, err := keyArg(cmd)
+			if err != nil {
+				return err
+			}
+			obj, err := store(cmd).Get(ctx, key)
+			if err != nil {
+				return err
+			}
+			text, err := record.Edit(obj.Value, obj.Version)
+			if err != nil {
+				return err
+			}
+			a.say("%s", text)
+			return nil
+		},
+	}
+}
+
+// row is one record in a list.
+type row struct {
+	Kind    record.Kind `json:"kind"`
+	Name    string      `json:"name"`
+	Version int64       `json:"version"`
+	Schema  int         `json:"schemaVersion"`
+	Summary string      `json:"summary"`
+	Problem string      `json:"problem,omitempty"`
+}
+
+func (a *app) listCommand() *cli.Command {
+	return &cli.Command{
+		Name: "list", Usage: "list records", ArgsUsage: "[KIND]",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			kinds := record.OperatorKinds
+			if cmd.Args().Present() {
+				kind, err := record.ParseKind(cmd.Args().First())
+				if err != nil {
+					return &InvalidError{err.Error()}
+				}
+				kinds = []record.Kind{kind}
+			}
+			page, err := store(cmd).List(ctx, kinds...)
+			if err != nil {
+				return err
+			}
+			rows := makeRows(page.Objects)
+			if asJSON(cmd) {
+				return a.json(rows)
+			}
+			a.rows(rows)
+			return nil
+		},
+	}
+}
+
+func makeRows(objects []platform.Object) []row {
+	rows := []row{}
+	for _, obj := range objects {
+		r := row{Kind: obj.Kind, Name: obj.Name, Version: obj.Version}
+		rec, err := record.Parse(obj.Value)
+		if err != nil {
+			r.Problem = err.Error()
+		} else {
+			r.Schema, r.Summary = rec.SchemaVersion, summary(rec)
+		}
+		rows = append(rows, r)
+	}
+	sort.SliceStable(rows, func(i, j int) bool { return rows[i].Kind < rows[j].Kind })
+	return rows
+}
+
+// summary is one line on what a record says.
+func summary(r *record.Record) string {
+	switch s := r.Spec.(type) {
+	case *record.Service:
+		return fmt.Sprintf("office %s, preset %s, floor %d%%", s.Office, s.Preset, s.Floor.Percent)
+	case *record.Route:
+		return fmt.Sprintf("%s%s to service %s within %s", s.Host, s.PathPrefix, s.Service, s.Timeout())
+	case *record.Team:
+		return fmt.Sprintf("office %s, %d requests a second", s.Office, s.RatePerSecond)
+	case *record.Stop:
+		return fmt.Sprintf("host %s %s: %s", s.Host, s.Instance, s.Reason)
+	case *record.Host:
+		return fmt.Sprintf("data centre %s, peers at %s, admin at %s", s.DC, s.Peer, s.Admin)
+	case *record.Status:
+		return fmt.Sprintf("%d hosts, summed by %s", s.Hosts, s.Writer)
+	case *record.ShardMap:
+		return fmt.Sprintf("%d shards, %d guards", len(s.Shards), len(s.Guards))
+	default:
+		return ""
+	}
+}
+
+func (a *app) rows(rows []row) {
+	a.table("KIND\tNAME\tVERSION\tSAYS", func(w *tabwriter.Writer) {
+		for _, r := range rows {
+			says := r.Summary
+			if r.Problem != "" {
+				says = "CANNOT BE READ: " + r.Problem
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\n", r.Kind, r.Name, r.Version, says)
+		}
+	})
+}
+
+func (a *app) table(head string, fill func(*tabwriter.Writer)) {
+	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, head)
+	fill(w)
+	_ = w.Flush()
+}
+
+func (a *app) json(v any) error {
+	enc := json.NewEncoder(a.out)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func (a *app) deleteCommand() *cli.Command {
+	return &cli.Command{
+		Name: "delete", Usage: "remove one record", ArgsUsage: "KIND NAME",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "version", Usage: "remove only this `VERSION`; the present one where left out"},
+			&cli.BoolFlag{Name: "force", Usage: "remove a service that routes still lead to"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			key, err := keyArg(cmd)
+			if err != nil {
+				return err
+			}
+			return a.delete(ctx, cmd, key)
+		},
+	}
+}
+
+func (a *app) delete(ctx context.Context, cmd *cli.Command, key record.Key) error {
+	s := store(cmd)
+	version := int64(cmd.Int("version"))
+	if version == 0 {
+		obj, err := s.Get(ctx, key)
+		if err != nil {
+			return err
+		}
+		version = obj.Version
+	}
+	if !cmd.Bool("force") {
+		if err := checkUnused(ctx, s, key); err != nil {
+			return err
+		}
+	}
+	obj, err := s.Delete(ctx, key, version)
+	if err != nil {
+		return err
+	}
+	a.say("%s is removed as of version %d; `radishhoist status` shows when it is in force everywhere", key, obj.Version)
+	return nil
+}
+
+// checkUnused refuses to remove a service that routes lead to.
+func checkUnused(ctx context.Context, s platform.Store, key record.Key) error {
+	if key.Kind != record.KindService {
+		return nil
+	}
+	page, err := s.List(ctx, record.KindRoute)
+	if err != nil {
+		return err
+	}
+	for _, obj := range page.Objects {
+		r, err := record.Parse(obj.Value)
+		if err != nil {
+			continue
+		}
+		if route, ok := r.Spec.(*record.Route); ok && route.Service == key.Name {
+			return &UnsafeError{fmt.Sprintf("route %s still leads to service %s: its callers would get no answer; remove the route first, or add --force", r.Name, key.Name)}
+		}
+	}
+	return nil
+}
--- a/record/record.go
+++ b/record/record.go
@@ -77,8 +77,11 @@
 	Key
 	SchemaVersion int
 	// Version is the platform's version of the object, 0 before it is stored.
+	// In an operator's file it is the version that the edit started from.
 	Version int64
-	Spec    Spec
+	// Writer marks the write that stored the record: who, and a nonce.
+	Writer string
+	Spec   Spec
 }
 
 // document is the JSON form.
@@ -86,6 +89,8 @@
 	Kind          Kind            `json:"kind"`
 	Name          string          `json:"name"`
 	SchemaVersion int             `json:"schemaVersion"`
+	Version       int64           `json:"version,omitempty"`
+	Writer        string          `json:"writer,omitempty"`
 	Spec          json.RawMessage `json:"spec"`
 }
 
@@ -158,16 +163,45 @@
 	if len(f.list) > 0 {
 		return nil, &InvalidError{Key: key, Faults: f.list}
 	}
-	return &Record{Key: key, SchemaVersion: doc.SchemaVersion, Spec: spec}, nil
+	return &Record{
+		Key: key, SchemaVersion: doc.SchemaVersion, Version: doc.Version, Writer: doc.Writer, Spec: spec,
+	}, nil
 }
 
-// Marshal gives the JSON form in the newest schema version.
+// Marshal gives the JSON form in the newest schema version, as it is stored:
+// without version, which the platform keeps beside it.
 func Marshal(key Key, spec Spec) ([]byte, error) {
+	return MarshalBy(key, spec, "")
+}
+
+// MarshalBy is Marshal with the mark of the writer.
+func MarshalBy(key Key, spec Spec, writer string) ([]byte, error) {
 	raw, err := json.Marshal(spec)
 	if err != nil {
 		return nil, errors.Wrapf(err, "encode %s", key)
 	}
-	return json.Marshal(document{Kind: key.Kind, Name: key.Name, SchemaVersion: newestSchema(key.Kind), Spec: raw})
+	doc := document{Kind: key.Kind, Name: key.Name, SchemaVersion: newestSchema(key.Kind), Writer: writer, Spec: raw}
+	return json.Marshal(doc)
+}
+
+// Edit gives a stored record in the form that an operator edits: indented,
+// with the version that the edit starts from.
+func Edit(value []byte, version int64) ([]byte, error) {
+	var doc document
+	if err := json.Unmarshal(value, &doc); err != nil {
+		return nil, errors.Wrap(err, "stored record")
+	}
+	doc.Version, doc.Writer = version, ""
+	return json.MarshalIndent(doc, "", "  ")
+}
+
+// WriterOf reads the writer's mark of a stored record, "" where it has none.
+func WriterOf(value []byte) string {
+	var doc document
+	if err := json.Unmarshal(value, &doc); err != nil {
+		return ""
+	}
+	return doc.Writer
 }
 
 // maxName bounds a record's name, in bytes.
