Serve once the record set is whole, also when nothing new proves it

It answered 503 for good. Found by the start-from-peers test, about one run in ten; ruled out: the watch, the tombstones, and the stand-in's answers.

Before: TestWholeWithoutNewsIsNoticed fails; the end-to-end test failed in the first of 25 runs. After: it passes, and 20 runs of the other pass.

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/core/member"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/platform"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+// awayStore is a platform that never answers.
+type awayStore struct{ platform.Store }
+
+func (awayStore) Get(context.Context, record.Key) (platform.Object, error) {
+	return platform.Object{}, &platform.UnavailableError{Cause: context.DeadlineExceeded}
+}
+
+// newTestControl makes a Control that is stepped by hand: no sockets.
+func newTestControl(t *testing.T) (*Control, *[]*directory.Directory) {
+	t.Helper()
+	var seen []*directory.Directory
+	c := New(Config{
+		Host: "a", DC: "dc", Peer: "127.0.0.1:0", Incarnation: 1,
+		Member: member.DefaultConfig("a"), Replica: config.DefaultConfig(), WatchersPerDC: 1,
+	}, Hooks{
+		Directory: func(d *directory.Directory) { seen = append(seen, d) },
+		Instances: func() []directory.Instance { return nil },
+	}, awayStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	assert.NilError(t, c.Listen())
+	t.Cleanup(func() { _ = c.udp.Close() })
+	return c, &seen
+}
+
+func serviceEntry(t *testing.T, name string, version int64) msg.Entry {
+	t.Helper()
+	value, err := record.Marshal(record.Key{Kind: record.KindService, Name: name},
+		&record.Service{Office: "o", Preset: record.PresetQuick, Floor: record.Floor{Percent: 50}})
+	assert.NilError(t, err)
+	return msg.Entry{Kind: string(record.KindService), Name: name, Version: version, Value: value}
+}
+
+// A host that has every record by repair before the snapshot that proves them
+// whole must start to serve all the same.
+func TestWholeWithoutNewsIsNoticed(t *testing.T) {
+	c, seen := newTestControl(t)
+	peerState := msg.HostState{DC: "dc", Peer: "127.0.0.1:2", Incarnation: 1}
+	value, err := peerState.MarshalMsg(nil)
+	assert.NilError(t, err)
+	from := &msg.Hello{Host: "b"}
+	c.HandleControl(from, &msg.Rumor{Set: msg.SetHosts, Entries: []msg.Entry{{Kind: hostKind, Name: "b", Version: 1 << 20, Value: value}}})
+	entry := serviceEntry(t, "plans", 7)
+	c.HandleControl(from, &msg.Rumor{Set: msg.SetRecords, Entries: []msg.Entry{entry}})
+	now := time.Now()
+	c.tick(now)
+	assert.Assert(t, len(*seen) > 0)
+	assert.Assert(t, !(*seen)[len(*seen)-1].Whole)
+
+	c.HandleControl(from, &msg.Snapshot{Set: msg.SetRecords, Entries: []msg.Entry{entry}, Last: true, Whole: true})
+	c.tick(now.Add(tickInterval))
+	assert.Assert(t, (*seen)[len(*seen)-1].Whole, "the set is whole, and the directory in force does not say so")
+}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -85,13 +85,14 @@
 // holds the lock; nil means no change.
 func (c *Control) rebuild(now time.Time) *directory.Directory {
 	c.forgetDead(now)
-	if !c.dirty {
+	becameWhole := c.replica.Whole() != c.dir.Whole
+	if !c.dirty && !becameWhole {
 		return nil
 	}
 	c.dirty = false
-	if c.records.dirty || c.replica.Whole() != c.dir.Whole {
+	if c.records.dirty || becameWhole {
 		c.records.dirty = false
-		if c.replica.Whole() && !c.dir.Whole {
+		if becameWhole {
 			event.Log(c.log, event.SetLoaded, slog.Int("records", c.replica.Set(msg.SetRecords).Len()),
 				slog.Int64("newest", c.replica.Set(msg.SetRecords).Newest()))
 		}
--- a/internal/core/config/step.go
+++ b/internal/core/config/step.go
@@ -23,9 +23,14 @@
 	}
 }
 
-// stepDigest answers a digest that differs with this host's bucket hashes.
+// stepDigest answers a digest that differs with this host's bucket hashes. One
+// that agrees with that of a whole peer proves this host's set whole too.
 func (n *Node) stepDigest(from string, m *msg.Digest) {
-	if m.Set >= msg.Sets || m.Root == n.sets[m.Set].Root() {
+	if m.Set >= msg.Sets {
+		return
+	}
+	if m.Root == n.sets[m.Set].Root() {
+		n.whole[m.Set] = n.whole[m.Set] || m.Whole
 		return
 	}
 	n.send(from, &msg.Buckets{Set: m.Set, Hashes: n.sets[m.Set].Hashes()})
