--- /dev/null
+++ b/internal/docscheck/doc.go
@@ -0,0 +1,3 @@
+// Package docscheck holds the tests that keep the documentation equal to the
+// code.
+package docscheck
--- /dev/null
+++ b/internal/docscheck/docs_test.go
@@ -0,0 +1,101 @@
+package docscheck
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/internal/settings"
+	"github.com/radishhoist/radishhoist/record"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+const root = "../.."
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(root, path))
+	assert.NilError(t, err)
+	return string(text)
+}
+
+func TestEventCatalogueIsComplete(t *testing.T) {
+	text := read(t, "docs/EVENTS.md")
+	rows := regexp.MustCompile(`(?m)^\| (\d+) \| ([^|]+) \|`).FindAllStringSubmatch(text, -1)
+	documented := map[string]string{}
+	for _, r := range rows {
+		documented[r[1]] = strings.TrimSpace(r[2])
+	}
+	seen := map[int]bool{}
+	for _, e := range event.All() {
+		assert.Assert(t, !seen[e.Number], "event number %d is used twice", e.Number)
+		seen[e.Number] = true
+		assert.Equal(t, documented[fmt.Sprint(e.Number)], e.Name, "docs/EVENTS.md, event %d", e.Number)
+	}
+	assert.Equal(t, len(documented), len(event.All()), "docs/EVENTS.md has events that the code lacks")
+}
+
+func TestEveryDeclaredEventIsListed(t *testing.T) {
+	declared := regexp.MustCompile(`= Event\{`).FindAllString(read(t, "internal/event/event.go"), -1)
+	assert.Equal(t, len(declared), len(event.All()))
+}
+
+func TestSettingsReferenceIsCurrent(t *testing.T) {
+	assert.Assert(t, strings.Contains(read(t, "docs/operate/settings.md"), settings.Reference()),
+		"docs/operate/settings.md differs from `radishhoistd -reference`; paste its output")
+}
+
+func TestRecordExamplesAreValid(t *testing.T) {
+	text := read(t, "docs/operate/records.md")
+	blocks := regexp.MustCompile("(?s)```json\n(.*?)```").FindAllStringSubmatch(text, -1)
+	kinds := map[record.Kind]bool{}
+	for _, b := range blocks {
+		r, err := record.Parse([]byte(b[1]))
+		assert.NilError(t, err, b[1])
+		kinds[r.Kind] = true
+	}
+	for _, k := range record.OperatorKinds {
+		assert.Assert(t, kinds[k], "docs/operate/records.md has no example of %s", k)
+	}
+}
+
+func TestEveryReasonIsExplained(t *testing.T) {
+	source := read(t, "verdict/verdict.go")
+	text := read(t, "docs/operate/answers.md")
+	reasons := regexp.MustCompile(`Reason\s+= "([a-z-]+)"`).FindAllStringSubmatch(source, -1)
+	assert.Assert(t, len(reasons) > 10)
+	for _, r := range reasons {
+		assert.Assert(t, strings.Contains(text, "`"+r[1]+"`"), "docs/operate/answers.md does not explain %s", r[1])
+	}
+	for _, v := range []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun, verdict.Ran} {
+		assert.Assert(t, strings.Contains(text, "`"+v.String()+"`"))
+	}
+}
+
+func TestLinksLeadSomewhere(t *testing.T) {
+	link := regexp.MustCompile(`\]\(([^)#]+)(#[^)]*)?\)`)
+	err := filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".md") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, m := range link.FindAllStringSubmatch(string(text), -1) {
+			if strings.Contains(m[1], "://") {
+				continue
+			}
+			_, err := os.Stat(filepath.Join(filepath.Dir(path), m[1]))
+			assert.NilError(t, err, "%s links to %s", path, m[1])
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+}
