Run keyed requests once: owned shards, promises by guards, handover

Cause: a caller that repeats a booking could have run it twice; nothing remembered keys.

Of the ways weighed (a row a key in the platform, a key that pins a target, leases timed by the platform, shards moved by the platform and promised by guards) the last is built: decisions in internal/core/once, messages and timers in internal/keys. Guards change one host at a time, with majorities of old and new needed until every owner holds again. Ownership is given to a process's life, not to a host's name: a restarted owner has lost its table.

Real processes with SIGKILL, SIGSTOP and SIGTERM of an owner: no mark ran twice.

Found on the way, each with its test: a process crashed when the claim came back while its watcher started (end-to-end, key tests); a first shard map with one guard that then died could never move; a table that began at the takeover, not at the first moment of authority, knew less than the earlier owner's last claims; a slot that lapsed while the claim was pending ended the request.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -44,6 +44,8 @@
 	Directory func(*directory.Directory)
 	// Instances lists this host's own instances.
 	Instances func() []directory.Instance
+	// Synced is called once the shard maps were read from the platform.
+	Synced func()
 }
 
 // Control is one host's control role. It is safe for concurrent use.
@@ -56,6 +58,9 @@
 	udp   *net.UDPConn
 	sendq [senders]chan outbound
 
+	// publishing is held while a directory is built and handed on.
+	publishing sync.Mutex
+
 	mu       sync.Mutex
 	members  *member.Node
 	replica  *config.Node
@@ -186,6 +191,17 @@
 	c.contactSeeds(now)
 	c.report(now)
 	c.flush(now)
+	c.mu.Unlock()
+	c.publish(now)
+}
+
+// publish brings a new directory into force where anything has changed. One
+// call at a time builds and hands on, so that an older directory never follows
+// a newer one.
+func (c *Control) publish(now time.Time) {
+	c.publishing.Lock()
+	defer c.publishing.Unlock()
+	c.mu.Lock()
 	dir := c.rebuild(now)
 	c.mu.Unlock()
 	if dir != nil {
@@ -201,6 +217,15 @@
 	c.selfDue = true
 }
 
+// Inject brings an object into force that this host has just written or read,
+// without waiting for a watcher to see it.
+func (c *Control) Inject(obj platform.Object) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replica.Local(c.peers(), msg.SetRecords, toEntries([]platform.Object{obj}))
+	c.flush(time.Now())
+}
+
 // Leave tells the fleet that this host takes no new work, or takes it again.
 func (c *Control) Leave(leaving bool) {
 	c.mu.Lock()
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -34,6 +34,7 @@
 	}, Hooks{
 		Directory: func(d *directory.Directory) { seen = append(seen, d) },
 		Instances: func() []directory.Instance { return nil },
+		Synced:    func() {},
 	}, awayStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	assert.NilError(t, c.Listen())
 	t.Cleanup(func() { _ = c.udp.Close() })
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -90,13 +90,18 @@
 	if _, err := platform.PutSettled(ctx, c.store, key, value, version, mine); err != nil {
 		return err
 	}
-	page, err := c.store.List(ctx, record.KindHost)
+	page, err := c.store.List(ctx, record.KindHost, record.KindShardMap)
 	if err != nil {
 		return err
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.meet(page.Objects)
+	c.meet(only(page.Objects, record.KindHost))
+	c.replica.Local(c.peers(), msg.SetRecords, toEntries(page.Objects))
+	c.flush(time.Now())
+	c.mu.Unlock()
+	c.publish(time.Now())
+	// The maps are in force here now; only then may the guard promise.
+	c.hooks.Synced()
 	return nil
 }
 
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -9,6 +9,8 @@
 package admit
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/radishhoist/radishhoist/verdict"
@@ -114,6 +116,26 @@
 // Service is the moving average of the service time.
 func (q *Queue) Service() time.Duration { return q.service }
 
+// Ticket is one request that the Queue holds, for the state dump and tests.
+type Ticket struct {
+	ID ID
+	// State is "waiting", "granted" or "running".
+	State string
+}
+
+// String names the state.
+func (s state) String() string { return [...]string{"waiting", "granted", "running"}[s] }
+
+// Tickets lists the requests that the Queue holds, by ID.
+func (q *Queue) Tickets() []Ticket {
+	out := make([]Ticket, 0, len(q.tickets))
+	for id, t := range q.tickets {
+		out = append(out, Ticket{ID: id, State: t.state.String()})
+	}
+	slices.SortFunc(out, func(a, b Ticket) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
 // SetSlots changes the number of slots; requests that run are not touched.
 func (q *Queue) SetSlots(now time.Time, slots int) []Decision {
 	q.cfg.Slots = slots
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -82,11 +82,18 @@
 	Teams    map[string]*record.Team
 	Hosts    map[string]*Host
 	Stops    []*record.Stop
-	Maps     map[string]*record.ShardMap
+	// Maps are the shard maps by service.
+	Maps map[string]*ShardMap
 	// Whole says the record set is complete, so that traffic may be served.
 	Whole bool
 }
 
+// ShardMap is a shard map with its version.
+type ShardMap struct {
+	Version int64
+	*record.ShardMap
+}
+
 // RampUp is how long a new instance takes to reach its full share.
 const RampUp = 10 * time.Second
 
--- a/internal/core/directory/records.go
+++ b/internal/core/directory/records.go
@@ -12,7 +12,7 @@
 	services []*Service
 	teams    map[string]*record.Team
 	stops    []*record.Stop
-	maps     map[string]*record.ShardMap
+	maps     map[string]*ShardMap
 	whole    bool
 }
 
@@ -20,7 +20,7 @@
 func Compile(all []*record.Record, whole bool) *Records {
 	out := &Records{
 		teams: make(map[string]*record.Team),
-		maps:  make(map[string]*record.ShardMap),
+		maps:  make(map[string]*ShardMap),
 		whole: whole,
 	}
 	var routes []*route.Route
@@ -35,7 +35,7 @@
 		case *record.Stop:
 			out.stops = append(out.stops, spec)
 		case *record.ShardMap:
-			out.maps[r.Name] = spec
+			out.maps[r.Name] = &ShardMap{Version: r.Version, ShardMap: spec}
 		}
 	}
 	out.routes = route.NewTable(routes)
--- a/internal/core/header/header.go
+++ b/internal/core/header/header.go
@@ -22,6 +22,8 @@
 	IdempotencyKey = "Idempotency-Key"
 	// Target tells the caller which instance answered.
 	Target = "Radishhoist-Target"
+	// Replayed marks a finished answer given again for a repeated key.
+	Replayed = "Radishhoist-Replayed"
 	// Attempts tells the caller how many attempts were made.
 	Attempts = "Radishhoist-Attempts"
 )
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -75,7 +75,7 @@
 	return state.Dump{
 		Host: d.cfg.Host, DC: d.cfg.DC, Started: d.started.UTC().Format(time.RFC3339), Phase: d.phase(),
 		Waiting: d.waiting(), Instances: d.guard.State(), Services: d.front.Status(), Paths: d.front.Paths(),
-		Control: d.control.State(), Peers: d.pool.Stats(),
+		Control: d.control.State(), Peers: d.pool.Stats(), Shards: d.keys.State(),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/front"
 	"github.com/radishhoist/radishhoist/internal/guard"
+	"github.com/radishhoist/radishhoist/internal/keys"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/peer"
 	"github.com/radishhoist/radishhoist/internal/platform"
@@ -36,6 +37,7 @@
 	front   *front.Front
 	guard   *guard.Guard
 	control *control.Control
+	keys    *keys.Manager
 	pool    *peer.Pool
 
 	callers  *http.Server
@@ -61,30 +63,28 @@
 	adminTimeout = 5 * time.Second
 )
 
-// noFence lets every run start: keys are claimed at no epoch.
-type noFence struct{}
-
-// MayRun implements guard.Fence.
-func (noFence) MayRun(string, uint32, uint64) bool { return true }
-
 // Start opens every socket and starts the roles. On an error nothing is left
 // running.
 func Start(cfg *settings.Config, log *slog.Logger) (*Daemon, error) {
 	log = log.With(slog.String("host", cfg.Host), slog.String("dc", cfg.DC))
 	d := &Daemon{cfg: cfg, log: log, started: time.Now(), store: platform.NewClient(cfg.Platform)}
+	d.keys = keys.New(keys.Config{
+		Host: cfg.Host, Life: uint64(d.started.UnixMilli()), PromiseLife: cfg.PromiseLife,
+	}, keys.Hooks{Wrote: func(obj platform.Object) { d.control.Inject(obj) }}, d.store, log)
 	d.guard = guard.New(guard.Config{
 		Host: cfg.Host, QueuePerSlot: cfg.QueuePerSlot, GrantLife: cfg.GrantLife,
 		AnnounceExpiry: cfg.AnnounceExpiry, TargetIdle: cfg.TargetIdle,
-	}, log, noFence{}, func() { d.control.InstancesChanged() })
+	}, log, d.keys, func() { d.control.InstancesChanged() })
 	d.control = control.New(controlConfig(cfg, d.started), control.Hooks{
 		Directory: d.setDirectory,
 		Instances: d.guard.Instances,
+		Synced:    d.keys.Synced,
 	}, d.store, log)
 	d.front = front.New(front.Config{
 		Host: cfg.Host, DC: cfg.DC, MaxBodyBytes: int64(cfg.MaxBodyBytes), BufferBodyBytes: cfg.BufferBodyBytes,
 		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxConns: cfg.MaxConns,
 		HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout,
-	}, log, nil, d.guard, nil)
+	}, log, nil, d.guard, d.keys)
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, err
@@ -93,6 +93,7 @@
 	d.cancel = cancel
 	d.goRun(func() { d.control.Run(ctx) })
 	d.goRun(func() { d.tick(ctx) })
+	d.goRun(func() { d.keys.Run(ctx) })
 	event.Log(log, event.Started, slog.String("callers", cfg.Callers), slog.String("peer", cfg.Peer),
 		slog.String("announce", cfg.Announce), slog.String("admin", cfg.Admin))
 	return d, nil
@@ -132,6 +133,7 @@
 	d.pool = pool
 	d.control.SetPool(pool)
 	d.front.SetPool(pool)
+	d.keys.SetPool(pool)
 	d.announce = smallServer(d.guard.AnnounceHandler())
 	if err := d.serve(cfg.Announce, "targets' announcements", d.announce, nil); err != nil {
 		return err
@@ -175,6 +177,8 @@
 	switch first.(type) {
 	case *msg.Run, *msg.Reserve:
 		d.guard.Serve(s, first)
+	case *msg.KeyClaim, *msg.KeyDone, *msg.Promise, *msg.Handover:
+		d.keys.Serve(s, first)
 	default:
 		s.Close()
 	}
@@ -201,18 +205,38 @@
 func (d *Daemon) setDirectory(dir *directory.Directory) {
 	d.front.SetView(dir)
 	d.guard.Apply(dir)
-	stop := dir.Stopping(d.cfg.Host, "")
-	covered := stop != nil && stop.Instance == ""
-	if d.stopHost.Swap(covered) != covered && !d.stopped.Load() {
-		d.control.Leave(covered)
-		if covered {
-			event.Log(d.log, event.Draining, slog.String("cause", "planned stop: "+stop.Reason))
-		}
-	}
+	d.keys.SetDirectory(dir)
+	d.followStop(dir)
 	if dir.Whole && !d.ready.Swap(true) {
 		event.Log(d.log, event.Ready)
 	}
 }
 
+// followStop drains the host for a planned stop, and takes it back. Keys are
+// handed over before the fleet is told, so that nobody takes their shards
+// without their tables.
+func (d *Daemon) followStop(dir *directory.Directory) {
+	stop := dir.Stopping(d.cfg.Host, "")
+	covered := stop != nil
+	if d.stopHost.Swap(covered) == covered || d.stopped.Load() {
+		return
+	}
+	if !covered {
+		d.keys.Resume()
+		d.control.Leave(false)
+		return
+	}
+	event.Log(d.log, event.Draining, slog.String("cause", "planned stop: "+stop.Reason))
+	d.goRun(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+		defer cancel()
+		d.keys.HandOver(ctx)
+		d.control.Leave(d.stopHost.Load())
+	})
+}
+
+// handOverTimeout bounds the handing over of keys in a planned stop.
+const handOverTimeout = 10 * time.Second
+
 // Log gives the daemon's logger.
 func (d *Daemon) Log() *slog.Logger { return d.log }
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -25,6 +25,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
 	defer cancel()
 	d.front.Drain()
+	d.keys.HandOver(ctx)
 	d.control.Leave(true)
 	d.guard.Drain()
 	select {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -116,6 +116,10 @@
 	}
 	req.Header.Set(target.MarkHeader, mark)
 	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	return do(client, req)
+}
+
+func do(client *http.Client, req *http.Request) reply {
 	resp, err := client.Do(req)
 	if err != nil {
 		return reply{err: err}
--- /dev/null
+++ b/internal/e2e/keys_test.go
@@ -0,0 +1,151 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/lab"
+	"github.com/radishhoist/radishhoist/internal/standin/target"
+)
+
+// bookOnce sends a keyed booking through one host; it gives the answer, or ""
+// where there was none.
+func (w *world) bookOnce(key, mark string, host int) string {
+	h := w.Hosts[host%len(w.Hosts)]
+	req, err := http.NewRequest(http.MethodPost, "http://"+h.Callers()+"/plans/7", strings.NewReader("seat"))
+	if err != nil {
+		return ""
+	}
+	req.Header.Set("Idempotency-Key", key)
+	req.Header.Set(target.MarkHeader, mark)
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r := do(client, req)
+	if r.err != nil || r.status != http.StatusOK {
+		return ""
+	}
+	return r.body
+}
+
+// book sends a keyed booking, again and again through any host, until it has
+// two answers or the tries are over.
+func (w *world) book(key, mark string, first int) (answers []string) {
+	for try := range 12 {
+		if a := w.bookOnce(key, mark, first+try); a != "" {
+			answers = append(answers, a)
+		}
+		if len(answers) == 2 {
+			return answers
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	return answers
+}
+
+// ownerOf finds a host that has authority over shards of the service.
+func (w *world) ownerOf() *lab.Host {
+	for _, h := range w.Hosts {
+		dump, err := h.Dump()
+		if err != nil {
+			continue
+		}
+		for _, s := range dump.Shards {
+			if s.Held {
+				return h
+			}
+		}
+	}
+	return nil
+}
+
+func TestKeyedBookingsRunOnce(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		net  int
+		sig  syscall.Signal
+		// least is how many must be answered: the keys of a dead owner are
+		// refused, those of a drained one are handed over.
+		least int
+	}{
+		{"owner killed", 41, syscall.SIGKILL, 20},
+		{"owner frozen", 42, syscall.SIGSTOP, 20},
+		{"owner drained", 43, syscall.SIGTERM, 60},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := start(t, c.net, 5, 5*time.Millisecond)
+			var owner *lab.Host
+			assert.NilError(t, w.Until(patience, "an owner with authority", func() bool {
+				owner = w.ownerOf()
+				return owner != nil
+			}))
+			assert.NilError(t, w.Until(patience, "fresh keys to be taken on every shard", func() bool {
+				for i := range 16 {
+					if len(w.bookOnce(uuid.Must(uuid.NewV7()).String(), "", i)) == 0 {
+						return false
+					}
+				}
+				return true
+			}))
+			var wg sync.WaitGroup
+			answers := make([][]string, 60)
+			for i := range answers {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+					answers[i] = w.book(uuid.Must(uuid.NewV7()).String(), fmt.Sprintf("m%d", i), i)
+				}()
+				if i == len(answers)/2 {
+					assert.NilError(t, owner.Daemon.Signal(c.sig))
+				}
+			}
+			wg.Wait()
+			ran := assertAtMostOnce(t, w)
+			answered := 0
+			for i, a := range answers {
+				if len(a) == 0 {
+					continue
+				}
+				answered++
+				assert.Equal(t, ran[fmt.Sprintf("m%d", i)], 1)
+				if len(a) == 2 {
+					assert.Equal(t, a[0], a[1], "a repeat got another answer")
+				}
+			}
+			assert.Assert(t, answered >= c.least, "only %d of %d were answered", answered, len(answers))
+			t.Logf("%d of %d answered", answered, len(answers))
+		})
+	}
+}
+
+func TestBrokenAnswersAreReplacedOrShownBroken(t *testing.T) {
+	w := start(t, 44, 4, 2*time.Millisecond)
+	for _, b := range []target.Behaviour{
+		{Mode: target.Truncate, Share: 1}, {Mode: target.Swap, Share: 1}, {Mode: target.Errors, Share: 1},
+	} {
+		assert.NilError(t, w.targets[0].Set(b))
+		for i := range 40 {
+			mark := fmt.Sprintf("%s%d", b.Mode, i)
+			r := call(http.MethodGet, "http://"+w.Hosts[i%4].Callers()+"/plans/7?size=5000", mark, "")
+			assert.NilError(t, r.err)
+			if r.status == http.StatusOK {
+				assert.Equal(t, len(r.body), 5000, "%s", b.Mode)
+				assert.Assert(t, strings.Contains(r.body, "mark="+mark+" "))
+			}
+		}
+	}
+	// An answer too large to keep that breaks off must not look whole.
+	assert.NilError(t, w.targets[0].Set(target.Behaviour{Mode: target.Good}))
+	for _, tg := range w.targets {
+		assert.NilError(t, tg.Set(target.Behaviour{Mode: target.Truncate, Share: 1}))
+	}
+	r := call(http.MethodGet, "http://"+w.Hosts[0].Callers()+"/plans/7?size=4000000", "big", "")
+	assert.Assert(t, r.err != nil || r.status >= http.StatusInternalServerError, "a broken answer looked whole: %d bytes", len(r.body))
+}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -50,17 +50,11 @@
 	quietChecks int
 }
 
-// claimTask is a claim under way at the key's owner; result is set once done
+// claimTask is a claim under way at the key's owner; answer is set once done
 // is closed.
 type claimTask struct {
 	done   chan struct{}
-	result claimResult
-}
-
-// claimResult is the key owner's word on a request that waits for it.
-type claimResult struct {
 	answer KeyAnswer
-	err    error
 }
 
 const (
@@ -199,9 +193,11 @@
 	}
 	defer cancel()
 	if y.claim != nil {
+		// This goroutine outlives the call; the claim is set to nil after it.
+		claimed := y.claim.done
 		go func() {
 			select {
-			case <-y.claim.done:
+			case <-claimed:
 				cancel()
 			case <-wait.Done():
 			}
@@ -223,9 +219,9 @@
 	if y.claim != nil {
 		select {
 		case <-y.claim.done:
-			result := y.claim.result
+			answer := y.claim.answer
 			y.claim = nil
-			return y.claimed(ctx, result)
+			return y.claimed(ctx, answer)
 		default:
 		}
 	}
@@ -276,13 +272,13 @@
 }
 
 // claimed takes the key owner's word.
-func (y *try) claimed(ctx context.Context, c claimResult) *outcome {
-	if c.err != nil || c.answer.Outcome != once.ClaimRun {
-		o := y.giveUp(c.err)
-		o.fail = keyFailure(c)
+func (y *try) claimed(ctx context.Context, k KeyAnswer) *outcome {
+	if k.Outcome != once.ClaimRun {
+		o := y.giveUp(nil)
+		o.fail = keyFailure(k)
 		return o
 	}
-	y.epoch, y.shard = c.answer.Epoch, c.answer.Shard
+	y.epoch, y.shard = k.Epoch, k.Shard
 	if err := y.act(ctx, y.state.Claimed()); err != nil {
 		return y.giveUp(err)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -39,14 +39,6 @@
 	IdleTimeout time.Duration
 }
 
-// Keys decides whether a keyed request may run; nil Keys refuse every key.
-type Keys interface {
-	// Claim asks the owner of the key's shard.
-	Claim(ctx context.Context, service *directory.Service, c KeyRequest) (KeyAnswer, error)
-	// Done tells the owner how the request ended.
-	Done(service *directory.Service, c KeyRequest, a KeyAnswer, end KeyEnd)
-}
-
 // Front serves callers. It is safe for concurrent use.
 type Front struct {
 	cfg   Config
@@ -64,7 +56,8 @@
 	seed     atomic.Uint64
 }
 
-// New makes a Front. guard is this host's own, reached without frames.
+// New makes a Front. guard is this host's own, reached without
+// frames; nil keys treat keyed requests like any other.
 func New(cfg Config, log *slog.Logger, pool *peer.Pool, g *guard.Guard, keys Keys) *Front {
 	f := &Front{cfg: cfg, log: log, pool: pool, guard: g, keys: keys, paths: newPaths(log)}
 	f.seed.Store(rand.Uint64())
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -257,7 +257,7 @@
 
 // runOnce makes attempts strictly one after the other, and another only where
 // the one before is proved not to have run.
-func (f *Front) runOnce(ctx context.Context, req *request, claim func() *claimTask) (*answer, *verdict.Error) {
+func (f *Front) runOnce(ctx context.Context, req *request, claim *claimTask) (*answer, *verdict.Error) {
 	c := &race{front: f, req: req, rng: f.rng()}
 	for len(c.tried) < maxAttempts {
 		t, sample := f.choose(req, c.tried, c.rng)
@@ -266,7 +266,7 @@
 		}
 		c.tried = append(c.tried, t)
 		req.attempts++
-		o := f.attempt(ctx, req, t, sample, claim())
+		o := f.attempt(ctx, req, t, sample, claim)
 		req.state.observe(t, o)
 		if o.fail == nil {
 			return o.answer, nil
@@ -275,11 +275,37 @@
 		if o.fail.Verdict != verdict.NotRun || ctx.Err() != nil || !req.repeatable() || isKeyReason(o.fail.Reason) {
 			break
 		}
+		if claim.pending() {
+			// The slot lapsed while the key's owner was being found: that is
+			// no try of the target.
+			claim.wait(ctx)
+			c.tried = c.tried[:len(c.tried)-1]
+		}
 		f.counts.retries.Inc()
 	}
 	return nil, c.verdict()
 }
 
+// pending says that the claim has no answer yet; no claim is never pending.
+func (t *claimTask) pending() bool {
+	if t == nil {
+		return false
+	}
+	select {
+	case <-t.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (t *claimTask) wait(ctx context.Context) {
+	select {
+	case <-t.done:
+	case <-ctx.Done():
+	}
+}
+
 func (st *serviceState) hedgeDelay() time.Duration {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -219,6 +219,12 @@
 	return &s, getJSON("http://"+h.Admin()+state.PathStatus, &s)
 }
 
+// Dump reads a host's whole state.
+func (h *Host) Dump() (*state.Dump, error) {
+	var d state.Dump
+	return &d, getJSON("http://"+h.Admin()+state.PathState, &d)
+}
+
 // UntilServing waits until every host serves every service with at least the
 // given number of targets in use.
 func (f *Fleet) UntilServing(timeout time.Duration, targets map[string]int) error {
--- a/internal/msg/keys.go
+++ b/internal/msg/keys.go
@@ -43,9 +43,11 @@
 	RequestID string
 	Verdict   verdict.Verdict
 	Whole     bool
-	Status    uint16
-	Header    []Field `msg:"header,limit=256"`
-	Body      []byte
+	// Kept says that the answer below is to be given again.
+	Kept   bool
+	Status uint16
+	Header []Field `msg:"header,limit=256"`
+	Body   []byte
 }
 
 // Promise asks a guard of a service to promise a shard's epoch to an owner.
@@ -74,25 +76,32 @@
 	Key       string
 	BodyHash  uint64
 	RequestID string
-	State     uint8
-	MintedMS  int64
-	AgeMS     int64
-	Status    uint16
-	Header    []Field `msg:"header,limit=256"`
-	Body      []byte
+	// State is a once key state; AgeMS is how long it has lasted.
+	State  uint8
+	AgeMS  int64
+	Kept   bool
+	Status uint16
+	Header []Field `msg:"header,limit=256"`
+	Body   []byte
 }
 
-// Handover moves a shard's key table to its next owner.
+// Handover moves a shard's key table to its next owner, in parts.
 type Handover struct {
 	Service string
 	Shard   uint32
-	Epoch   uint64
-	Entries []KeyEntry `msg:"entries,limit=20000"`
+	// Epoch is the epoch that the next owner will have.
+	Epoch uint64
+	// Since and OpaqueMS say what the table does not know: keys minted up to
+	// a wall time, and for how long keys without a time stamp are refused.
+	Since    int64
+	OpaqueMS int64
+	Part     uint32
+	Entries  []KeyEntry `msg:"entries,limit=20000"`
 	// Last marks the last part of the table.
 	Last bool
 }
 
-// HandoverDone says the next owner has the whole table.
+// HandoverDone answers each part of a Handover, and KeyDone.
 type HandoverDone struct {
 	Accepted bool
 }
--- a/internal/msg/keys_gen.go
+++ b/internal/msg/keys_gen.go
@@ -17,11 +17,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Handover) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendUint32(o, z.Shard)
 	o = msgp.AppendUint64(o, z.Epoch)
+	o = msgp.AppendInt64(o, z.Since)
+	o = msgp.AppendInt64(o, z.OpaqueMS)
+	o = msgp.AppendUint32(o, z.Part)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
 	for za0001 := range z.Entries {
 		o, err = z.Entries[za0001].MarshalMsg(o)
@@ -42,8 +45,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -61,6 +64,21 @@
 		err = msgp.WrapError(err, "Epoch")
 		return
 	}
+	z.Since, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Since")
+		return
+	}
+	z.OpaqueMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OpaqueMS")
+		return
+	}
+	z.Part, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
 	var zb0002 uint32
 	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -94,7 +112,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Handover) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Uint32Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Uint32Size + msgp.Uint64Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint32Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
@@ -323,8 +341,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *KeyDone) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendUint32(o, z.Shard)
 	o = msgp.AppendUint64(o, z.Epoch)
@@ -332,6 +350,7 @@
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendUint8(o, uint8(z.Verdict))
 	o = msgp.AppendBool(o, z.Whole)
+	o = msgp.AppendBool(o, z.Kept)
 	o = msgp.AppendUint16(o, z.Status)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Header)))
 	for za0001 := range z.Header {
@@ -353,8 +372,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -396,6 +415,11 @@
 		err = msgp.WrapError(err, "Whole")
 		return
 	}
+	z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kept")
+		return
+	}
 	z.Status, bts, err = msgp.ReadUint16Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Status")
@@ -450,7 +474,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *KeyDone) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Uint32Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Key) + msgp.StringPrefixSize + len(z.RequestID) + msgp.Uint8Size + msgp.BoolSize + msgp.Uint16Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Uint32Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Key) + msgp.StringPrefixSize + len(z.RequestID) + msgp.Uint8Size + msgp.BoolSize + msgp.BoolSize + msgp.Uint16Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Header {
 		s += z.Header[za0001].Msgsize()
 	}
@@ -467,8 +491,8 @@
 	o = msgp.AppendUint64(o, z.BodyHash)
 	o = msgp.AppendString(o, z.RequestID)
 	o = msgp.AppendUint8(o, z.State)
-	o = msgp.AppendInt64(o, z.MintedMS)
 	o = msgp.AppendInt64(o, z.AgeMS)
+	o = msgp.AppendBool(o, z.Kept)
 	o = msgp.AppendUint16(o, z.Status)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Header)))
 	for za0001 := range z.Header {
@@ -514,14 +538,14 @@
 		err = msgp.WrapError(err, "State")
 		return
 	}
-	z.MintedMS, bts, err = msgp.ReadInt64Bytes(bts)
+	z.AgeMS, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "MintedMS")
+		err = msgp.WrapError(err, "AgeMS")
 		return
 	}
-	z.AgeMS, bts, err = msgp.ReadInt64Bytes(bts)
+	z.Kept, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMS")
+		err = msgp.WrapError(err, "Kept")
 		return
 	}
 	z.Status, bts, err = msgp.ReadUint16Bytes(bts)
@@ -578,7 +602,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *KeyEntry) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID) + msgp.Uint8Size + msgp.Int64Size + msgp.Int64Size + msgp.Uint16Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID) + msgp.Uint8Size + msgp.Int64Size + msgp.BoolSize + msgp.Uint16Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Header {
 		s += z.Header[za0001].Msgsize()
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/radishhoist/radishhoist/internal/control"
+	"github.com/radishhoist/radishhoist/internal/core/once"
 	"github.com/radishhoist/radishhoist/internal/front"
 	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/internal/peer"
@@ -30,6 +31,7 @@
 	Paths     []front.PathState     `json:"paths"`
 	Control   control.State         `json:"control"`
 	Peers     peer.Stats            `json:"peers"`
+	Shards    []once.OwnedState     `json:"shards"`
 }
 
 // Status is what is in force and why, as one host sees it.
--- a/record/system.go
+++ b/record/system.go
@@ -26,6 +26,9 @@
 type ShardMap struct {
 	// Guards are the hosts whose promises make an owner's authority.
 	Guards []string `json:"guards"`
+	// Prev are the guards before the last change. Until every shard's owner
+	// holds under both, majorities of both are needed.
+	Prev []string `json:"prev,omitempty"`
 	// Shards has one entry for every shard, in order.
 	Shards []Shard `json:"shards"`
 	// Nonce is the writer's mark, to tell its own write after a lost answer.
@@ -34,10 +37,15 @@
 
 // Shard is the ownership of one shard.
 type Shard struct {
-	// Owner is the host that may claim keys.
+	// Owner is the host that may claim keys, and Life its process's start, in
+	// Unix milliseconds: a process that starts anew has lost the table.
 	Owner string `json:"owner"`
-	// Epoch rises by one with every change of owner.
+	Life  uint64 `json:"life"`
+	// Epoch rises by one with every change of owner or guards.
 	Epoch uint64 `json:"epoch"`
+	// Held is the last epoch at which the owner is known to have had
+	// authority under both Guards and Prev.
+	Held uint64 `json:"held,omitempty"`
 }
 
 func (m *ShardMap) validate(f *faults) {
