--- a/cmd/radishhoist-lab/main.go
+++ b/cmd/radishhoist-lab/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/radishhoist/radishhoist/internal/experiment"
 	"github.com/radishhoist/radishhoist/internal/lab"
 	"github.com/radishhoist/radishhoist/internal/standin/platformd"
 	"github.com/radishhoist/radishhoist/internal/standin/target"
@@ -25,7 +26,7 @@
 	cmd := &cli.Command{
 		Name:     "radishhoist-lab",
 		Usage:    "stand-ins, demo and load tool for development",
-		Commands: []*cli.Command{platformCommand(), targetCommand(), demoCommand(), loadCommand(), benchCommand()},
+		Commands: []*cli.Command{platformCommand(), targetCommand(), demoCommand(), loadCommand(), benchCommand(), grayCommand()},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "radishhoist-lab:", err)
@@ -137,3 +138,27 @@
 		},
 	}
 }
+
+func grayCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "gray",
+		Usage: "measure detection, ejection and load control in virtual time beside baselines",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "runs a case"},
+			&cli.IntFlag{Name: "first", Value: experiment.HeldOut, Usage: "first seed; the default ones are never used for tuning"},
+			&cli.FloatFlag{Name: "noise-hours", Value: 2000, Usage: "length of the noise run in instance-hours"},
+			&cli.BoolFlag{Name: "large", Usage: "add the target size"},
+			&cli.StringFlag{Name: "svg", Usage: "write a plot to `FILE`"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			results := experiment.Report(os.Stdout, experiment.Options{
+				Seeds: cmd.Int("seeds"), First: uint64(cmd.Int("first")),
+				NoiseHours: cmd.Float("noise-hours"), Large: cmd.Bool("large"),
+			})
+			if path := cmd.String("svg"); path != "" {
+				return os.WriteFile(path, []byte(experiment.SVG(results)), 0o644)
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/experiment/report.go
@@ -0,0 +1,103 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// Options choose what a report runs.
+type Options struct {
+	// Seeds is the number of runs a case; First the first seed. Seeds from
+	// HeldOut on are never used for tuning.
+	Seeds int
+	First uint64
+	// NoiseHours is the length of the noise run, in instance-hours; 0 for none.
+	NoiseHours float64
+	// Large adds the target size.
+	Large bool
+}
+
+// HeldOut is the first of the seeds that are kept for reporting.
+const HeldOut = 1_000_000
+
+// Report runs the cases and writes a Markdown table.
+func Report(out io.Writer, o Options) []Result {
+	var all []Result
+	for _, site := range []Site{Bureau, Registry} {
+		for _, load := range []float64{0.4, 0.7} {
+			fmt.Fprintf(out, "\n### %s, %.0f %% load, %d runs a row\n\n%s\n", site.Name, 100*load, o.Seeds, tableHead)
+			for _, fault := range Faults {
+				for _, policy := range Policies() {
+					r := Case(site, policy, fault, load, o.First, o.Seeds)
+					all = append(all, r)
+					fmt.Fprintln(out, r.row())
+				}
+			}
+		}
+	}
+	if o.Large {
+		fmt.Fprintf(out, "\n### %s, 1,600 fronts, 40 %% load, 2 runs a row\n\n%s\n", Target.Name, tableHead)
+		for _, fault := range []Fault{NoFault, Slow5, Errors, Stuck} {
+			r := Case(Target, "radishhoist", fault, 0.4, o.First, 2)
+			all = append(all, r)
+			fmt.Fprintln(out, r.row())
+		}
+	}
+	if o.NoiseHours > 0 {
+		fmt.Fprintf(out, "\n### False ejections under noise\n\n")
+		for _, site := range []Site{Bureau, Registry} {
+			alarms, hours := DefaultNoise(site).Alarms(o.NoiseHours, o.First)
+			fmt.Fprintf(out, "- %s: %d alarms in %.0f healthy instance-hours, %.2f per 1,000\n", site.Name, alarms, hours, 1000*float64(alarms)/hours)
+		}
+	}
+	return all
+}
+
+const tableHead = `| fault | policy | detection p50 / p99 | false ejections per instance-hour | failed % | late % | p99 | works per request | least margin over the floor, slots | below floor by ejecting |
+|---|---|---|---|---|---|---|---|---|---|`
+
+func (r Result) row() string {
+	found := "-"
+	if r.Fault.gray() {
+		found = fmt.Sprintf("%s / %s", r.DetectP50, r.DetectP99)
+	}
+	margin := "-"
+	if r.Margin < 1<<30 {
+		margin = fmt.Sprint(r.Margin)
+	}
+	return fmt.Sprintf("| %s | %s | %s | %.2f | %.3f | %.3f | %s | %.3f | %s | %d |",
+		r.Fault, r.Policy, found, r.FalseOut, r.FailedPct, r.LatePct, r.P99.Round(time.Millisecond), r.Works, margin, r.FloorBreaks)
+}
+
+// SVG draws the detection time and the p99 of each policy under a slow target,
+// as bars.
+func SVG(results []Result) string {
+	var b strings.Builder
+	const width, barHeight, left = 900, 16, 230
+	var rows []Result
+	for _, r := range results {
+		if r.Fault == Slow5 && r.Load == 0.4 && r.Site != Target.Name {
+			rows = append(rows, r)
+		}
+	}
+	height := 60 + len(rows)*2*(barHeight+4) + 20
+	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="12">`+"\n", width, height)
+	b.WriteString(`<rect width="100%" height="100%" fill="white"/>` + "\n")
+	b.WriteString(`<text x="10" y="20" font-size="14">One target five times slower, 40 % load: time to leave it out (dark, s, 30 = never) and p99 of answers (light, ms)</text>` + "\n")
+	y := 45
+	for _, r := range rows {
+		fmt.Fprintf(&b, `<text x="10" y="%d">%s: %s</text>`+"\n", y+12, r.Site, r.Policy)
+		bar(&b, left, y, r.DetectP50.Seconds()/30*500, "#335577", fmt.Sprintf("%.1f s", r.DetectP50.Seconds()))
+		bar(&b, left, y+barHeight+2, float64(r.P99.Milliseconds())/2000*500, "#99bbdd", fmt.Sprintf("%d ms", r.P99.Milliseconds()))
+		y += 2 * (barHeight + 4)
+	}
+	b.WriteString("</svg>\n")
+	return b.String()
+}
+
+func bar(b *strings.Builder, x, y int, length float64, color, label string) {
+	fmt.Fprintf(b, `<rect x="%d" y="%d" width="%.0f" height="14" fill="%s"/><text x="%.0f" y="%d">%s</text>`+"\n",
+		x, y, max(length, 1), color, float64(x)+length+6, y+12, label)
+}
