--- a/internal/core/detect/detector.go
+++ b/internal/core/detect/detector.go
@@ -22,13 +22,10 @@
 	params Params
 	health Health
 
-	// slow and failing are the two cumulative sums, in nats.
-	slow, failing float64
+	// slow and failing are the two cumulative sums.
+	slow, failing sum
 	// clear is the evidence for a suspect's return.
 	clear float64
-	// spent is the evidence gathered in the second that began at second.
-	second time.Time
-	spent  float64
 
 	since time.Time
 	hold  time.Duration
@@ -37,6 +34,31 @@
 	at float64
 }
 
+// sum is one cumulative sum, in nats. What one second adds to it is bounded
+// after each answer, evidence for and against together: a bound on the evidence
+// for alone would let an instance that fails every other request look healthy,
+// and one at the end of the second would let a short burst outweigh what
+// follows it.
+type sum struct {
+	value  float64
+	second time.Time
+	base   float64
+	net    float64
+}
+
+// add takes one answer's evidence.
+func (s *sum) add(now time.Time, step float64, p Params) {
+	if now.Sub(s.second) >= time.Second {
+		s.second, s.base, s.net = now, s.value, 0
+	}
+	s.net = min(s.net+step, p.MaxPerSecond)
+	// The sum stops a little over the threshold, so that it can fall again.
+	s.value = min(s.base+s.net, 2*p.Threshold)
+	if s.value < 0 {
+		s.value, s.base, s.net = 0, 0, 0
+	}
+}
+
 // NewDetector makes a Detector that trusts its instance.
 func NewDetector(p Params) *Detector {
 	return &Detector{params: p, hold: p.HoldMin}
@@ -53,7 +75,7 @@
 
 // Evidence ranks suspects: the strongest case seen, in nats.
 func (d *Detector) Evidence() float64 {
-	return max(d.slow, d.failing, d.at)
+	return max(d.slow.value, d.failing.value, d.at)
 }
 
 // Conviction is the evidence at which the present suspicion began, in nats.
@@ -69,13 +91,13 @@
 		return false
 	}
 	if failed {
-		d.failing = d.gather(now, d.failing, errorStep(d.params, ref))
+		d.failing.add(now, errorStep(d.params, ref), d.params)
 		d.clear = 0
 		return d.decide(now)
 	}
-	d.failing = max(0, d.failing+successStep(d.params, ref))
+	d.failing.add(now, successStep(d.params, ref), d.params)
 	step := slowStep(d.params, ref, service)
-	d.slow = d.gather(now, d.slow, step)
+	d.slow.add(now, step, d.params)
 	d.clear = max(0, d.clear-step)
 	return d.decide(now)
 }
@@ -88,26 +110,11 @@
 	if ref.Count < minReference || step <= 0 {
 		return false
 	}
-	d.slow = d.gather(now, d.slow, step)
+	d.slow.add(now, step, d.params)
 	d.clear = 0
 	return d.decide(now)
 }
 
-// gather adds evidence to a sum, within the bound of a second.
-func (d *Detector) gather(now time.Time, sum, step float64) float64 {
-	if step <= 0 {
-		return max(0, sum+step)
-	}
-	if now.Sub(d.second) >= time.Second {
-		d.second = now
-		d.spent = 0
-	}
-	step = min(step, d.params.MaxPerSecond-d.spent)
-	d.spent += step
-	// The sum stops a little over the threshold, so that it can fall again.
-	return min(sum+step, 2*d.params.Threshold)
-}
-
 // decide applies the thresholds.
 func (d *Detector) decide(now time.Time) bool {
 	if d.health == Healthy {
@@ -117,7 +124,7 @@
 }
 
 func (d *Detector) convict(now time.Time) bool {
-	if max(d.slow, d.failing) < d.params.Threshold {
+	if max(d.slow.value, d.failing.value) < d.params.Threshold {
 		return false
 	}
 	switch calm := now.Sub(d.back); {
@@ -128,7 +135,7 @@
 	}
 	d.health = Suspect
 	d.since = now
-	d.at = max(d.slow, d.failing)
+	d.at = max(d.slow.value, d.failing.value)
 	d.clear = 0
 	return true
 }
@@ -139,7 +146,7 @@
 	}
 	d.health = Healthy
 	d.back = now
-	d.slow, d.failing, d.clear, d.at = 0, 0, 0, 0
+	d.slow, d.failing, d.clear, d.at = sum{}, sum{}, 0, 0
 	return true
 }
 
--- a/internal/core/detect/params.go
+++ b/internal/core/detect/params.go
@@ -45,8 +45,8 @@
 func Quick() Params {
 	return Params{
 		SlowFactor:     2.5,
-		Threshold:      8,
-		MaxPerSecond:   8,
+		Threshold:      16,
+		MaxPerSecond:   11,
 		ErrorFloor:     0.02,
 		ClearThreshold: 5,
 		HoldMin:        3 * time.Second,
@@ -60,7 +60,7 @@
 func Careful() Params {
 	return Params{
 		SlowFactor:     3,
-		Threshold:      12,
+		Threshold:      16,
 		MaxPerSecond:   3.5,
 		ErrorFloor:     0.03,
 		ClearThreshold: 4,
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -89,6 +89,8 @@
 	Since time.Time
 	// LastHeard is when a packet of the host last came.
 	LastHeard time.Time
+	// learnt is the version that DC and Peer are of; Version may be newer.
+	learnt int64
 }
 
 // Change is a status that has changed.
@@ -225,15 +227,25 @@
 		m = &Member{Host: host, Status: Dead}
 		n.members[host] = m
 	}
-	if ok && version <= m.Version {
+	if ok && version <= m.learnt {
 		return
 	}
-	m.DC, m.Peer, m.Version = dc, peer, version
-	delete(n.notes, host)
-	n.setStatus(now, m, Alive)
+	m.DC, m.Peer, m.learnt = dc, peer, version
+	n.revive(now, m, version)
 	n.index()
 }
 
+// revive takes a version of a host as proof of life where it is newer than
+// every claim about the host.
+func (n *Node) revive(now time.Time, m *Member, version int64) {
+	if version <= m.Version {
+		return
+	}
+	m.Version = version
+	delete(n.notes, m.Host)
+	n.setStatus(now, m, Alive)
+}
+
 // Forget drops a host that has left for good.
 func (n *Node) Forget(host string) {
 	delete(n.members, host)
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -18,8 +18,6 @@
 		}
 	}
 	if !now.Before(n.nextDead) {
-		// Jitter keeps two sides of a healed split from meeting in step.
-		n.nextDead = now.Add(n.cfg.DeadProbe/2 + time.Duration(n.rng.Int64N(int64(n.cfg.DeadProbe))))
 		n.probeDead(now)
 	}
 }
@@ -54,18 +52,31 @@
 	n.send(m.Peer, &msg.Packet{Kind: msg.PacketPing, Seq: n.seq, Target: host})
 }
 
-// probeDead pings one random host that is held for dead. An answer is not
-// proof of life by itself; the host learns of the claim and refutes it.
+// probeDead pings one host that is held for dead. An answer at the version of
+// the claim is no proof of life; the host learns of the claim and refutes it,
+// and answers the next ping with a newer version. So a host that was heard of
+// late is asked again soon.
 func (n *Node) probeDead(now time.Time) {
-	var dead []string
+	// Jitter keeps two sides of a healed split from meeting in step.
+	n.nextDead = now.Add(n.cfg.DeadProbe/2 + time.Duration(n.rng.Int64N(int64(n.cfg.DeadProbe))))
+	var dead, heard []string
 	for _, m := range n.members {
-		if m.Status == Dead && m.Peer != "" {
-			dead = append(dead, m.Host)
+		if m.Status != Dead || m.Peer == "" {
+			continue
+		}
+		dead = append(dead, m.Host)
+		if now.Sub(m.LastHeard) < 2*n.cfg.DeadProbe {
+			heard = append(heard, m.Host)
 		}
 	}
+	if len(heard) > 0 {
+		n.nextDead = now.Add(n.cfg.ProbeInterval)
+		dead = heard
+	}
 	if len(dead) == 0 {
 		return
 	}
+	sort.Strings(dead)
 	host := dead[n.rng.IntN(len(dead))]
 	m := n.members[host]
 	n.seq++
@@ -192,6 +203,7 @@
 func (n *Node) Step(now time.Time, p *msg.Packet) {
 	if m, ok := n.members[p.From]; ok {
 		m.LastHeard = now
+		n.revive(now, m, p.FromVersion)
 	}
 	for _, note := range p.Notes {
 		n.stepNote(now, note)
--- a/internal/experiment/ours.go
+++ b/internal/experiment/ours.go
@@ -59,8 +59,8 @@
 	path                   time.Duration
 	suspect                bool
 	evidence               uint32
-	misses                 int
-	pathOutUntil           time.Duration
+	pathOut                bool
+	pathRetryAt            time.Duration
 	pathBackoff            time.Duration
 }
 
@@ -172,7 +172,7 @@
 	for i := range f.targets {
 		t := &f.targets[i]
 		members[i] = eject.Member{
-			Name: string(rune('a' + i)), Slots: t.slots, Usable: o.now >= t.pathOutUntil,
+			Name: string(rune('a' + i)), Slots: t.slots, Usable: !t.pathOut,
 			Suspect: t.suspect, Evidence: t.evidence,
 		}
 	}
@@ -238,7 +238,11 @@
 // pick chooses as the front does.
 func (o *ours) pick(r *requestSim) int {
 	f := r.front
-	o.refreshPaths(f)
+	if r.idempotent && len(r.tried) == 0 {
+		if i := o.pathTrial(f); i >= 0 {
+			return i
+		}
+	}
 	if share := 0.05 * float64(count(f.out)) / float64(len(f.targets)); r.idempotent && len(r.tried) == 0 && share > 0 && f.rng.Float64() < share {
 		for i, out := range f.out {
 			if out {
@@ -282,14 +286,15 @@
 	return n
 }
 
-// refreshPaths lets paths back in whose time has come.
-func (o *ours) refreshPaths(f *frontSim) {
+// pathTrial sends one idempotent request over a path whose time has come.
+func (o *ours) pathTrial(f *frontSim) int {
 	for i := range f.targets {
-		if t := &f.targets[i]; t.pathOutUntil > 0 && o.now >= t.pathOutUntil && !slices.Contains(f.usable, i) {
-			o.choose(f)
-			return
+		if t := &f.targets[i]; t.pathOut && o.now >= t.pathRetryAt {
+			t.pathRetryAt = o.now + t.pathBackoff
+			return i
 		}
 	}
+	return -1
 }
 
 func (o *ours) attempt(r *requestSim) {
@@ -318,9 +323,9 @@
 	}
 	f := t.req.front
 	target := &f.targets[t.instance]
-	if target.misses++; target.misses >= 2 && o.now >= target.pathOutUntil {
+	if !target.pathOut || o.now >= target.pathRetryAt-target.pathBackoff {
 		target.pathBackoff = min(max(2*target.pathBackoff, time.Second), 30*time.Second)
-		target.pathOutUntil = o.now + target.pathBackoff
+		target.pathOut, target.pathRetryAt = true, o.now+target.pathBackoff
 		o.choose(f)
 	}
 	o.failTry(t, true)
@@ -420,7 +425,10 @@
 	f := t.req.front
 	target := &f.targets[t.instance]
 	target.running, target.queued, target.loadAt = running, queued, o.now
-	target.misses, target.pathOutUntil, target.pathBackoff = 0, 0, 0
+	if target.pathOut {
+		target.pathOut, target.pathBackoff = false, 0
+		o.choose(f)
+	}
 	if cut {
 		o.failTry(t, true)
 		return
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -17,6 +17,8 @@
 	NoiseHours float64
 	// Large adds the target size.
 	Large bool
+	// OursOnly leaves the baselines out.
+	OursOnly bool
 }
 
 // HeldOut is the first of the seeds that are kept for reporting.
@@ -25,11 +27,15 @@
 // Report runs the cases and writes a Markdown table.
 func Report(out io.Writer, o Options) []Result {
 	var all []Result
+	policies := Policies()
+	if o.OursOnly {
+		policies = policies[:1]
+	}
 	for _, site := range []Site{Bureau, Registry} {
 		for _, load := range []float64{0.4, 0.7} {
 			fmt.Fprintf(out, "\n### %s, %.0f %% load, %d runs a row\n\n%s\n", site.Name, 100*load, o.Seeds, tableHead)
 			for _, fault := range Faults {
-				for _, policy := range Policies() {
+				for _, policy := range policies {
 					r := Case(site, policy, fault, load, o.First, o.Seeds)
 					all = append(all, r)
 					fmt.Fprintln(out, r.row())
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -24,7 +24,7 @@
 	if now.Sub(st.choice.at) > rechooseAfter {
 		st.rechoose(now, req.service, f.paths, f.cfg)
 	}
-	t := st.pickTrial(req, tried, rng)
+	t := st.pickTrial(now, req, tried, rng, f.paths)
 	if t == nil {
 		t = st.pickUsable(now, tried, rng, f.paths, f.cfg)
 	}
@@ -39,14 +39,19 @@
 }
 
 // pickTrial sends a small share of idempotent requests to instances that are
-// left out.
-func (st *serviceState) pickTrial(req *request, tried []*target, rng *rand.Rand) *target {
+// left out, and now and then one over a path that is.
+func (st *serviceState) pickTrial(now time.Time, req *request, tried []*target, rng *rand.Rand, p *paths) *target {
 	c := &st.choice
-	if !req.idempotent || len(tried) > 0 || len(c.out) == 0 {
+	if !req.idempotent || len(tried) > 0 {
 		return nil
 	}
-	share := trialShare * float64(len(c.out)) / float64(len(st.targets))
-	if rng.Float64() >= share {
+	for _, i := range c.cut {
+		if p.trial(now, st.targets[i].Host.Name) {
+			return st.targets[i]
+		}
+	}
+	share := trialShare * float64(len(c.out)) / float64(max(len(st.targets), 1))
+	if len(c.out) == 0 || rng.Float64() >= share {
 		return nil
 	}
 	return st.targets[c.out[rng.IntN(len(c.out))]]
--- a/internal/front/paths.go
+++ b/internal/front/paths.go
@@ -21,15 +21,15 @@
 type path struct {
 	roundTrip time.Duration
 	// misses counts attempts in a row without any frame from the host.
-	misses  int
+	misses int
+	// out says that the path is left out; from retryAt on one request at a
+	// time tries it.
 	out     bool
 	retryAt time.Time
 	backoff time.Duration
 }
 
 const (
-	// pathMisses is how many unanswered attempts in a row leave a path out.
-	pathMisses = 2
 	// pathBackoffMin and pathBackoffMax bound the time it is left out.
 	pathBackoffMin = time.Second
 	pathBackoffMax = 30 * time.Second
@@ -50,13 +50,25 @@
 	return e
 }
 
-// usable says whether the path may be tried: it is not left out, or its time
-// has come for another try.
-func (p *paths) usable(now time.Time, host string) bool {
+// usable says that the path is not left out.
+func (p *paths) usable(host string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.byHost[host]
-	return !ok || !e.out || !now.Before(e.retryAt)
+	return !ok || !e.out
+}
+
+// trial says that a path that is left out may be tried by one request now,
+// and puts off the next one.
+func (p *paths) trial(now time.Time, host string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.byHost[host]
+	if !ok || !e.out || now.Before(e.retryAt) {
+		return false
+	}
+	e.retryAt = now.Add(e.backoff)
+	return true
 }
 
 func (p *paths) roundTrip(host string) time.Duration {
@@ -86,17 +98,16 @@
 	e.roundTrip += time.Duration(pathWeight * float64(sample-e.roundTrip))
 }
 
-// missed takes an attempt that no frame from the host followed.
+// missed takes an attempt that no frame from the host followed, not even the
+// answer to a ping: the path is left out at once, because trying it again
+// later costs one request.
 func (p *paths) missed(now time.Time, host string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.at(host)
 	e.misses++
-	if e.misses < pathMisses && !e.out {
-		return
-	}
-	if e.out && now.Before(e.retryAt) {
-		return
+	if e.out && now.Before(e.retryAt.Add(-e.backoff/2)) {
+		return // an attempt from before the path was left out
 	}
 	e.backoff = min(max(2*e.backoff, pathBackoffMin), pathBackoffMax)
 	e.retryAt = now.Add(e.backoff)
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -50,7 +50,9 @@
 	// usable and local are indexes of targets to choose from, with and
 	// without those in other data centres; out are those left out.
 	usable, local, out []int
-	at                 time.Time
+	// cut are targets whose path is left out.
+	cut []int
+	at  time.Time
 }
 
 // sampleRing bounds the outcomes kept for other guards.
@@ -118,7 +120,7 @@
 		members[i] = eject.Member{
 			Name:     t.Name,
 			Slots:    t.Slots,
-			Usable:   t.Usable() && p.usable(now, t.Host.Name),
+			Usable:   t.Usable() && p.usable(t.Host.Name),
 			Suspect:  t.Health == detect.Suspect,
 			Evidence: t.Evidence,
 		}
@@ -133,6 +135,8 @@
 			if t.Host.DC == cfg.DC {
 				c.local = append(c.local, i)
 			}
+		case t.Usable():
+			c.cut = append(c.cut, i)
 		}
 	}
 	st.choice = c
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -82,7 +82,7 @@
 		return "unusable", "host is leaving"
 	case t.State == directory.Leaving:
 		return "unusable", "instance is leaving"
-	case !f.paths.usable(now, t.Host.Name):
+	case !f.paths.usable(t.Host.Name):
 		return "unusable", "no frame comes back from the host"
 	case out:
 		return "left out", evidence
