--- /dev/null
+++ b/internal/core/admit/admit_test.go
@@ -0,0 +1,132 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+var base = time.Unix(1000, 0)
+
+func newTestQueue(slots int) *Queue {
+	return NewQueue(Config{Slots: slots, QueuePerSlot: 2, GrantLife: time.Second})
+}
+
+func request(id ID, class uint32) Request {
+	return Request{ID: id, Class: class, Deadline: base.Add(time.Hour)}
+}
+
+// Whatever happens, slots are never overrun, each request is started at most
+// once, and one that was refused or cancelled as not-run never starts.
+func TestQueueProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newTestQueue(rapid.IntRange(1, 4).Draw(t, "slots"))
+		now, next := base, ID(0)
+		started, ended := map[ID]bool{}, map[ID]bool{}
+		running := map[ID]bool{}
+		take := func(ds []Decision) {
+			for _, d := range ds {
+				assert.Assert(t, !ended[d.ID], "a decision for a request that is over")
+				switch d.Action {
+				case Start:
+					assert.Assert(t, !started[d.ID])
+					started[d.ID], running[d.ID] = true, true
+				case Refuse:
+					assert.Assert(t, !started[d.ID])
+					ended[d.ID] = true
+				}
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			id := ID(rapid.IntRange(1, int(next)+1).Draw(t, "id"))
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
+			case 0:
+				next++
+				r := request(next, uint32(rapid.IntRange(0, 3).Draw(t, "class")))
+				r.Reserve = rapid.Bool().Draw(t, "reserve")
+				r.Deadline = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "deadline")) * time.Millisecond)
+				take(q.Offer(now, r))
+			case 1:
+				if d := q.Run(now, id); d.Action == Start {
+					take([]Decision{d})
+				}
+			case 2:
+				v, ds := q.Cancel(now, id)
+				if v == verdict.NotRun {
+					assert.Assert(t, !started[id])
+					ended[id] = true
+				}
+				take(ds)
+			case 3:
+				if running[id] {
+					delete(running, id)
+					ended[id] = true
+					take(q.Done(now, id, 10*time.Millisecond))
+				}
+			default:
+				take(q.Tick(now))
+			}
+			assert.Assert(t, q.Running() <= q.cfg.Slots && len(running) <= q.cfg.Slots)
+			assert.Assert(t, q.Queued() <= q.cfg.Slots*q.cfg.QueuePerSlot)
+		}
+	})
+}
+
+func TestGrantThatLapsedCannotRun(t *testing.T) {
+	q := newTestQueue(1)
+	r := request(1, 0)
+	r.Reserve = true
+	assert.Equal(t, q.Offer(base, r)[0].Action, Grant)
+	// The process slept: no Tick has come, and Run reads the clock itself.
+	d := q.Run(base.Add(2*time.Second), 1)
+	assert.Equal(t, d.Action, Refuse)
+	assert.Equal(t, q.Running(), 0)
+}
+
+func TestOneTeamsFloodLeavesOthersTheirTurn(t *testing.T) {
+	q := newTestQueue(2)
+	id := ID(0)
+	for range 50 {
+		id++
+		q.Offer(base, request(id, 1))
+	}
+	id++
+	other := id
+	ds := q.Offer(base, request(other, 2))
+	assert.Equal(t, ds[0].Action, Wait, "a team with nothing waiting was refused in a queue full of another's")
+	assert.Equal(t, ds[1].Action, Refuse)
+	q.Done(base, 1, time.Millisecond)
+	started := q.Done(base, 2, time.Millisecond)
+	ids := map[ID]bool{}
+	for _, tk := range q.Tickets() {
+		ids[tk.ID] = tk.State == "running"
+	}
+	assert.Assert(t, ids[other] || len(started) == 1 && started[0].ID == other, "the other team did not get the next turn but one")
+}
+
+func TestHopelessRequestIsRefusedEarly(t *testing.T) {
+	q := newTestQueue(1)
+	q.service = time.Second
+	q.Offer(base, request(1, 0))
+	late := request(2, 0)
+	late.Deadline = base.Add(1500 * time.Millisecond)
+	d := q.Offer(base, late)[0]
+	assert.Equal(t, d.Action, Refuse)
+	assert.Assert(t, d.RetryAfter >= time.Second)
+}
+
+func TestDrainRefusesNewAndKeepsRunning(t *testing.T) {
+	q := newTestQueue(1)
+	q.Offer(base, request(1, 0))
+	q.Offer(base, request(2, 0))
+	assert.Equal(t, q.Drain()[0].ID, ID(2))
+	assert.Equal(t, q.Offer(base, request(3, 0))[0].Reason, verdict.ReasonDraining)
+	assert.Assert(t, !q.Idle())
+	q.Done(base, 1, time.Millisecond)
+	assert.Assert(t, q.Idle())
+}
--- a/internal/core/detect/reference.go
+++ b/internal/core/detect/reference.go
@@ -11,6 +11,9 @@
 	referenceSize = 48
 	// referenceAge is how long a sample speaks for the present.
 	referenceAge = 15 * time.Second
+	// recentSize is how many of the newest samples show a sudden change of the
+	// whole service, which the older ones still hide.
+	recentSize = 7
 	// minReference is the least number of samples that can convict.
 	minReference = 8
 	// minSpread is the least spread of log service times, in nats.
@@ -42,9 +45,10 @@
 type Summary struct {
 	// Count is the number of samples that are young enough.
 	Count int
-	// Median and Spread describe ln of the service time in seconds.
+	// Median and Spread describe ln of the service time in seconds. Median is
+	// the greater one of all samples and of the newest few.
 	Median, Spread float64
-	// Failures is the share of failed answers.
+	// Failures is the share of failed answers, the greater one likewise.
 	Failures float64
 }
 
@@ -83,10 +87,40 @@
 	if n > 0 {
 		r.summary.Failures = float64(failed) / float64(n)
 	}
+	r.recent(now)
 	r.dirty, r.asOf = false, now
 	return r.summary
 }
 
+// recent raises the summary to what the newest samples show, so that a slowdown
+// or failure of the whole service is no evidence against anyone while the
+// older samples still speak of the time before.
+func (r *Reference) recent(now time.Time) {
+	var logs [recentSize]float64
+	n, whole, failed := 0, 0, 0
+	for k := 1; k <= min(recentSize, r.count); k++ {
+		s := r.samples[(r.next-k+referenceSize)%referenceSize]
+		if now.Sub(s.at) > referenceAge {
+			break
+		}
+		n++
+		if s.failed {
+			failed++
+			continue
+		}
+		logs[whole] = s.log
+		whole++
+	}
+	if n < recentSize {
+		return
+	}
+	if whole > n/2 {
+		median, _ := robust(logs[:whole])
+		r.summary.Median = max(r.summary.Median, median)
+	}
+	r.summary.Failures = max(r.summary.Failures, float64(failed)/float64(n))
+}
+
 // robust gives the median and the scaled median absolute deviation. It
 // reorders its argument.
 func robust(values []float64) (median, spread float64) {
--- /dev/null
+++ b/internal/core/eject/eject_test.go
@@ -0,0 +1,61 @@
+package eject
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/radishhoist/radishhoist/record"
+)
+
+func TestEjectionNeverGoesBelowTheFloor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "members")
+		members := make([]Member, n)
+		usable := 0
+		for i := range members {
+			members[i] = Member{
+				Name: fmt.Sprintf("m%02d", i), Slots: rapid.IntRange(1, 9).Draw(t, "slots"),
+				Usable: rapid.IntRange(0, 9).Draw(t, "usable") > 1, Suspect: rapid.Bool().Draw(t, "suspect"),
+				Evidence: uint32(rapid.IntRange(0, 5).Draw(t, "evidence")),
+			}
+			if members[i].Usable {
+				usable += members[i].Slots
+			}
+		}
+		floor := record.Floor{Percent: rapid.IntRange(1, 100).Draw(t, "percent"), Instances: rapid.IntRange(0, 10).Draw(t, "instances")}
+		r := Apply(members, floor)
+		left, ejected := 0, false
+		for i, m := range members {
+			ejected = ejected || r.Out[i]
+			assert.Assert(t, !r.Out[i] || m.Usable && m.Suspect)
+			if m.Usable && !r.Out[i] {
+				left += m.Slots
+			}
+		}
+		assert.Equal(t, left, r.Healthy)
+		assert.Assert(t, !ejected || left >= r.Required, "ejected to %d below the floor of %d", left, r.Required)
+		assert.Assert(t, usable == 0 || left > 0)
+		// The order in which members are listed must not matter.
+		back := make([]Member, n)
+		for i := range members {
+			back[n-1-i] = members[i]
+		}
+		again := Apply(back, floor)
+		for i := range members {
+			assert.Equal(t, again.Out[n-1-i], r.Out[i])
+		}
+	})
+}
+
+func TestDeadCountAgainstCapacityFirst(t *testing.T) {
+	members := []Member{
+		{Name: "a", Slots: 5, Usable: false}, {Name: "b", Slots: 5, Usable: true, Suspect: true, Evidence: 9},
+		{Name: "c", Slots: 5, Usable: true}, {Name: "d", Slots: 5, Usable: true},
+	}
+	r := Apply(members, record.Floor{Percent: 75})
+	assert.Equal(t, r.Out[1], false, "a suspect was left out although a dead one has used up the room")
+	assert.Equal(t, r.Kept, 1)
+}
