Make targets immutable while attempts use them; repeat nothing on broken connections

Found by a new in-process test under the race detector: a new directory replaced the target that attempts were reading. Targets are now made anew with each directory, and only what was observed of them is shared, under the lock.

--- a/cmd/radishhoist-lab/main.go
+++ b/cmd/radishhoist-lab/main.go
@@ -26,7 +26,7 @@
 	cmd := &cli.Command{
 		Name:     "radishhoist-lab",
 		Usage:    "stand-ins, demo and load tool for development",
-		Commands: []*cli.Command{platformCommand(), targetCommand(), demoCommand(), loadCommand(), benchCommand(), grayCommand(), capacityCommand()},
+		Commands: []*cli.Command{platformCommand(), targetCommand(), demoCommand(), loadCommand(), benchCommand(), grayCommand(), capacityCommand(), reserveCommand()},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "radishhoist-lab:", err)
@@ -177,3 +177,14 @@
 		},
 	}
 }
+
+func reserveCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "reserve",
+		Usage: "compare reserve-then-run with one-step sending under a one-way cut",
+		Action: func(context.Context, *cli.Command) error {
+			experiment.ReportReserve(os.Stdout)
+			return nil
+		},
+	}
+}
--- a/internal/core/detect/reference.go
+++ b/internal/core/detect/reference.go
@@ -68,38 +68,25 @@
 	if !r.dirty && now.Sub(r.asOf) < summaryLife {
 		return r.summary
 	}
-	var logs [referenceSize]float64
-	n, whole, failed := 0, 0, 0
-	for _, s := range r.samples[:r.count] {
-		if now.Sub(s.at) > referenceAge {
-			continue
-		}
-		n++
-		if s.failed {
-			failed++
-			continue
+	r.summary = r.newest(now, referenceSize)
+	// A slowdown or failure of the whole service is no evidence against
+	// anyone while the older samples still speak of the time before.
+	if recent := r.newest(now, recentSize); recent.Count == recentSize {
+		r.summary.Failures = max(r.summary.Failures, recent.Failures)
+		if recent.Failures < 0.5 {
+			r.summary.Median = max(r.summary.Median, recent.Median)
 		}
-		logs[whole] = s.log
-		whole++
-	}
-	r.summary = Summary{Count: n}
-	r.summary.Median, r.summary.Spread = robust(logs[:whole])
-	if n > 0 {
-		r.summary.Failures = float64(failed) / float64(n)
 	}
-	r.recent(now)
 	r.dirty, r.asOf = false, now
 	return r.summary
 }
 
-// recent raises the summary to what the newest samples show, so that a slowdown
-// or failure of the whole service is no evidence against anyone while the
-// older samples still speak of the time before.
-func (r *Reference) recent(now time.Time) {
-	var logs [recentSize]float64
+// newest summarizes up to k of the newest samples that are young enough.
+func (r *Reference) newest(now time.Time, k int) Summary {
+	var logs [referenceSize]float64
 	n, whole, failed := 0, 0, 0
-	for k := 1; k <= min(recentSize, r.count); k++ {
-		s := r.samples[(r.next-k+referenceSize)%referenceSize]
+	for i := 1; i <= min(k, r.count); i++ {
+		s := r.samples[(r.next-i+referenceSize)%referenceSize]
 		if now.Sub(s.at) > referenceAge {
 			break
 		}
@@ -111,14 +98,12 @@
 		logs[whole] = s.log
 		whole++
 	}
-	if n < recentSize {
-		return
-	}
-	if whole > n/2 {
-		median, _ := robust(logs[:whole])
-		r.summary.Median = max(r.summary.Median, median)
+	out := Summary{Count: n}
+	out.Median, out.Spread = robust(logs[:whole])
+	if n > 0 {
+		out.Failures = float64(failed) / float64(n)
 	}
-	r.summary.Failures = max(r.summary.Failures, float64(failed)/float64(n))
+	return out
 }
 
 // robust gives the median and the scaled median absolute deviation. It
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -19,6 +19,7 @@
 	mux.HandleFunc("GET "+state.PathReady, d.getReady)
 	mux.HandleFunc("GET "+state.PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
 		d.front.Metrics().WritePrometheus(w)
+		d.gauges.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET "+state.PathState, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, d.dump()) })
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"github.com/radishhoist/radishhoist/internal/control"
@@ -39,6 +40,7 @@
 	control *control.Control
 	keys    *keys.Manager
 	pool    *peer.Pool
+	gauges  *metrics.Set
 
 	callers  *http.Server
 	announce *http.Server
@@ -85,6 +87,7 @@
 		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxConns: cfg.MaxConns,
 		HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout,
 	}, log, nil, d.guard, d.keys)
+	d.gauges = d.newGauges()
 	if err := d.listen(); err != nil {
 		d.close()
 		return nil, err
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/radishhoist/radishhoist/internal/control"
+	"github.com/radishhoist/radishhoist/internal/guard"
+)
+
+// newGauges makes the gauges of guard, control and keys. They are read when
+// the metrics are asked for. docs/operate/metrics.md lists them.
+func (d *Daemon) newGauges() *metrics.Set {
+	set := metrics.NewSet()
+	set.NewGauge("radishhoist_ready", func() float64 { return one(len(d.waiting()) == 0) })
+	set.NewGauge("radishhoist_instances", func() float64 { return float64(len(d.guard.State())) })
+	set.NewGauge("radishhoist_instances_suspect", d.countInstances(func(i guard.InstanceState) int { return int(one(i.Suspect())) }))
+	set.NewGauge("radishhoist_running", d.countInstances(func(i guard.InstanceState) int { return i.Running }))
+	set.NewGauge("radishhoist_queued", d.countInstances(func(i guard.InstanceState) int { return i.Queued }))
+	set.NewGauge("radishhoist_records", d.fromControl(func(s control.State) float64 { return float64(s.Records) }))
+	set.NewGauge("radishhoist_records_newest", d.fromControl(func(s control.State) float64 { return float64(s.Newest) }))
+	set.NewGauge("radishhoist_records_rejected", d.fromControl(func(s control.State) float64 { return float64(len(s.Rejected)) }))
+	set.NewGauge("radishhoist_platform_away", d.fromControl(func(s control.State) float64 { return one(s.Away) }))
+	set.NewGauge("radishhoist_isolated", d.fromControl(func(s control.State) float64 { return one(s.Isolated) }))
+	set.NewGauge("radishhoist_hosts_alive", d.fromControl(aliveHosts))
+	set.NewGauge("radishhoist_control_bytes_sent", d.fromControl(func(s control.State) float64 { return float64(s.Traffic.BytesOut) }))
+	set.NewGauge("radishhoist_shards_held", func() float64 {
+		held := 0
+		for _, s := range d.keys.State() {
+			held += int(one(s.Held))
+		}
+		return float64(held)
+	})
+	return set
+}
+
+func one(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func aliveHosts(s control.State) float64 {
+	alive := 1
+	for _, m := range s.Members {
+		alive += int(one(m.Status == "alive"))
+	}
+	return float64(alive)
+}
+
+func (d *Daemon) countInstances(f func(guard.InstanceState) int) func() float64 {
+	return func() float64 {
+		sum := 0
+		for _, i := range d.guard.State() {
+			sum += f(i)
+		}
+		return float64(sum)
+	}
+}
+
+func (d *Daemon) fromControl(f func(control.State) float64) func() float64 {
+	return func() float64 { return f(d.control.State()) }
+}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -46,7 +46,7 @@
 // runOne is one run of one policy.
 func runOne(site Site, policy string, fault Fault, load float64, seed uint64) *world {
 	w := &world{site: site, fault: fault, load: load, rng: rand.New(rand.NewPCG(seed, 11)), m: newMetrics()}
-	send := func() {}
+	var send func()
 	if policy == "radishhoist" {
 		send = newOurs(w).send
 	} else {
--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -72,6 +72,7 @@
 	if !a.open && !a.hasLength() {
 		h.Set("Content-Length", strconv.Itoa(len(a.kept)))
 	}
+	armWrite(w)
 	w.WriteHeader(int(a.head.Status))
 	if _, err := w.Write(a.kept); err != nil || !a.open {
 		a.close()
@@ -95,7 +96,6 @@
 	defer a.close()
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
-	control := http.NewResponseController(w)
 	for {
 		m, err := a.try.stream.Recv(ctx)
 		if err != nil {
@@ -105,7 +105,7 @@
 		case *msg.Data:
 			_, _ = a.hash.Write(m.Bytes)
 			a.length += uint64(len(m.Bytes))
-			_ = control.SetWriteDeadline(time.Now().Add(slowCaller))
+			armWrite(w)
 			if _, err := w.Write(m.Bytes); err != nil {
 				return verdict.New(verdict.Ran, verdict.ReasonCancelled, err.Error())
 			}
@@ -124,6 +124,12 @@
 // slowCaller bounds one write to a caller that does not read.
 const slowCaller = 30 * time.Second
 
+// armWrite bounds the next writes to a caller. It is set anew for every answer,
+// because a deadline outlives the answer it was set for.
+func armWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(slowCaller))
+}
+
 // close tells the guard where the answer is not wanted any more.
 func (a *answer) close() {
 	if a.try == nil || !a.open {
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -34,7 +34,7 @@
 	if t == nil {
 		return nil, msg.Sample{}
 	}
-	t.pending++
+	t.seen.pending++
 	return t, st.takeSample(now, t.hash)
 }
 
@@ -115,7 +115,7 @@
 
 func wasTried(tried []*target, t *target) bool {
 	for _, other := range tried {
-		if other == t {
+		if other.seen == t.seen {
 			return true
 		}
 	}
@@ -126,5 +126,5 @@
 func (st *serviceState) release(t *target) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	t.pending--
+	t.seen.pending--
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -74,6 +74,7 @@
 	event.Log(f.log, event.RequestFailed, slog.String("request", id), slog.String("method", r.Method),
 		slog.String("path", r.URL.Path), slog.String("verdict", fail.Verdict.String()),
 		slog.String("reason", string(fail.Reason)), slog.String("detail", fail.Detail), slog.Int("attempts", attempts))
+	armWrite(w)
 	fail.Write(w, id)
 }
 
@@ -155,6 +156,9 @@
 	if r.ContentLength > f.cfg.MaxBodyBytes {
 		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "the request body is too large")
 	}
+	// A caller that sends its body drop by drop is not waited for longer than
+	// its own deadline.
+	_ = http.NewResponseController(w).SetReadDeadline(req.deadline)
 	reader := http.MaxBytesReader(w, r.Body, f.cfg.MaxBodyBytes)
 	kept, err := io.ReadAll(io.LimitReader(reader, int64(f.cfg.BufferBodyBytes)+1))
 	if err != nil {
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -34,10 +34,18 @@
 	latency latency
 }
 
-// target is one instance with this front's own observations.
+// target is one instance as one directory has it, with this front's own
+// observations, which outlive the directory. Attempts use the target without
+// the lock: a new directory makes new targets, and only seen is shared.
 type target struct {
 	*directory.Target
-	hash    uint64
+	hash uint64
+	seen *observed
+}
+
+// observed is what this front has seen of an instance; the service's lock
+// guards it.
+type observed struct {
 	pending int
 	load    msg.Load
 	loadAt  time.Time
@@ -99,12 +107,11 @@
 	}
 	st.targets = make([]*target, 0, len(svc.Targets))
 	for _, t := range svc.Targets {
-		kept, ok := old[t.Name+"@"+t.Host.Name]
-		if !ok || kept.StartedMS != t.StartedMS {
-			kept = &target{hash: guard.InstanceHash(t.Name)}
+		fresh := &target{Target: t, hash: guard.InstanceHash(t.Name), seen: &observed{}}
+		if was, ok := old[t.Name+"@"+t.Host.Name]; ok && was.StartedMS == t.StartedMS {
+			fresh.seen = was.seen
 		}
-		kept.Target = t
-		st.targets = append(st.targets, kept)
+		st.targets = append(st.targets, fresh)
 	}
 	st.rechoose(time.Now(), svc, p, cfg)
 }
@@ -149,8 +156,8 @@
 		warm = 1 - left.Seconds()/directory.RampUp.Seconds()
 	}
 	return balance.Candidate{
-		Slots: t.Slots, Running: int(t.load.Running), Queued: int(t.load.Queued),
-		LoadAge: now.Sub(t.loadAt), Pending: t.pending, Service: t.service,
+		Slots: t.Slots, Running: int(t.seen.load.Running), Queued: int(t.seen.load.Queued),
+		LoadAge: now.Sub(t.seen.loadAt), Pending: t.seen.pending, Service: t.seen.service,
 		Path: p.roundTrip(t.Host.Name), Warmth: warm, Local: t.Host.DC == cfg.DC,
 	}
 }
@@ -178,9 +185,9 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if o.load.Slots > 0 {
-		t.load, t.loadAt = o.load, now
+		t.seen.load, t.seen.loadAt = o.load, now
 		// The count still holds this request.
-		t.load.Running = max(t.load.Running, 1) - 1
+		t.seen.load.Running = max(t.seen.load.Running, 1) - 1
 	}
 	if !o.judged {
 		return
@@ -191,10 +198,10 @@
 		return
 	}
 	st.latency.add(o.serviceTime)
-	if t.service == 0 {
-		t.service = o.serviceTime
+	if t.seen.service == 0 {
+		t.seen.service = o.serviceTime
 	}
-	t.service += time.Duration(serviceWeight * float64(o.serviceTime-t.service))
+	t.seen.service += time.Duration(serviceWeight * float64(o.serviceTime-t.seen.service))
 }
 
 // sampleLife is how old an outcome may be when it is passed on.
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -65,8 +65,8 @@
 		use, why := f.explainUse(now, t, r.Out[i])
 		out.Targets = append(out.Targets, TargetStatus{
 			Name: t.Name, Host: t.Host.Name, DC: t.Host.DC, Slots: t.Slots, Use: use, Why: why,
-			ServiceMS: float64(t.service.Microseconds()) / 1000,
-			Running:   int(t.load.Running), Queued: int(t.load.Queued),
+			ServiceMS: float64(t.seen.service.Microseconds()) / 1000,
+			Running:   int(t.seen.load.Running), Queued: int(t.seen.load.Queued),
 		})
 	}
 	return out
--- /dev/null
+++ b/internal/guard/call_test.go
@@ -0,0 +1,114 @@
+package guard
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/wire"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+type openFence struct{}
+
+func (openFence) MayRun(string, uint32, uint64) bool { return true }
+
+func newTestGuard(t *testing.T, address string) *Guard {
+	t.Helper()
+	g := New(Config{Host: "h", QueuePerSlot: 2, GrantLife: time.Minute, AnnounceExpiry: time.Hour, TargetIdle: time.Minute},
+		slog.New(slog.NewTextHandler(io.Discard, nil)), openFence{}, func() {})
+	a := Announcement{Service: "s", Address: address, Slots: 2, Connections: 4}
+	assert.NilError(t, g.Announce(time.Now(), "i", a))
+	return g
+}
+
+// reserveAndRun sends one request that is not idempotent and gives the last
+// message of the guard.
+func reserveAndRun(t *testing.T, g *Guard, run *msg.Run) msg.Message {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	near, far := wire.Pipe()
+	defer near.Close()
+	first := &msg.Reserve{RequestID: run.RequestID, Service: "s", Instance: "i", TimeoutMS: 20000}
+	go g.Serve(far, first)
+	for {
+		m, err := near.Recv(ctx)
+		assert.NilError(t, err)
+		switch m.(type) {
+		case *msg.Grant:
+			assert.NilError(t, near.Send(ctx, run))
+		case *msg.End, *msg.Fail:
+			return m
+		}
+	}
+}
+
+// The HTTP client library repeats by itself what it takes for replayable when a
+// kept connection breaks, and an Idempotency-Key makes it think so. The guard
+// must not let it: the target may have run the request.
+func TestNothingIsRepeatedOnABrokenConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	var seen atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(c)
+				for answered := false; ; answered = true {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					seen.Add(1)
+					if answered {
+						_ = c.Close()
+						return
+					}
+					_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+				}
+			}()
+		}
+	}()
+	g := newTestGuard(t, l.Addr().String())
+	run := func(id string) msg.Message {
+		return reserveAndRun(t, g, &msg.Run{
+			RequestID: id, Service: "s", Instance: "i", TimeoutMS: 20000, Reserved: true, Method: "POST", URI: "/book", Host: "x",
+			Header: []msg.Field{{Name: "Idempotency-Key", Value: "k"}},
+		})
+	}
+	_, whole := run("one").(*msg.End)
+	assert.Assert(t, whole)
+	f, failed := run("two").(*msg.Fail)
+	assert.Assert(t, failed, "the second request was answered, so it was sent again")
+	assert.Equal(t, f.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, seen.Load(), int64(2), "the target saw the request twice")
+}
+
+func TestTargetThatTakesNoConnectionHasNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	m := reserveAndRun(t, newTestGuard(t, address), &msg.Run{
+		RequestID: "r", Service: "s", Instance: "i", TimeoutMS: 20000, Reserved: true, Method: "POST", URI: "/", Host: "x",
+	})
+	f, ok := m.(*msg.Fail)
+	assert.Assert(t, ok)
+	assert.Equal(t, f.Verdict, verdict.NotRun)
+}
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -355,6 +355,9 @@
 	Counts     Counts  `json:"counts"`
 }
 
+// Suspect says that the guard asks the choosers to leave the instance out.
+func (s InstanceState) Suspect() bool { return s.Health == detect.Suspect.String() }
+
 func (i *instance) state() InstanceState {
 	i.mu.Lock()
 	defer i.mu.Unlock()
