Bound the calls to the platform, remove records of hosts gone for good

Tests: the budget in virtual time, the janitor by table, a frozen host that comes back, a host restarted with a clock an hour behind.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -69,13 +69,15 @@
 	selfDue  bool
 	hosts    map[string]*directory.Host
 	forgetAt map[string]time.Time
-	records  *recordSet
-	compiled *directory.Records
-	dir      *directory.Directory
-	dirty    bool
-	reports  map[string]report
-	reported time.Time
-	seeds    []string
+	// hostRecords are the platform's Host records of this data centre.
+	hostRecords map[string]hostRecord
+	records     *recordSet
+	compiled    *directory.Records
+	dir         *directory.Directory
+	dirty       bool
+	reports     map[string]report
+	reported    time.Time
+	seeds       []string
 	// strangers are hosts to call, by name.
 	strangers map[string]stranger
 	seedAt    time.Time
@@ -111,18 +113,19 @@
 	version := int64(cfg.Incarnation) << versionShift
 	c := &Control{
 		cfg: cfg, hooks: hooks, store: store, log: log,
-		members:   member.New(cfg.Member, cfg.DC, cfg.Peer, version, rng),
-		replica:   config.NewNode(cfg.Replica, rng),
-		version:   version,
-		hosts:     make(map[string]*directory.Host),
-		forgetAt:  make(map[string]time.Time),
-		records:   newRecordSet(),
-		compiled:  directory.Compile(nil, false),
-		dir:       &directory.Directory{},
-		reports:   make(map[string]report),
-		seeds:     append([]string{}, cfg.Seeds...),
-		strangers: make(map[string]stranger),
-		selfDue:   true,
+		members:     member.New(cfg.Member, cfg.DC, cfg.Peer, version, rng),
+		replica:     config.NewNode(cfg.Replica, rng),
+		version:     version,
+		hosts:       make(map[string]*directory.Host),
+		forgetAt:    make(map[string]time.Time),
+		hostRecords: make(map[string]hostRecord),
+		records:     newRecordSet(),
+		compiled:    directory.Compile(nil, false),
+		dir:         &directory.Directory{},
+		reports:     make(map[string]report),
+		seeds:       append([]string{}, cfg.Seeds...),
+		strangers:   make(map[string]stranger),
+		selfDue:     true,
 	}
 	for i := range c.sendq {
 		c.sendq[i] = make(chan outbound, senderDepth)
@@ -160,6 +163,7 @@
 	start(c.watch)
 	start(c.tickLoop)
 	start(c.writeStatus)
+	start(c.sweepHosts)
 	<-ctx.Done()
 	_ = c.udp.Close()
 	wg.Wait()
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -69,3 +69,19 @@
 	c.tick(now.Add(tickInterval))
 	assert.Assert(t, (*seen)[len(*seen)-1].Whole, "the set is whole, and the directory in force does not say so")
 }
+
+func TestRecordsOfHostsGoneForGoodAreRemoved(t *testing.T) {
+	c, _ := newTestControl(t)
+	value, err := record.Marshal(record.Key{Kind: record.KindHost, Name: "old"}, &record.Host{DC: "dc", Peer: "127.0.0.1:9"})
+	assert.NilError(t, err)
+	c.noteHostRecords([]platform.Object{{Kind: record.KindHost, Name: "old", Version: 5, Value: value}})
+	now := time.Now()
+	assert.Equal(t, len(c.goneHosts(now)), 0)
+	assert.Equal(t, len(c.goneHosts(now.Add(janitorPatience/2))), 0)
+	assert.DeepEqual(t, c.goneHosts(now.Add(janitorPatience)), map[string]int64{"old": 5})
+	// A host that is known again is left alone, and counts from new.
+	c.hosts["old"] = &directory.Host{Name: "old"}
+	assert.Equal(t, len(c.goneHosts(now.Add(2*janitorPatience))), 0)
+	delete(c.hosts, "old")
+	assert.Equal(t, len(c.goneHosts(now.Add(2*janitorPatience))), 0)
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -192,6 +192,7 @@
 	defer c.mu.Unlock()
 	c.replica.LoadList(c.peers(), entries, page.Revision)
 	c.dirty = true
+	c.noteHostRecords(page.Objects)
 	c.meet(only(page.Objects, record.KindHost))
 	c.flush(time.Now())
 }
@@ -201,6 +202,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replica.Local(c.peers(), msg.SetRecords, entries)
+	c.noteHostRecords(page.Objects)
 	c.meet(only(page.Objects, record.KindHost))
 	c.flush(time.Now())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,9 +70,10 @@
 func Start(cfg *settings.Config, log *slog.Logger) (*Daemon, error) {
 	log = log.With(slog.String("host", cfg.Host), slog.String("dc", cfg.DC))
 	d := &Daemon{cfg: cfg, log: log, started: time.Now(), store: platform.NewClient(cfg.Platform)}
+	store := platform.NewBudget(d.store, platform.CallsPerSecond, platform.CallBurst)
 	d.keys = keys.New(keys.Config{
 		Host: cfg.Host, Life: uint64(d.started.UnixMilli()), PromiseLife: cfg.PromiseLife,
-	}, keys.Hooks{Wrote: func(obj platform.Object) { d.control.Inject(obj) }}, d.store, log)
+	}, keys.Hooks{Wrote: func(obj platform.Object) { d.control.Inject(obj) }}, store, log)
 	d.guard = guard.New(guard.Config{
 		Host: cfg.Host, QueuePerSlot: cfg.QueuePerSlot, GrantLife: cfg.GrantLife,
 		AnnounceExpiry: cfg.AnnounceExpiry, TargetIdle: cfg.TargetIdle,
@@ -81,7 +82,7 @@
 		Directory: d.setDirectory,
 		Instances: d.guard.Instances,
 		Synced:    d.keys.Synced,
-	}, d.store, log)
+	}, store, log)
 	d.front = front.New(front.Config{
 		Host: cfg.Host, DC: cfg.DC, MaxBodyBytes: int64(cfg.MaxBodyBytes), BufferBodyBytes: cfg.BufferBodyBytes,
 		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxConns: cfg.MaxConns,
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -57,9 +57,13 @@
 type Host struct {
 	Name, DC string
 	Up       bool
-	Life     int
-	Members  *member.Node
-	Replica  *config.Node
+	// Frozen is a process that is paused: what is sent to it is lost.
+	Frozen  bool
+	Life    int
+	Members *member.Node
+	Replica *config.Node
+	// Skew is how far its wall clock is off at its next start.
+	Skew time.Duration
 	// Sent and Received count messages and bytes.
 	Sent, Received Traffic
 	// Applied is called, where set, for every entry that comes into force.
@@ -147,7 +151,7 @@
 func (m *Mesh) Start(h *Host) {
 	h.Life++
 	h.Up, h.watching = true, false
-	h.version = (m.Now.UnixMilli() + int64(h.Life)) << versionShift
+	h.version = (m.Now.Add(h.Skew).UnixMilli() + int64(h.Life)) << versionShift
 	rng := rand.New(rand.NewPCG(m.rng.Uint64(), m.rng.Uint64()))
 	h.Members = member.New(member.DefaultConfig(h.Name), h.DC, h.Name, h.version, rng)
 	h.Replica = config.NewNode(config.DefaultConfig(), rng)
@@ -234,7 +238,7 @@
 			m.deliver(x)
 		}
 		for _, h := range m.Hosts {
-			if h.Up {
+			if h.Up && !h.Frozen {
 				m.tick(h)
 			}
 		}
@@ -319,6 +323,12 @@
 	if _, err := state.UnmarshalMsg(a.Entry.Value); err != nil {
 		panic(err)
 	}
+	if a.Entry.Name == h.Name && a.Entry.Version > h.version {
+		// From an earlier life with a clock ahead of this one's: overtake it.
+		h.version = a.Entry.Version
+		m.publish(h)
+		return
+	}
 	// The fake addresses hosts by name.
 	h.Members.Learn(m.Now, a.Entry.Name, state.DC, a.Entry.Name, a.Entry.Version)
 }
@@ -343,7 +353,7 @@
 }
 
 func (m *Mesh) deliver(d delivery) {
-	if !d.to.Up || d.to.Life != d.life || m.Cut(d.from, d.to) {
+	if !d.to.Up || d.to.Frozen || d.to.Life != d.life || m.Cut(d.from, d.to) {
 		return
 	}
 	if d.packet != nil {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -232,3 +232,33 @@
 		assert.Equal(t, statuses(m, h)[member.Alive], 29, h.Name)
 	}
 }
+
+func TestFrozenHostComesBack(t *testing.T) {
+	m := New(Config{Hosts: 20, DCs: 2, Seed: 6, Watchers: 2})
+	m.StartAll()
+	m.Run(5 * time.Second)
+	victim := m.Hosts[4]
+	victim.Frozen = true
+	m.Platform.Put("while-frozen", false, 50)
+	m.Run(time.Minute)
+	assert.Equal(t, statuses(m, victim)[member.Dead], 19)
+	victim.Frozen = false
+	m.Run(40 * time.Second)
+	assert.Equal(t, statuses(m, victim)[member.Alive], 19)
+	got, ok := converged(m)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, got, expected(&m.Platform))
+}
+
+func TestHostRestartedWithAnOlderClockIsHeard(t *testing.T) {
+	m := New(Config{Hosts: 12, DCs: 2, Seed: 2, Watchers: 2})
+	m.StartAll()
+	m.Run(5 * time.Second)
+	victim := m.Hosts[4]
+	m.Stop(victim)
+	m.Run(30 * time.Second)
+	victim.Skew = -time.Hour
+	m.Start(victim)
+	m.Run(40 * time.Second)
+	assert.Equal(t, statuses(m, victim)[member.Alive], 11)
+}
--- a/internal/platform/write_test.go
+++ b/internal/platform/write_test.go
@@ -186,3 +186,17 @@
 		assert.Equal(t, s.version, int64(5), "the write took effect twice")
 	})
 }
+
+func TestBudgetBoundsTheCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &lossyStore{rng: rand.New(rand.NewPCG(1, 1)), version: 1}
+		b := NewBudget(s, 10, 5)
+		start := time.Now()
+		for range 55 {
+			_, err := b.Get(context.Background(), record.Key{})
+			assert.NilError(t, err)
+		}
+		// Virtual time: five at once, fifty at ten a second.
+		assert.Assert(t, time.Since(start) >= 5*time.Second-time.Millisecond, "%s", time.Since(start))
+	})
+}
