Build into bin/ on a fresh clone

Cause: 'go build -o bin' with several programs needs the directory to exist, and a fresh clone has none. Found by running the README's commands in a clone: make demo failed at once, and make test would have. With the slash go makes the directory. After: both run in a clone.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 .PHONY: build test demo generate bench
 
 build:
-	$(GO) build -o bin ./cmd/...
+	$(GO) build -o bin/ ./cmd/...
 
 test:
 	./scripts/check
