Explore the model without naming every step; split the key histories from their simulation

Cause: the model check took 100 s under the race detector, most of it spent on names of events that nobody reads.

Names are made only for a path that breaks a promise.

--- a/internal/core/once/model_test.go
+++ b/internal/core/once/model_test.go
@@ -113,45 +113,45 @@
 
 // step is one possible next event.
 type step struct {
-	name string
+	name func() string
 	do   func(*model)
 }
 
 func (m *model) steps() []step {
 	var out []step
-	add := func(name string, do func(*model)) { out = append(out, step{name, do}) }
+	add := func(name func() string, do func(*model)) { out = append(out, step{name, do}) }
 	for i := range m.guards {
 		for _, k := range unique(m.toGuard[i]) {
-			add(fmt.Sprintf("guard %d takes %s", i, k), func(m *model) { m.deliver(i, take(&m.toGuard[i], k)) })
+			add(func() string { return fmt.Sprintf("guard %d takes %s", i, k) }, func(m *model) { m.deliver(i, take(&m.toGuard[i], k)) })
 			if m.losses > 0 {
-				add(fmt.Sprintf("%s to guard %d is lost", k, i), func(m *model) { m.losses--; take(&m.toGuard[i], k) })
+				add(func() string { return fmt.Sprintf("%s to guard %d is lost", k, i) }, func(m *model) { m.losses--; take(&m.toGuard[i], k) })
 			}
 			if m.repeats > 0 {
-				add(fmt.Sprintf("%s to guard %d is repeated", k, i), func(m *model) { m.repeats--; m.toGuard[i] = append(m.toGuard[i], k) })
+				add(func() string { return fmt.Sprintf("%s to guard %d is repeated", k, i) }, func(m *model) { m.repeats--; m.toGuard[i] = append(m.toGuard[i], k) })
 			}
 		}
 		for _, k := range unique(m.toFront[i]) {
-			add(fmt.Sprintf("front takes %s of %d", k, i), func(m *model) { m.front(i, take(&m.toFront[i], k)) })
+			add(func() string { return fmt.Sprintf("front takes %s of %d", k, i) }, func(m *model) { m.front(i, take(&m.toFront[i], k)) })
 			if m.losses > 0 {
-				add(fmt.Sprintf("%s of guard %d is lost", k, i), func(m *model) { m.losses--; take(&m.toFront[i], k) })
+				add(func() string { return fmt.Sprintf("%s of guard %d is lost", k, i) }, func(m *model) { m.losses--; take(&m.toFront[i], k) })
 			}
 		}
 		g := m.guards[i]
 		if g.running && !g.finished {
-			add(fmt.Sprintf("guard %d finishes", i), func(m *model) { m.finish(i) })
+			add(func() string { return fmt.Sprintf("guard %d finishes", i) }, func(m *model) { m.finish(i) })
 		}
 		if len(g.queue.Tickets()) > 0 && !g.running {
-			add(fmt.Sprintf("guard %d's grant lapses", i), func(m *model) { m.lapse(i, true) })
+			add(func() string { return fmt.Sprintf("guard %d's grant lapses", i) }, func(m *model) { m.lapse(i, true) })
 			if !g.frozen {
-				add(fmt.Sprintf("guard %d is frozen past the grant", i), func(m *model) { m.lapse(i, false) })
+				add(func() string { return fmt.Sprintf("guard %d is frozen past the grant", i) }, func(m *model) { m.lapse(i, false) })
 			}
 		}
 		if m.kills > 0 && g.opened {
-			add(fmt.Sprintf("guard %d is killed", i), func(m *model) { m.kill(i) })
+			add(func() string { return fmt.Sprintf("guard %d is killed", i) }, func(m *model) { m.kill(i) })
 		}
 	}
 	if cur := m.begun - 1; m.attempts[cur].Phase() != once.Done {
-		add("front gives up", func(m *model) { m.send(cur, m.attempts[cur].GiveUp()); m.settle(cur) })
+		add(func() string { return "front gives up" }, func(m *model) { m.send(cur, m.attempts[cur].GiveUp()); m.settle(cur) })
 	}
 	return out
 }
@@ -280,14 +280,11 @@
 	var walk func(path []int) bool
 	walk = func(path []int) bool {
 		m := newModel(p)
-		var names []string
 		for _, choice := range path {
-			s := m.steps()[choice]
-			names = append(names, s.name)
-			s.do(m)
+			m.steps()[choice].do(m)
 		}
 		if v := m.violation(); v != "" {
-			broken = append(names, v)
+			broken = append(tell(p, path), v)
 			return false
 		}
 		if k := m.key(); seen[k] {
@@ -306,6 +303,18 @@
 	return len(seen), broken
 }
 
+// tell names the events of a path.
+func tell(p plant, path []int) []string {
+	m := newModel(p)
+	var names []string
+	for _, choice := range path {
+		s := m.steps()[choice]
+		names = append(names, s.name())
+		s.do(m)
+	}
+	return names
+}
+
 func TestEveryInterleavingRunsAtMostOnce(t *testing.T) {
 	states, broken := explore(plant{})
 	assert.Assert(t, broken == nil, "%s", strings.Join(broken, "\n"))
--- a/internal/core/once/placement.go
+++ b/internal/core/once/placement.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -169,7 +170,7 @@
 		if hosts != nil && !usable(hosts, g) {
 			continue
 		}
-		score := xxhash.Sum64String(service + "/" + string(rune('0'+shard)) + "/" + g)
+		score := xxhash.Sum64String(fmt.Sprintf("%s/%d/%s", service, shard, g))
 		if best == "" || score > bestScore {
 			best, bestScore = g, score
 		}
--- a/internal/keys/claim.go
+++ b/internal/keys/claim.go
@@ -29,7 +29,7 @@
 func (m *Manager) shardOf(service, key string) (shard uint32, owner string, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	sm, ok := shardCount(m.view, service)
+	sm, ok := mapOf(m.view, service)
 	if !ok {
 		return 0, "", false
 	}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -263,8 +263,8 @@
 	return m.owner.Shards(time.Now())
 }
 
-// shardCount is the number of shards of a service's present map.
-func shardCount(d *directory.Directory, service string) (*record.ShardMap, bool) {
+// mapOf gives a service's present shard map; false where there is none.
+func mapOf(d *directory.Directory, service string) (*record.ShardMap, bool) {
 	sm, ok := d.Maps[service]
 	if !ok || len(sm.Shards) == 0 {
 		return nil, false
--- a/internal/keys/place.go
+++ b/internal/keys/place.go
@@ -84,7 +84,7 @@
 
 // concerns says that this host has, or guards, the service.
 func (m *Manager) concerns(svc *directory.Service) bool {
-	if sm, ok := shardCount(m.view, svc.Name); ok && slices.Contains(sm.Guards, m.cfg.Host) {
+	if sm, ok := mapOf(m.view, svc.Name); ok && slices.Contains(sm.Guards, m.cfg.Host) {
 		return true
 	}
 	for _, t := range svc.Targets {
@@ -305,7 +305,7 @@
 // caller holds the lock.
 func (m *Manager) successor(id once.ShardID) (string, []string) {
 	svc, ok := m.view.Services[id.Service]
-	sm, known := shardCount(m.view, id.Service)
+	sm, known := mapOf(m.view, id.Service)
 	if !ok || !known {
 		return "", nil
 	}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -280,8 +280,8 @@
 	return conn, nil
 }
 
-// SendControl sends a message to a peer without waiting for room: the message
-// is dropped, and the sender told, where the peer cannot be reached now.
+// SendControl sends a message that belongs to no stream to a peer. Where the
+// peer cannot be reached now the message is lost and the sender told.
 func (p *Pool) SendControl(ctx context.Context, addr string, m msg.Message) error {
 	conn, err := p.Conn(ctx, addr)
 	if err != nil {
