Start the small fleets of the measurements in one place

Cause: the capacity and the takeover measurement each set up platform, hosts and targets.

Behaviour of the daemons is as before.

--- a/internal/lab/capacity.go
+++ b/internal/lab/capacity.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"runtime"
 	"syscall"
 	"time"
@@ -222,31 +221,11 @@
 
 // daemonRow measures real idle daemons.
 func daemonRow(ctx context.Context, out io.Writer, bin string, n int) error {
-	dir, err := os.MkdirTemp("", "radishhoist-capacity")
+	f, stop, err := startPlain(ctx, bin, n, func(i int) string { return fmt.Sprintf("127.1.%d.%d", i/200, 1+i%200) })
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	f := NewFleet(bin, dir, io.Discard)
-	defer f.Stop()
-	if err := f.StartPlatform("127.0.0.1"); err != nil {
-		return err
-	}
-	if err := f.PutDemoRecords(ctx); err != nil {
-		return err
-	}
-	for i := range n {
-		h, err := f.StartHost(fmt.Sprintf("c%03d", i), fmt.Sprintf("dc%d", i%3), fmt.Sprintf("127.1.%d.%d", i/200, 1+i%200), "")
-		if err != nil {
-			return err
-		}
-		if _, err := f.StartTarget(h, demoService, 1, demoSlots, demoTime); err != nil {
-			return err
-		}
-	}
-	if err := f.UntilServing(time.Minute, map[string]int{demoService: n}); err != nil {
-		return err
-	}
+	defer stop()
 	time.Sleep(10 * time.Second)
 	bytes0, cpu0, start := f.controlBytes(), f.cpu(), time.Now()
 	time.Sleep(15 * time.Second)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -71,6 +71,45 @@
 	return &Fleet{bin: bin, dir: dir, logs: logs}
 }
 
+// startPlain starts the platform and n hosts in three data centres, each with
+// one target of the demo's service, and waits until all serve. stop ends every
+// process and removes the settings.
+func startPlain(ctx context.Context, bin string, n int, ip func(int) string) (*Fleet, func(), error) {
+	dir, err := os.MkdirTemp("", "radishhoist-lab")
+	if err != nil {
+		return nil, nil, err
+	}
+	f := NewFleet(bin, dir, io.Discard)
+	stop := func() {
+		f.Stop()
+		_ = os.RemoveAll(dir)
+	}
+	if err := f.startHosts(ctx, n, ip); err != nil {
+		stop()
+		return nil, nil, err
+	}
+	return f, stop, nil
+}
+
+func (f *Fleet) startHosts(ctx context.Context, n int, ip func(int) string) error {
+	if err := f.StartPlatform("127.0.0.1"); err != nil {
+		return err
+	}
+	if err := f.PutDemoRecords(ctx); err != nil {
+		return err
+	}
+	for i := range n {
+		h, err := f.StartHost(fmt.Sprintf("p%03d", i), fmt.Sprintf("dc%d", i%3), ip(i), "")
+		if err != nil {
+			return err
+		}
+		if _, err := f.StartTarget(h, demoService, 1, demoSlots, demoTime); err != nil {
+			return err
+		}
+	}
+	return f.UntilServing(time.Minute, map[string]int{demoService: n})
+}
+
 // StartPlatform starts the platform's stand-in on an address of its own.
 func (f *Fleet) StartPlatform(ip string) error {
 	f.Platform = fmt.Sprintf("http://%s:%d", ip, PlatformPort)
--- a/internal/lab/takeover.go
+++ b/internal/lab/takeover.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -50,31 +49,11 @@
 }
 
 func takeoverRow(ctx context.Context, out io.Writer, bin, name string, sig syscall.Signal) error {
-	dir, err := os.MkdirTemp("", "radishhoist-takeover")
+	f, stop, err := startPlain(ctx, bin, takeoverHosts, func(i int) string { return fmt.Sprintf("127.0.0.%d", 61+i) })
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	f := NewFleet(bin, dir, io.Discard)
-	defer f.Stop()
-	if err := f.StartPlatform("127.0.0.1"); err != nil {
-		return err
-	}
-	if err := f.PutDemoRecords(ctx); err != nil {
-		return err
-	}
-	for i := range takeoverHosts {
-		h, err := f.StartHost(fmt.Sprintf("t%d", i+1), fmt.Sprintf("dc%d", i%3), fmt.Sprintf("127.0.0.%d", 61+i), "")
-		if err != nil {
-			return err
-		}
-		if _, err := f.StartTarget(h, demoService, 1, demoSlots, demoTime); err != nil {
-			return err
-		}
-	}
-	if err := f.UntilServing(time.Minute, map[string]int{demoService: takeoverHosts}); err != nil {
-		return err
-	}
+	defer stop()
 	owner, shards, err := f.settledOwner()
 	if err != nil {
 		return err
