Read the whole change once more: show the recovery, drop what nothing uses

One editOwned serves both edits of owned shards, one Until the waits of the fleets. Behaviour is as before.

--- a/cmd/radishhoist-lab/main.go
+++ b/cmd/radishhoist-lab/main.go
@@ -147,15 +147,21 @@
 			&cli.IntFlag{Name: "seeds", Value: 10, Usage: "runs a case"},
 			&cli.IntFlag{Name: "first", Value: experiment.HeldOut, Usage: "first seed; the default ones are never used for tuning"},
 			&cli.FloatFlag{Name: "noise-hours", Value: 2000, Usage: "length of the noise run in instance-hours"},
+			&cli.BoolFlag{Name: "recovery", Usage: "only list the failures that are left long after a spike"},
 			&cli.BoolFlag{Name: "ours", Usage: "leave the baselines out"},
 			&cli.BoolFlag{Name: "large", Usage: "add the target size"},
 			&cli.StringFlag{Name: "svg", Usage: "write a plot to `FILE`"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			results := experiment.Report(os.Stdout, experiment.Options{
+			options := experiment.Options{
 				Seeds: cmd.Int("seeds"), First: uint64(cmd.Int("first")),
 				NoiseHours: cmd.Float("noise-hours"), Large: cmd.Bool("large"), OursOnly: cmd.Bool("ours"),
-			})
+			}
+			if cmd.Bool("recovery") {
+				experiment.Recovery(os.Stdout, options)
+				return nil
+			}
+			results := experiment.Report(os.Stdout, options)
 			if path := cmd.String("svg"); path != "" {
 				return os.WriteFile(path, []byte(experiment.SVG(results)), 0o644)
 			}
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -271,17 +271,6 @@
 	return out
 }
 
-// NextExpiry is when the earliest grant lapses; false where there is none.
-func (q *Queue) NextExpiry() (time.Time, bool) {
-	var first time.Time
-	for _, t := range q.tickets {
-		if t.state == granted && (first.IsZero() || t.expires.Before(first)) {
-			first = t.expires
-		}
-	}
-	return first, !first.IsZero()
-}
-
 // fill seats waiting requests while slots are free.
 func (q *Queue) fill(now time.Time, out []Decision) []Decision {
 	for q.busy < q.cfg.Slots && q.queued > 0 {
--- a/internal/core/once/placement.go
+++ b/internal/core/once/placement.go
@@ -120,19 +120,14 @@
 // ConfirmHeld notes in a map that this host's shards hold authority; nil where
 // that is known already. Only a map whose guards have changed needs it.
 func ConfirmHeld(self string, m *record.ShardMap, held map[uint32]uint64) *record.ShardMap {
-	next := clone(m)
-	changed := false
-	for i := range next.Shards {
-		s := &next.Shards[i]
-		if s.Owner == self && s.Held != s.Epoch && held[uint32(i)] == s.Epoch {
-			s.Held = s.Epoch
-			changed = true
+	next := editOwned(self, m, func(i uint32, s *record.Shard) bool {
+		if s.Held == s.Epoch || held[i] != s.Epoch {
+			return false
 		}
-	}
-	if !changed {
-		return nil
-	}
-	if settled(next) {
+		s.Held = s.Epoch
+		return true
+	})
+	if next != nil && settled(next) {
 		next.Prev = nil
 	}
 	return next
@@ -142,12 +137,22 @@
 // handed their tables over: the tables elsewhere are then of no use. nil where
 // there are none.
 func Thaw(self string, m *record.ShardMap, frozen map[uint32]uint64) *record.ShardMap {
+	return editOwned(self, m, func(i uint32, s *record.Shard) bool {
+		if frozen[i] != s.Epoch {
+			return false
+		}
+		s.Epoch++
+		return true
+	})
+}
+
+// editOwned edits a copy of a map at the shards that this host owns; edit says
+// whether it changed the shard. nil where it changed none.
+func editOwned(self string, m *record.ShardMap, edit func(i uint32, s *record.Shard) bool) *record.ShardMap {
 	next := clone(m)
 	changed := false
 	for i := range next.Shards {
-		s := &next.Shards[i]
-		if s.Owner == self && frozen[uint32(i)] == s.Epoch {
-			s.Epoch++
+		if s := &next.Shards[i]; s.Owner == self && edit(uint32(i), s) {
 			changed = true
 		}
 	}
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -61,6 +61,21 @@
 	return all
 }
 
+// Recovery runs the short spike alone and lists the failures in the last ten
+// seconds of the runs, long after it: a policy that recovers by itself has
+// none.
+func Recovery(out io.Writer, o Options) {
+	fmt.Fprintf(out, "| site | load | policy | failed in the last ten seconds, %d runs |\n|---|---|---|---|\n", o.Seeds)
+	for _, site := range []Site{Bureau, Registry} {
+		for _, load := range []float64{0.4, 0.7} {
+			for _, policy := range Policies() {
+				r := Case(site, policy, ShortSpike, load, o.First, o.Seeds)
+				fmt.Fprintf(out, "| %s | %.0f %% | %s | %d |\n", site.Name, 100*load, policy, r.LateFailed)
+			}
+		}
+	}
+}
+
 const tableHead = `| fault | policy | detection p50 / p99 | false ejections per instance-hour | failed % | late % | p99 | works per request | least margin over the floor, slots | below floor by ejecting |
 |---|---|---|---|---|---|---|---|---|---|`
 
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -57,7 +57,6 @@
 	Failed    uint64 `json:"failed"`
 	Refused   uint64 `json:"refused"`
 	Cancelled uint64 `json:"cancelled"`
-	Broken    uint64 `json:"broken"`
 }
 
 // InstanceHash names an instance in samples.
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	return f.until(5*time.Second, "the platform stand-in", func() bool {
+	return f.Until(5*time.Second, "the platform stand-in", func() bool {
 		_, err := http.Get(f.Platform + "/standin/counts")
 		return err == nil
 	})
@@ -268,7 +268,7 @@
 // given number of targets in use.
 func (f *Fleet) UntilServing(timeout time.Duration, targets map[string]int) error {
 	for _, h := range f.Hosts {
-		err := f.until(timeout, "host "+h.Name, func() bool {
+		err := f.Until(timeout, "host "+h.Name, func() bool {
 			s, err := h.Status()
 			return err == nil && servesAll(s, targets)
 		})
@@ -300,7 +300,8 @@
 
 const pollInterval = 50 * time.Millisecond
 
-func (f *Fleet) until(timeout time.Duration, what string, ok func() bool) error {
+// Until waits for a condition, and names what was waited for where it fails.
+func (f *Fleet) Until(timeout time.Duration, what string, ok func() bool) error {
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(pollInterval) {
 		if ok() {
 			return nil
@@ -309,11 +310,6 @@
 	return errors.Errorf("%s was not ready within %s", what, timeout)
 }
 
-// Until waits for a condition.
-func (f *Fleet) Until(timeout time.Duration, what string, ok func() bool) error {
-	return f.until(timeout, what, ok)
-}
-
 // client is for the small calls of tests and demo.
 var client = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{
 	DialContext:       (&net.Dialer{Timeout: time.Second}).DialContext,
--- a/internal/lab/takeover.go
+++ b/internal/lab/takeover.go
@@ -69,7 +69,7 @@
 // settledOwner waits until fresh keys are taken on every shard, and gives an
 // owner with its number of shards.
 func (f *Fleet) settledOwner() (*Host, int, error) {
-	err := f.until(time.Minute, "every shard", func() bool {
+	err := f.Until(time.Minute, "every shard", func() bool {
 		for range 24 {
 			if s := f.freshKey(f.Hosts[0], time.Now()); !s.answered {
 				return false
--- a/internal/msg/keys.go
+++ b/internal/msg/keys.go
@@ -12,7 +12,6 @@
 type KeyClaim struct {
 	Service string
 	Shard   uint32
-	Epoch   uint64
 	Key     string
 	// BodyHash binds the key to one request.
 	BodyHash  uint64
--- a/internal/msg/keys_gen.go
+++ b/internal/msg/keys_gen.go
@@ -3,9 +3,8 @@
 package msg
 
 import (
-	"github.com/tinylib/msgp/msgp"
-
 	"github.com/radishhoist/radishhoist/verdict"
+	"github.com/tinylib/msgp/msgp"
 )
 
 // Size limits for msgp deserialization
@@ -159,11 +158,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *KeyClaim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendUint32(o, z.Shard)
-	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendString(o, z.Key)
 	o = msgp.AppendUint64(o, z.BodyHash)
 	o = msgp.AppendString(o, z.RequestID)
@@ -179,8 +177,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -193,11 +191,6 @@
 		err = msgp.WrapError(err, "Shard")
 		return
 	}
-	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
-		return
-	}
 	z.Key, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Key")
@@ -224,7 +217,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *KeyClaim) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Uint32Size + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Key) + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID) + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.Uint32Size + msgp.StringPrefixSize + len(z.Key) + msgp.Uint64Size + msgp.StringPrefixSize + len(z.RequestID) + msgp.Int64Size
 	return
 }
 
--- a/internal/msg/requests_gen.go
+++ b/internal/msg/requests_gen.go
@@ -3,9 +3,8 @@
 package msg
 
 import (
-	"github.com/tinylib/msgp/msgp"
-
 	"github.com/radishhoist/radishhoist/verdict"
+	"github.com/tinylib/msgp/msgp"
 )
 
 // Size limits for msgp deserialization
--- a/verdict/problem.go
+++ b/verdict/problem.go
@@ -37,7 +37,7 @@
 		return http.StatusUnprocessableEntity
 	case ReasonDeadline:
 		return http.StatusGatewayTimeout
-	case ReasonTargetBroke, ReasonAnswerMismatch, ReasonAnswerTooLarge, ReasonLinkLost:
+	case ReasonTargetBroke, ReasonAnswerMismatch, ReasonLinkLost:
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
