The wait in a queue counts only what goes before

Cause: a newcomer's wait was that of all waiting work of its priority, though the queue runs by due time. Short work with a near objective, such as the calls that instances make, was refused for want of a place though it would have been next, and the request that had made the call failed with it.

Ruled out: that the calls fail at sick instances by mistake; they are sent there because well ones have no place.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -190,12 +190,11 @@
 		q.tickets[r.ID] = t
 		return []Decision{q.seat(now, t)}
 	}
-	wait := q.expectedWait(r)
+	wait := q.expectedWait(now, t)
 	end := now.Add(wait + r.Expect)
 	hopeless := end.After(r.Deadline)
 	// A front that can still choose is sent on at once. Beyond a slot's worth
 	// of late work, more of it would only wait for a refusal.
-	t.late = end.After(r.Objective)
 	if hopeless || t.late && (!r.Insist || q.countLate(now) >= q.cfg.Slots) {
 		return []Decision{{ID: r.ID, Action: Refuse, Reason: verdict.ReasonQueueFull, RetryAfter: max(wait, minRetryAfter)}}
 	}
@@ -354,11 +353,44 @@
 }
 
 // expectedWait estimates how long a newcomer waits: until a slot is free, and
-// the work ahead of it at its own priority and above, spread over the slots.
-func (q *Queue) expectedWait(r Request) time.Duration {
+// the work that will go ahead of it, spread over the slots. It also settles
+// whether the newcomer is expected to miss its objective.
+//
+// Counting all work of its priority told short requests with a near objective,
+// such as a target's calls, that there was no place for them, though they would
+// have been next.
+func (q *Queue) expectedWait(now time.Time, t *ticket) time.Duration {
+	wait := q.waitBehind(now, t)
+	t.late = now.Add(wait + t.Expect).After(t.Objective)
+	if t.late {
+		wait = q.waitBehind(now, t)
+	}
+	return wait
+}
+
+// waitBehind is the wait behind all that goes before the newcomer.
+func (q *Queue) waitBehind(now time.Time, newcomer *ticket) time.Duration {
 	ahead := q.service
-	for p := int(r.Priority); p < priorities; p++ {
-		q.levels[p].each(func(t *ticket) { ahead += t.Expect })
+	for p := int(newcomer.Priority); p < priorities; p++ {
+		q.levels[p].each(func(t *ticket) {
+			if p > int(newcomer.Priority) || t.goesBefore(now, newcomer) {
+				ahead += t.Expect
+			}
+		})
 	}
 	return ahead / time.Duration(max(q.cfg.Slots, 1))
 }
+
+// goesBefore says that a waiting request runs before a newcomer of its
+// priority, whichever class has its turn: the order of next.
+func (t *ticket) goesBefore(now time.Time, newcomer *ticket) bool {
+	late := t.late || !t.feasible(now)
+	switch {
+	case late != newcomer.late:
+		return newcomer.late
+	case late:
+		return !t.Deadline.After(newcomer.Deadline)
+	default:
+		return !t.Objective.After(newcomer.Objective)
+	}
+}
--- a/internal/core/admit/load_test.go
+++ b/internal/core/admit/load_test.go
@@ -146,3 +146,32 @@
 	}
 	return 0
 }
+
+// A short request whose objective is near goes before the longer ones that
+// wait, so that it is told that there is a place: an instance's own calls come
+// so, and a call that finds no place fails the request that made it.
+func TestShortWorkWithANearObjectiveFindsAPlaceInALongQueue(t *testing.T) {
+	q := NewQueue(Config{Slots: 4, QueuePerSlot: 8, GrantLife: time.Second})
+	q.service = 400 * time.Millisecond
+	for id := range ID(12) {
+		q.Offer(base, Request{
+			ID: id + 1, Expect: 400 * time.Millisecond,
+			Deadline: base.Add(8 * time.Second), Objective: base.Add(1500 * time.Millisecond),
+		})
+	}
+	assert.Equal(t, q.Queued(), 8)
+	call := Request{ID: 20, Expect: 80 * time.Millisecond, Deadline: base.Add(1200 * time.Millisecond), Objective: base.Add(300 * time.Millisecond)}
+	assert.Equal(t, q.Offer(base, call)[0].Action, Wait)
+	assert.Equal(t, q.Done(base.Add(100*time.Millisecond), 1, 400*time.Millisecond)[0].ID, call.ID)
+
+	long := Request{ID: 21, Expect: 400 * time.Millisecond, Deadline: base.Add(8 * time.Second), Objective: base.Add(1100 * time.Millisecond)}
+	urgent := long
+	urgent.ID, urgent.Priority, urgent.Objective = 22, 1, base.Add(1500*time.Millisecond)
+	assert.Equal(t, q.Offer(base, long)[0].Action, Wait, "it goes before those that have until 1500 ms")
+	for id := range ID(3) {
+		more := long
+		more.ID, more.Objective = 30+id, base.Add(1400*time.Millisecond)
+		q.Offer(base, more)
+	}
+	assert.Equal(t, q.Offer(base, urgent)[0].Action, Wait, "a higher priority waits for none of these")
+}
