The guards of a service keep its retry budget

Cause: the budget was divided among all fronts. Ruled out: that the budget itself was spent.

Now a front marks a send as a repeat and the guard, through which all sends to an instance pass, sets one aside, spends or refuses it. A guard that starts has no reserve in its first window: without that the property test passed the bound by 2 % when guards left and came back.

TestBudgetForgetsOldRequests and the property keep their assertions; NewBudget takes the time it is made at.

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -3,8 +3,8 @@
 
 import "time"
 
-// Limits are the bounds of a Budget. They are the fleet's; a host's Budget gets
-// its share of the reserve.
+// Limits are the bounds of a Budget. They are the fleet's; each keeper of a
+// Budget gets its share of the reserve.
 type Limits struct {
 	// Share is how many repeats each request earns, such as 0.1.
 	Share float64
@@ -18,22 +18,24 @@
 
 // Budget counts the requests and the repeats of one service over a sliding
 // window and lets repeats through while they stay within the limits. Summed
-// over hosts, the repeats of any window stay within Share of its requests plus
-// the sum of the reserves. It is not safe for concurrent use.
+// over its keepers, the repeats of any window stay within Share of its requests
+// plus the sum of the reserves. It is not safe for concurrent use.
 type Budget struct {
 	limits  Limits
 	buckets [buckets]bucket
-	// start is the first moment seen: parts are counted from it, so that a jump
-	// of the time of day neither forgets nor repeats any.
+	// start is when the Budget was made: parts are counted from it, so that a
+	// jump of the time of day neither forgets nor repeats any.
 	start time.Time
 	// at is the number of the newest bucket since start.
 	at int64
+	// held counts the repeats that were let through and have not been sent yet.
+	held int
 }
 
 // bucket is what came in one part of the window.
 type bucket struct {
 	requests int
-	repeats  int
+	repeats  float64
 }
 
 const (
@@ -45,8 +47,10 @@
 	buckets = parts + 1
 )
 
-// NewBudget makes a Budget without history.
-func NewBudget(l Limits) *Budget { return &Budget{limits: l} }
+// NewBudget makes a Budget without history. What was spent before it was made,
+// by a keeper that has restarted or by those that had its part of the reserve, is
+// not known: it has no reserve in its first window.
+func NewBudget(now time.Time, l Limits) *Budget { return &Budget{limits: l, start: now} }
 
 // SetLimits changes the limits.
 func (b *Budget) SetLimits(l Limits) { b.limits = l }
@@ -54,26 +58,69 @@
 // Fresh records one fresh request.
 func (b *Budget) Fresh(now time.Time) { b.current(now).requests++ }
 
-// Take pays for one repeat and reports whether the budget had it.
+// Take pays for one repeat that is sent at once and reports whether the budget
+// had it.
 func (b *Budget) Take(now time.Time) bool {
-	if !b.Has(now) {
+	if !b.Hold(now, 0) {
 		return false
 	}
-	b.current(now).repeats++
+	b.Use(now)
 	return true
 }
 
-// Has reports whether Take would find the budget for one repeat.
-func (b *Budget) Has(now time.Time) bool {
+// Hold sets one repeat aside that may be sent later, and reports whether the
+// budget had it. keep is the part of the whole allowance, 0 to 1, that must be
+// left for repeats that matter more.
+func (b *Budget) Hold(now time.Time, keep float64) bool {
+	if b.Left(now)-keep*b.allowance(now) < 1 {
+		return false
+	}
+	b.held++
+	return true
+}
+
+// Use records that a repeat that was held is sent now.
+func (b *Budget) Use(now time.Time) {
+	b.held--
+	b.Charge(now, 1)
+}
+
+// Release gives back a repeat that was held and is not sent.
+func (b *Budget) Release() { b.held-- }
+
+// Charge records a repeat, or a part of one, that nobody asked the budget for:
+// the calls of a run that was itself a repeat.
+func (b *Budget) Charge(now time.Time, part float64) { b.current(now).repeats += part }
+
+// Left is how many repeats the budget has now.
+func (b *Budget) Left(now time.Time) float64 {
+	left := b.allowance(now) - float64(b.held)
+	for i := range b.buckets {
+		left -= b.buckets[i].repeats
+	}
+	return max(left, 0)
+}
+
+// allowance is how many repeats the window may have. Its requests leave out the
+// oldest part, which the window has partly left.
+func (b *Budget) allowance(now time.Time) float64 {
 	b.current(now)
-	return float64(b.repeats()+1) <= b.limits.Share*float64(b.requests())+b.limits.Reserve
+	requests := 0
+	oldest := (b.at + 1) % buckets
+	for i := range b.buckets {
+		if int64(i) != oldest {
+			requests += b.buckets[i].requests
+		}
+	}
+	allowed := b.limits.Share * float64(requests)
+	if now.Sub(b.start) >= b.limits.Window {
+		allowed += b.limits.Reserve
+	}
+	return allowed
 }
 
 // current moves the window to now and gives its newest part.
 func (b *Budget) current(now time.Time) *bucket {
-	if b.start.IsZero() {
-		b.start = now
-	}
 	n := int64(now.Sub(b.start) / max(b.limits.Window/parts, time.Millisecond))
 	if n-b.at > buckets {
 		b.buckets, b.at = [buckets]bucket{}, n
@@ -84,23 +131,3 @@
 	}
 	return &b.buckets[b.at%buckets]
 }
-
-func (b *Budget) repeats() int {
-	sum := 0
-	for i := range b.buckets {
-		sum += b.buckets[i].repeats
-	}
-	return sum
-}
-
-// requests leaves out the oldest part, which the window has partly left.
-func (b *Budget) requests() int {
-	sum := 0
-	oldest := (b.at + 1) % buckets
-	for i := range b.buckets {
-		if int64(i) != oldest {
-			sum += b.buckets[i].requests
-		}
-	}
-	return sum
-}
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -15,7 +15,7 @@
 		share := float64(rapid.IntRange(1, 50).Draw(t, "percent")) / 100
 		reserve := float64(rapid.IntRange(0, 5).Draw(t, "reserve"))
 		window := 10 * time.Second
-		b := NewBudget(Limits{Share: share, Reserve: reserve, Window: window})
+		b := NewBudget(time.Unix(0, 0), Limits{Share: share, Reserve: reserve, Window: window})
 		now := time.Unix(1000, 0)
 		var fresh, repeats []time.Time
 		for range rapid.IntRange(1, 500).Draw(t, "requests") {
@@ -36,7 +36,7 @@
 // A calm time does not save up: work that all failed at once costs no more
 // than the share of the last window.
 func TestBudgetForgetsOldRequests(t *testing.T) {
-	b := NewBudget(Limits{Share: 0.1, Window: 10 * time.Second})
+	b := NewBudget(time.Unix(0, 0), Limits{Share: 0.1, Window: 10 * time.Second})
 	now := time.Unix(1000, 0)
 	for range 1000 {
 		b.Fresh(now)
@@ -54,3 +54,42 @@
 	}
 	return n
 }
+
+// A keeper that restarts does not know what was spent before, and has no reserve
+// until all of that has left the window.
+func TestARestartDoesNotGiveTheReserveTwice(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget(now, Limits{Reserve: 10, Window: 10 * time.Second})
+	now = now.Add(9 * time.Second)
+	assert.Assert(t, !b.Take(now))
+	now = now.Add(time.Second)
+	for range 10 {
+		assert.Assert(t, b.Take(now))
+	}
+	assert.Assert(t, !b.Take(now))
+}
+
+// A repeat that waits for a slot is kept for, and given back where it is not
+// sent.
+func TestWhatIsHeldIsSpentOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget(now.Add(-time.Minute), Limits{Reserve: 2, Window: 10 * time.Second})
+	assert.Assert(t, b.Hold(now, 0))
+	assert.Assert(t, b.Hold(now, 0))
+	assert.Assert(t, !b.Hold(now, 0))
+	b.Release()
+	b.Use(now)
+	assert.Equal(t, b.Left(now), 1.0)
+	assert.Assert(t, !b.Hold(now, 0.5), "half of the allowance is left for what matters more")
+	assert.Assert(t, b.Hold(now, 0))
+}
+
+// The calls of repeated runs are repeats that nobody asked for.
+func TestChargesCountAsRepeats(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget(now.Add(-time.Minute), Limits{Reserve: 2, Window: 10 * time.Second})
+	b.Charge(now, 0.75)
+	b.Charge(now, 0.75)
+	assert.Assert(t, !b.Take(now))
+	assert.Assert(t, b.Take(now.Add(11*time.Second)))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -130,11 +130,11 @@
 }
 
 func frontLimits(cfg *settings.Config) front.Limits {
-	return front.Limits{MaxBodyBytes: int64(cfg.MaxBodyBytes), RetryReserve: cfg.RetryReserve, RetryWindow: cfg.RetryWindow}
+	return front.Limits{MaxBodyBytes: int64(cfg.MaxBodyBytes)}
 }
 
 func guardLimits(cfg *settings.Config) guard.Limits {
-	return guard.Limits{AnnounceExpiry: cfg.AnnounceExpiry}
+	return guard.Limits{AnnounceExpiry: cfg.AnnounceExpiry, RetryReserve: cfg.RetryReserve, RetryWindow: cfg.RetryWindow}
 }
 
 func controlConfig(cfg *settings.Config, needs []record.Key, started time.Time) control.Config {
--- a/internal/experiment/ours.go
+++ b/internal/experiment/ours.go
@@ -103,7 +103,7 @@
 		})
 	}
 	for i := range w.site.Fronts {
-		f := &frontSim{index: i, rng: rand.New(rand.NewPCG(w.rng.Uint64(), uint64(i))), budget: retry.NewBudget(retry.Limits{Share: 0.1, Reserve: 1, Window: 10 * time.Second}), hedge: 200 * time.Millisecond}
+		f := &frontSim{index: i, rng: rand.New(rand.NewPCG(w.rng.Uint64(), uint64(i))), budget: retry.NewBudget(o.time().Add(-10*time.Second), retry.Limits{Share: 0.1, Reserve: 1, Window: 10 * time.Second}), hedge: 200 * time.Millisecond}
 		for range w.site.Instances {
 			f.targets = append(f.targets, frontTarget{slots: w.site.Slots})
 		}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -41,8 +41,7 @@
 	claim  *claimTask
 	epoch  uint64
 	shard  uint32
-	// insist asks for a place in the queue also where the answer will be late.
-	insist bool
+	as     sending
 
 	state  once.Attempt
 	stream wire.Stream
@@ -54,6 +53,15 @@
 	quietChecks int
 }
 
+// sending is what one attempt asks of the guard besides its work.
+type sending struct {
+	// insist asks for a place in the queue also where the answer will be late.
+	insist bool
+	// repeat says that the request may have arrived at an instance before, and
+	// hedge that it is under way at one.
+	repeat, hedge bool
+}
+
 // claimTask is a claim under way at the key's owner; answer is set once done
 // is closed.
 type claimTask struct {
@@ -70,11 +78,11 @@
 )
 
 // attempt makes one attempt at a target and waits for its end.
-func (f *Front) attempt(ctx context.Context, req *request, t *target, sample msg.Sample, insist bool, claim *claimTask) *outcome {
-	y := &try{front: f, req: req, target: t, sample: sample, insist: insist, claim: claim}
+func (f *Front) attempt(ctx context.Context, req *request, p pick, as sending, claim *claimTask) *outcome {
+	y := &try{front: f, req: req, target: p.target, sample: p.sample, as: as, claim: claim}
 	o := y.run(ctx)
-	o.target = t
-	req.state.release(t)
+	o.target = p.target
+	req.state.release(p.target)
 	return o
 }
 
@@ -107,13 +115,15 @@
 	}
 }
 
-// aim tells the guard what the request is worth in time.
+// aim tells the guard what the request is worth in time, and what it counts for
+// in the retry budget.
 func (y *try) aim() msg.Aim {
 	return msg.Aim{
 		ObjectiveMS: uint32(y.req.route.Objective().Milliseconds()),
 		UsedMS:      uint32(max(time.Since(y.req.arrived).Milliseconds(), 0)),
 		ExpectMS:    uint32(y.req.state.expectAt(y.req, y.target).Milliseconds()),
-		Insist:      y.insist,
+		Insist:      y.as.insist,
+		Repeat:      y.as.repeat, Hedge: y.as.hedge, CallPart: y.front.guard.CallPart(),
 	}
 }
 
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -23,8 +23,10 @@
 }
 
 // choose picks a target that was not tried yet and counts the request as
-// under way there. false means that no target is left.
-func (f *Front) choose(req *request, tried []*target, rng *rand.Rand) (pick, bool) {
+// under way there. repeat says that the request may have arrived somewhere
+// before: then only guards are asked that may have a repeat left. false means
+// that no target is left.
+func (f *Front) choose(req *request, tried []*target, repeat bool, rng *rand.Rand) (pick, bool) {
 	st := req.state
 	now := time.Now()
 	st.mu.Lock()
@@ -34,9 +36,9 @@
 	}
 	t, why := st.pickTrial(now, req, tried, rng, f.paths)
 	if t == nil {
-		t, why = st.pickUsable(now, req, tried, rng, f.paths, f.cfg), whyCost
+		t, why = st.pickUsable(now, req, tried, repeat, rng, f.paths, f.cfg), whyCost
 	}
-	if t == nil {
+	if t == nil && !repeat {
 		t, why = st.pickAny(tried), whyLeftOut
 	}
 	if t == nil {
@@ -53,7 +55,7 @@
 	if !req.idempotent || len(tried) > 0 {
 		return nil, ""
 	}
-	if !st.budget.Has(now) {
+	if !st.mayRepeat(now) {
 		// A trial that fails is repeated elsewhere; without that it would be
 		// lost.
 		return nil, ""
@@ -86,14 +88,17 @@
 }
 
 // pickUsable makes the regular choice.
-func (st *serviceState) pickUsable(now time.Time, req *request, tried []*target, rng *rand.Rand, p *paths, cfg Config) *target {
+func (st *serviceState) pickUsable(now time.Time, req *request, tried []*target, repeat bool, rng *rand.Rand, p *paths, cfg Config) *target {
 	usable, local := st.choice.usable, st.choice.local
 	if len(tried) > 0 {
 		usable, local = st.without(usable, tried), st.without(local, tried)
 	}
+	if repeat {
+		usable, local = st.withRepeats(now, usable), st.withRepeats(now, local)
+	}
 	at := localPositions(usable, local)
 	typical := st.typical(now)
-	expected, stakes := st.expected(req), req.stakes(now, req.idempotent && len(tried) == 0 && st.budget.Has(now))
+	expected, stakes := st.expected(req), req.stakes(now, req.idempotent && len(tried) == 0 && st.mayRepeat(now))
 	i := balance.Pick(rng, len(usable), at, func(k int) float64 {
 		return balance.Cost(st.targets[usable[k]].candidate(now, expected, typical, p, cfg), stakes)
 	})
@@ -143,6 +148,17 @@
 	return out
 }
 
+// withRepeats keeps the targets whose guards may have a repeat left.
+func (st *serviceState) withRepeats(now time.Time, list []int) []int {
+	out := make([]int, 0, len(list))
+	for _, i := range list {
+		if st.targets[i].seen.mayRepeat(now) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 func wasTried(tried []*target, t *target) bool {
 	for _, other := range tried {
 		if other.seen == t.seen {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -46,11 +46,6 @@
 type Limits struct {
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
-	// RetryReserve is how many repeats a service may have in a RetryWindow
-	// beyond its share of the requests, over all hosts together.
-	RetryReserve float64
-	// RetryWindow is the span in which requests and repeats are counted.
-	RetryWindow time.Duration
 }
 
 // Front serves callers. It is safe for concurrent use.
@@ -92,14 +87,11 @@
 // SetLimits changes the limits.
 func (f *Front) SetLimits(l Limits) {
 	f.limits.Store(&l)
-	if view := f.view.Load(); view.Whole {
-		f.services.update(view, f.paths, f.cfg, l)
-	}
 }
 
 // SetView replaces the directory that requests are served from.
 func (f *Front) SetView(d *directory.Directory) {
-	f.services.update(d, f.paths, f.cfg, *f.limits.Load())
+	f.services.update(d, f.paths, f.cfg)
 	f.teams.update(d.Teams)
 	f.view.Store(d)
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -258,7 +258,6 @@
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
 	defer context.AfterFunc(f.life, cancel)()
-	req.state.fresh()
 	answer, fail := f.runKeyed(ctx, req)
 	if fail != nil {
 		return fail
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -24,6 +24,9 @@
 	rng   *rand.Rand
 	tried []*target
 	hedge *hedge
+	// sent says that an attempt has arrived at an instance: whatever follows is
+	// a repeat.
+	sent bool
 	// over says that the request has its answer or its failure.
 	over bool
 	// cancelPrimary ends the attempt that the hedge runs beside.
@@ -44,19 +47,14 @@
 }
 
 // next chooses the target of another attempt; false where none is left or all
-// attempts are made. pay says that the attempt is paid from the budget.
-func (c *race) next(pay bool) (pick, bool) {
+// attempts are made. repeat says that the request may have arrived before.
+func (c *race) next(repeat bool) (pick, bool) {
 	if c.spent() {
 		return pick{}, false
 	}
-	p, ok := c.front.choose(c.req, c.tried, c.rng)
+	p, ok := c.front.choose(c.req, c.tried, repeat, c.rng)
 	if !ok {
-		return pick{}, false
-	}
-	if pay && !c.req.state.payRetry() {
-		c.req.unpaid = true
-		c.front.counts.unpaid.Inc()
-		c.req.state.release(p.target)
+		c.unpaid(repeat)
 		return pick{}, false
 	}
 	if p.step.Why == whyTrial || p.step.Why == whyPath {
@@ -67,15 +65,30 @@
 	return p, true
 }
 
+// unpaid notes that a repeat was not made because no guard would pay for it.
+func (c *race) unpaid(repeat bool) {
+	if !repeat || c.req.unpaid {
+		return
+	}
+	c.req.unpaid = true
+	c.front.counts.unpaid.Inc()
+}
+
 // try makes one attempt at a chosen target.
-func (c *race) try(ctx context.Context, p pick, claim *claimTask) *outcome {
+func (c *race) try(ctx context.Context, p pick, as sending, claim *claimTask) *outcome {
 	insist := c.insist()
-	o := c.front.attempt(ctx, c.req, p.target, p.sample, insist, claim)
+	as.insist = insist
+	o := c.front.attempt(ctx, c.req, p, as, claim)
 	c.note(p.step, o)
 	c.req.state.observe(c.req, p.target, o)
 	if !insist && o.fail != nil && o.fail.Reason == verdict.ReasonQueueFull {
 		c.reconsider(p.target)
 	}
+	if o.fail != nil && o.fail.Reason == verdict.ReasonRetryBudget {
+		c.mu.Lock()
+		c.unpaid(true)
+		c.mu.Unlock()
+	}
 	return o
 }
 
@@ -125,9 +138,8 @@
 func (f *Front) runIdempotent(ctx context.Context, req *request) (*answer, *verdict.Error) {
 	c := &race{front: f, req: req, rng: f.rng()}
 	defer c.finish()
-	pay := false
 	for {
-		o := c.primary(ctx, pay)
+		o := c.primary(ctx)
 		if o == nil {
 			return c.settle()
 		}
@@ -137,8 +149,7 @@
 		if o := c.awaitHedge(); o != nil && c.take(o) {
 			return o.answer, nil
 		}
-		var again bool
-		if again, pay = c.mayRetry(ctx, o); !again {
+		if ctx.Err() != nil || !c.req.repeatable() {
 			return c.settle()
 		}
 		f.counts.retries.Inc()
@@ -147,10 +158,11 @@
 
 // primary makes one attempt, with a hedge once it takes long. nil means that
 // no target was left.
-func (c *race) primary(whole context.Context, pay bool) *outcome {
+func (c *race) primary(whole context.Context) *outcome {
 	ctx, cancel := context.WithCancel(whole)
 	c.mu.Lock()
-	p, ok := c.next(pay)
+	repeat := c.sent
+	p, ok := c.next(repeat)
 	c.cancelPrimary = cancel
 	c.mu.Unlock()
 	if !ok {
@@ -159,7 +171,7 @@
 	}
 	timer := time.AfterFunc(c.req.state.hedgeDelay(c.req), func() { c.runHedge(whole) })
 	defer timer.Stop()
-	o := c.try(ctx, p, nil)
+	o := c.try(ctx, p, sending{repeat: repeat}, nil)
 	o.endWith(cancel)
 	return o
 }
@@ -191,7 +203,7 @@
 	c.hedge = h
 	c.mu.Unlock()
 	c.front.counts.hedges.Inc()
-	o := c.try(ctx, p, nil)
+	o := c.try(ctx, p, sending{repeat: true, hedge: true}, nil)
 	o.endWith(cancel)
 
 	c.mu.Lock()
@@ -248,9 +260,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if o.fail != nil {
-		c.failures = append(c.failures, o.fail)
+		c.failed(o.fail)
 		return false
 	}
+	c.sent = true
 	if !retriableStatus(o.answer.head.Status) || o.answer.open {
 		return true
 	}
@@ -258,6 +271,13 @@
 	return false
 }
 
+// failed takes an attempt that ended without an answer. The caller holds the
+// lock, or is alone.
+func (c *race) failed(fail *verdict.Error) {
+	c.failures = append(c.failures, fail)
+	c.sent = c.sent || arrived(fail)
+}
+
 // retriableStatus says that a status tells of the target's trouble rather
 // than of the request.
 func retriableStatus(status uint16) bool {
@@ -269,15 +289,6 @@
 	}
 }
 
-// mayRetry decides about another attempt. Work that did not run costs
-// nothing; any other repeat is paid from the service's budget.
-func (c *race) mayRetry(ctx context.Context, o *outcome) (again, pay bool) {
-	if ctx.Err() != nil || !c.req.repeatable() {
-		return false, false
-	}
-	return true, o.fail == nil || arrived(o.fail)
-}
-
 // settle gives the best that is left once no attempt can follow.
 func (c *race) settle() (*answer, *verdict.Error) {
 	if c.spare != nil {
@@ -292,7 +303,7 @@
 	if len(c.failures) == 0 {
 		return c.noTarget()
 	}
-	last := *c.failures[len(c.failures)-1]
+	last := *c.telling()
 	for _, fail := range c.failures {
 		if fail.Verdict != verdict.NotRun && last.Verdict != verdict.Ran {
 			last.Verdict = fail.Verdict
@@ -305,6 +316,17 @@
 	return &last
 }
 
+// telling is the failure that the caller is told of: the last one, but for
+// refusals of a repeat, which say nothing of why it was needed.
+func (c *race) telling() *verdict.Error {
+	for _, fail := range slices.Backward(c.failures) {
+		if fail.Reason != verdict.ReasonRetryBudget {
+			return fail
+		}
+	}
+	return c.failures[len(c.failures)-1]
+}
+
 // defaultRetryAfter is told to callers where nothing better is known: by then
 // a failed target is left out.
 const defaultRetryAfter = time.Second
@@ -317,18 +339,16 @@
 // the one before is proved not to have run.
 func (f *Front) runOnce(ctx context.Context, req *request, claim *claimTask) (*answer, *verdict.Error) {
 	c := &race{front: f, req: req, rng: f.rng()}
-	pay := false
 	for {
-		p, ok := c.next(pay)
+		p, ok := c.next(c.sent)
 		if !ok {
 			break
 		}
-		o := c.try(ctx, p, claim)
+		o := c.try(ctx, p, sending{repeat: c.sent}, claim)
 		if o.fail == nil {
 			return o.answer, nil
 		}
-		c.failures = append(c.failures, o.fail)
-		pay = arrived(o.fail)
+		c.failed(o.fail)
 		if o.fail.Verdict != verdict.NotRun || ctx.Err() != nil || !req.repeatable() || isKeyReason(o.fail.Reason) {
 			break
 		}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -9,7 +9,6 @@
 	"github.com/radishhoist/radishhoist/internal/core/detect"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/eject"
-	"github.com/radishhoist/radishhoist/internal/core/retry"
 	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
@@ -22,8 +21,7 @@
 
 // serviceState is one service as this front sees it.
 type serviceState struct {
-	mu     sync.Mutex
-	budget *retry.Budget
+	mu sync.Mutex
 	// targets are those of the directory in force, by index; choice tells
 	// which of them may be used.
 	targets []*target
@@ -85,7 +83,7 @@
 }
 
 // update fits the states to a new directory, keeping what was learnt.
-func (s *services) update(d *directory.Directory, p *paths, cfg Config, limits Limits) {
+func (s *services) update(d *directory.Directory, p *paths, cfg Config) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name := range s.byName {
@@ -96,28 +94,16 @@
 	for name, svc := range d.Services {
 		st, ok := s.byName[name]
 		if !ok {
-			st = &serviceState{budget: retry.NewBudget(retry.Limits{}), routes: make(map[string]*latency)}
+			st = &serviceState{routes: make(map[string]*latency)}
 			s.byName[name] = st
 		}
-		st.update(svc, p, cfg, retry.Limits{
-			Share:   callsAllowance * svc.Record.RetryShare(),
-			Reserve: callsAllowance * limits.RetryReserve / float64(max(len(d.Hosts), 1)),
-			Window:  limits.RetryWindow,
-		})
+		st.update(svc, p, cfg)
 	}
 }
 
-// callsAllowance is the part of the retry budget that fronts spend themselves.
-// The rest is for the calls that a repeated run makes: they are repeats at the
-// services they go to, and no front can tell them from others. With 0.75 a service
-// saw 224 repeats where 210 were allowed, on a day on which its instances shed
-// 55 % of their requests.
-const callsAllowance = 0.6
-
-func (st *serviceState) update(svc *directory.Service, p *paths, cfg Config, budget retry.Limits) {
+func (st *serviceState) update(svc *directory.Service, p *paths, cfg Config) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.budget.SetLimits(budget)
 	old := make(map[string]*target, len(st.targets))
 	for _, t := range st.targets {
 		old[t.Name+"@"+t.Host.Name] = t
@@ -182,7 +168,8 @@
 }
 
 const (
-	// freshLoad is how old a count may be to speak for the service's load.
+	// freshLoad is how old a count may be to speak for the service's load, and
+	// for the repeats that a guard has left.
 	freshLoad = time.Second
 	// typicalLoad is the load a slot that is assumed where nothing fresh is
 	// known.
@@ -243,17 +230,21 @@
 	return req.route.Objective() / 3
 }
 
-func (st *serviceState) fresh() {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.budget.Fresh(time.Now())
+// mayRepeat says that some target's guard may have a repeat left. The caller
+// holds the lock.
+func (st *serviceState) mayRepeat(now time.Time) bool {
+	for _, i := range st.choice.usable {
+		if st.targets[i].seen.mayRepeat(now) {
+			return true
+		}
+	}
+	return false
 }
 
-// payRetry takes a token for one more send.
-func (st *serviceState) payRetry() bool {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	return st.budget.Take(time.Now())
+// mayRepeat says that the guard has a repeat left as far as is known: it told so,
+// or nothing of late.
+func (o *observed) mayRepeat(now time.Time) bool {
+	return o.load.Repeats > 0 || now.Sub(o.loadAt) > freshLoad
 }
 
 const (
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -162,7 +162,7 @@
 		}
 	}
 	st.mu.Lock()
-	t := st.pickUsable(time.Now(), req, nil, f.rng(), f.paths, f.cfg)
+	t := st.pickUsable(time.Now(), req, nil, false, f.rng(), f.paths, f.cfg)
 	st.mu.Unlock()
 	if t == nil {
 		out.Problem = "service " + svc.Name + " has no target that takes work"
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -74,7 +74,7 @@
 	return msg.Load{
 		Slots: uint32(i.slots), Running: uint32(i.queue.Running()), Queued: uint32(i.queue.Queued()),
 		Health: uint8(i.detector.Health()), Evidence: uint32(i.detector.Evidence() * evidenceScale),
-		Sick: uint16(sick * msg.Thousandths), Wants: i.wants(now, sick),
+		Sick: uint16(sick * msg.Thousandths), Repeats: i.guard.repeats.left(now, i.service), Wants: i.wants(now, sick),
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -38,6 +38,11 @@
 type Limits struct {
 	// AnnounceExpiry is how long an instance may go without announcing.
 	AnnounceExpiry time.Duration
+	// RetryReserve is how many repeats a service may have in a RetryWindow
+	// beyond its share of the requests, over all hosts together.
+	RetryReserve float64
+	// RetryWindow is the span in which requests and repeats are counted.
+	RetryWindow time.Duration
 }
 
 // Fence decides whether a run that was claimed at an epoch may still start.
@@ -64,10 +69,12 @@
 	model  chance.Model
 	limits atomic.Pointer[Limits]
 	// endBy is when the process is going to end, nil while it is not stopping.
-	endBy  atomic.Pointer[time.Time]
-	calls  calls
-	lines  event.Limiter
-	counts counters
+	endBy atomic.Pointer[time.Time]
+	calls calls
+	// repeats is this host's part of the retry budgets.
+	repeats *repeats
+	lines   event.Limiter
+	counts  counters
 	// pulse is called, without locks, with what the fronts should know at once.
 	pulse   func(p *msg.Pulse, far bool)
 	changed func()
@@ -87,6 +94,7 @@
 func New(cfg Config, limits Limits, log *slog.Logger, fence Fence, hooks Hooks) *Guard {
 	g := &Guard{
 		cfg: cfg, log: log, fence: fence, changed: hooks.Changed, pulse: hooks.Pulse, model: chance.Default(), counts: newCounters(),
+		repeats:   newRepeats(),
 		book:      announce.NewBook(),
 		instances: make(map[string]*instance),
 		presets:   make(map[string]detect.Params),
@@ -96,7 +104,10 @@
 }
 
 // SetLimits changes the limits.
-func (g *Guard) SetLimits(l Limits) { g.limits.Store(&l) }
+func (g *Guard) SetLimits(l Limits) {
+	g.limits.Store(&l)
+	g.repeats.setLimits(l)
+}
 
 // Announcement is what an instance says of itself, again and again.
 type Announcement struct {
@@ -220,6 +231,7 @@
 // Apply takes what the records in force say: the services' presets, and which
 // of this host's instances are to stop.
 func (g *Guard) Apply(d *directory.Directory) {
+	g.repeats.apply(time.Now(), d, *g.limits.Load())
 	g.mu.Lock()
 	for name, s := range d.Services {
 		g.presets[name] = detect.ForPreset(s.Record.Preset)
--- /dev/null
+++ b/internal/guard/repeats.go
@@ -0,0 +1,188 @@
+package guard
+
+import (
+	"sync"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/core/retry"
+	"github.com/radishhoist/radishhoist/internal/msg"
+)
+
+const (
+	// budgetPart is the part of the retry budget that guards let through. The
+	// rest covers what no guard can know exactly: which of the requests that
+	// begin on a host are calls of a repeated run, and hosts that join meanwhile.
+	budgetPart = 0.9
+	// keepForFirst is the part of the allowance that hedges and repeats beyond
+	// their objective leave to those that still save an answer in time.
+	keepForFirst = 0.5
+	// callShare is the part of the requests that begin on a host that are calls
+	// of its instances: 0.4 at one office and 0.5 at the other. Taking all of
+	// them for calls spent half of the budget on callers' first requests.
+	callShare = 0.6
+	// shrinkWindows is for how many windows a service counts as kept by as many
+	// guards as before after some have gone: these may have spent their part.
+	shrinkWindows = 2
+)
+
+// repeats keeps this host's part of the services' retry budgets.
+//
+// The guards keep them, not the fronts, because a service has few guards and a
+// fleet has many fronts: divided among 24 fronts, each had two or three repeats
+// in 10 s, and half of those that were refused fell into windows of which the
+// fleet had spent a quarter.
+type repeats struct {
+	mu        sync.Mutex
+	byService map[string]*keeper
+	// running counts the runs under way on this host, and parts what they count
+	// for as repeats.
+	running int
+	parts   int
+}
+
+// keeper is the budget of one service.
+type keeper struct {
+	budget *retry.Budget
+	share  float64
+	// guards is among how many the reserve is divided. fewer is how many there
+	// are since then, where some have gone.
+	guards int
+	fewer  int
+	since  time.Time
+}
+
+func newRepeats() *repeats { return &repeats{byService: make(map[string]*keeper)} }
+
+// apply fits the budgets to a new directory.
+func (r *repeats) apply(now time.Time, d *directory.Directory, l Limits) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range r.byService {
+		if _, ok := d.Services[name]; !ok {
+			delete(r.byService, name)
+		}
+	}
+	for name, s := range d.Services {
+		k, ok := r.byService[name]
+		if !ok {
+			k = &keeper{budget: retry.NewBudget(now, retry.Limits{})}
+			r.byService[name] = k
+		}
+		k.share = s.Record.RetryShare()
+		k.count(now, guardsOf(s), shrinkWindows*l.RetryWindow)
+		k.limit(l)
+	}
+}
+
+// setLimits takes changed limits.
+func (r *repeats) setLimits(l Limits) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, k := range r.byService {
+		k.limit(l)
+	}
+}
+
+// guardsOf counts the hosts that run a service's instances.
+func guardsOf(s *directory.Service) int {
+	hosts := make(map[string]bool, len(s.Targets))
+	for _, t := range s.Targets {
+		if t.Host.Alive {
+			hosts[t.Host.Name] = true
+		}
+	}
+	return len(hosts)
+}
+
+// count takes how many guards the service has. Fewer than before count once they
+// have stayed so few for a time.
+func (k *keeper) count(now time.Time, guards int, hold time.Duration) {
+	switch {
+	case guards >= k.guards:
+		k.guards, k.fewer = guards, guards
+	case guards != k.fewer:
+		k.fewer, k.since = guards, now
+	case now.Sub(k.since) > hold:
+		k.guards = guards
+	}
+}
+
+func (k *keeper) limit(l Limits) {
+	k.budget.SetLimits(retry.Limits{
+		Share:   budgetPart * k.share,
+		Reserve: budgetPart * l.RetryReserve / float64(max(k.guards, 1)),
+		Window:  l.RetryWindow,
+	})
+}
+
+// hold sets a repeat aside for a request that is about to be admitted.
+func (r *repeats) hold(now time.Time, service string, aim msg.Aim) bool {
+	keep := 0.0
+	if aim.Hedge || aim.ObjectiveMS > 0 && aim.UsedMS >= aim.ObjectiveMS {
+		keep = keepForFirst
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k, ok := r.byService[service]
+	return ok && k.budget.Hold(now, keep)
+}
+
+// release gives back a repeat that was held.
+func (r *repeats) release(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if k, ok := r.byService[service]; ok {
+		k.budget.Release()
+	}
+}
+
+// begin records that a request is sent to an instance. What was held is used;
+// any other send counts as fresh, and as much for a repeat as its front says.
+func (r *repeats) begin(now time.Time, service string, held bool, part uint16) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running++
+	r.parts += int(part)
+	k, ok := r.byService[service]
+	switch {
+	case !ok:
+	case held:
+		k.budget.Use(now)
+	default:
+		k.budget.Fresh(now)
+		k.budget.Charge(now, float64(part)/msg.Thousandths)
+	}
+}
+
+// end takes a run off the count.
+func (r *repeats) end(part uint16) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+	r.parts -= int(part)
+}
+
+// left is how many repeats this host's part of a service's budget has now.
+func (r *repeats) left(now time.Time, service string) uint16 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k, ok := r.byService[service]
+	if !ok {
+		return 0
+	}
+	return uint16(min(k.budget.Left(now), 1<<16-1))
+}
+
+// CallPart is the chance that a request that begins on this host is a call of a
+// repeated run, in thousandths. Such calls are repeats at the services that they
+// go to, and nothing tells them from others.
+func (g *Guard) CallPart() uint16 {
+	r := g.repeats
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running == 0 {
+		return 0
+	}
+	return uint16(callShare * float64(r.parts) / float64(r.running))
+}
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -20,6 +20,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	x := &exchange{guard: g, stream: s, ctx: ctx, arrived: time.Now()}
+	defer x.releaseRepeat()
 	x.serve(first)
 }
 
@@ -38,6 +39,11 @@
 	lost    chan struct{}
 	// deadline is when the caller stops waiting, on this host's clock.
 	deadline time.Time
+	// part is what the run counts for among those that are repeats, in
+	// thousandths; held says that a repeat was set aside for the request and is
+	// not sent yet.
+	part uint16
+	held bool
 }
 
 // errGone says the front gave the request up or was lost.
@@ -79,6 +85,10 @@
 		x.fail(refusal(verdict.ReasonDraining, "this host is stopping and the request is expected to take too long"))
 		return false
 	}
+	if !x.holdRepeat(aim) {
+		x.refuse(refusal(verdict.ReasonRetryBudget, "this host's part of the retry budget is spent"))
+		return false
+	}
 	r.Expect, r.Insist = time.Duration(aim.ExpectMS)*time.Millisecond, aim.Insist
 	inst.observe(x.arrived, sample)
 	x.id, x.waiter = inst.offer(x.arrived, r, patience(aim))
@@ -202,11 +212,35 @@
 	x.inst.mu.Unlock()
 	e := refusal(d.Reason, "")
 	e.RetryAfterMS = d.RetryAfter.Milliseconds()
+	x.refuse(e)
+}
+
+// refuse ends the stream with a refusal, and tells the log and the counters.
+func (x *exchange) refuse(e *verdict.Error) {
 	x.logRefusal(e)
 	x.guard.counts.refused(e.Reason)
 	x.fail(e)
 }
 
+// holdRepeat sets aside what the request takes of the retry budget; false where
+// that is spent. A first send is never refused.
+func (x *exchange) holdRepeat(aim msg.Aim) bool {
+	if !aim.Repeat {
+		x.part = min(aim.CallPart, msg.Thousandths)
+		return true
+	}
+	x.part = msg.Thousandths
+	x.held = x.guard.repeats.hold(x.arrived, x.inst.service, aim)
+	return x.held
+}
+
+// releaseRepeat gives back what was set aside and not sent.
+func (x *exchange) releaseRepeat() {
+	if x.held {
+		x.guard.repeats.release(x.inst.service)
+	}
+}
+
 // fail ends the stream with a verdict.
 func (x *exchange) fail(e *verdict.Error) {
 	f := &msg.Fail{Verdict: e.Verdict, Reason: e.Reason, Detail: e.Detail, RetryAfterMS: uint32(e.RetryAfterMS)}
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -18,11 +18,13 @@
 	ServiceMS float64 `json:"serviceMS"`
 	Leaving   bool    `json:"leaving"`
 	// Sick is the estimate that it fails most requests at present.
-	Sick       float64 `json:"sick"`
-	Health     string  `json:"health"`
-	Evidence   float64 `json:"evidence"`
-	References int     `json:"peerSamples"`
-	Counts     Counts  `json:"counts"`
+	Sick float64 `json:"sick"`
+	// RepeatsLeft is what this host's part of the service's retry budget has.
+	RepeatsLeft int     `json:"repeatsLeft"`
+	Health      string  `json:"health"`
+	Evidence    float64 `json:"evidence"`
+	References  int     `json:"peerSamples"`
+	Counts      Counts  `json:"counts"`
 }
 
 // Suspect says that the guard asks the choosers to leave the instance out.
@@ -34,10 +36,11 @@
 	return InstanceState{
 		Name: i.name, Service: i.service, Address: i.address, Version: i.version,
 		Slots: i.slots, Running: i.queue.Running(), Queued: i.queue.Queued(),
-		ServiceMS: float64(i.queue.Service().Microseconds()) / 1000,
-		Sick:      i.sick.Sick(time.Now(), i.guard.model),
-		Leaving:   i.leaving || i.stopped,
-		Health:    i.detector.Health().String(), Evidence: i.detector.Evidence(),
+		ServiceMS:   float64(i.queue.Service().Microseconds()) / 1000,
+		Sick:        i.sick.Sick(time.Now(), i.guard.model),
+		RepeatsLeft: int(i.guard.repeats.left(time.Now(), i.service)),
+		Leaving:     i.leaving || i.stopped,
+		Health:      i.detector.Health().String(), Evidence: i.detector.Evidence(),
 		References: i.reference.At(time.Now()).Count, Counts: i.counts,
 	}
 }
--- a/internal/msg/requests.go
+++ b/internal/msg/requests.go
@@ -27,6 +27,9 @@
 	// Sick is the guard's estimate of the chance that the instance is failing
 	// most of its requests at present, in thousandths.
 	Sick uint16
+	// Repeats is how many repeats the guard's part of the service's retry
+	// budget has left.
+	Repeats uint16
 	// Wants says that the guard would like a request that can be repeated, to
 	// learn whether the instance is well again.
 	Wants bool
@@ -71,7 +74,8 @@
 	Incarnation uint64
 }
 
-// Aim is what a front tells of a request's worth in time, for the guard's queue.
+// Aim is what a front tells of a request's worth in time and of its part in the
+// retry budget, for the guard's admission.
 type Aim struct {
 	// ObjectiveMS is the time from the caller's send in which the answer is
 	// worth its whole value, and UsedMS how much of it has gone.
@@ -81,6 +85,12 @@
 	ExpectMS uint32
 	// Insist takes a place in the queue also where it would miss the objective.
 	Insist bool
+	// Repeat says that the request may have arrived at an instance before, and
+	// Hedge that it is under way at one.
+	Repeat, Hedge bool
+	// CallPart is the chance that the request is a call of a repeated run, in
+	// thousandths: it counts for so much in the retry budget.
+	CallPart uint16
 }
 
 // Reserve asks a guard for a slot before a request that is not idempotent.
--- a/internal/msg/requests_gen.go
+++ b/internal/msg/requests_gen.go
@@ -16,12 +16,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Aim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint32(o, z.ObjectiveMS)
 	o = msgp.AppendUint32(o, z.UsedMS)
 	o = msgp.AppendUint32(o, z.ExpectMS)
 	o = msgp.AppendBool(o, z.Insist)
+	o = msgp.AppendBool(o, z.Repeat)
+	o = msgp.AppendBool(o, z.Hedge)
+	o = msgp.AppendUint16(o, z.CallPart)
 	return
 }
 
@@ -33,8 +36,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.ObjectiveMS, bts, err = msgp.ReadUint32Bytes(bts)
@@ -57,13 +60,28 @@
 		err = msgp.WrapError(err, "Insist")
 		return
 	}
+	z.Repeat, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Repeat")
+		return
+	}
+	z.Hedge, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Hedge")
+		return
+	}
+	z.CallPart, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "CallPart")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Aim) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.Uint16Size
 	return
 }
 
@@ -578,14 +596,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint32(o, z.Slots)
 	o = msgp.AppendUint32(o, z.Running)
 	o = msgp.AppendUint32(o, z.Queued)
 	o = msgp.AppendUint8(o, z.Health)
 	o = msgp.AppendUint32(o, z.Evidence)
 	o = msgp.AppendUint16(o, z.Sick)
+	o = msgp.AppendUint16(o, z.Repeats)
 	o = msgp.AppendBool(o, z.Wants)
 	return
 }
@@ -598,8 +617,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Slots, bts, err = msgp.ReadUint32Bytes(bts)
@@ -632,6 +651,11 @@
 		err = msgp.WrapError(err, "Sick")
 		return
 	}
+	z.Repeats, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Repeats")
+		return
+	}
 	z.Wants, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Wants")
@@ -643,7 +667,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint16Size + msgp.BoolSize
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
 	return
 }
 
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -65,6 +65,7 @@
 	ReasonUnknownTarget  Reason = "unknown-target"
 	ReasonTargetDown     Reason = "target-down"
 	ReasonTargetShed     Reason = "target-shed"
+	ReasonRetryBudget    Reason = "retry-budget"
 	ReasonTargetBroke    Reason = "target-broke"
 	ReasonAnswerMismatch Reason = "answer-mismatch"
 	ReasonLinkLost       Reason = "link-lost"
