A target's wait is that of the work that goes before the request

Cause: the choice counted all that waits at an instance, also of lower priority. Guards now tell the work that waits at each priority; the front counts what is due before.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -93,9 +93,10 @@
 	expires time.Time
 }
 
+// Priorities is the number of priority levels.
+const Priorities = 4
+
 const (
-	// priorities is the number of priority levels.
-	priorities = 4
 	// initialService is the service time assumed before any is measured.
 	initialService = 20 * time.Millisecond
 	// serviceWeight is the weight of a new sample in the moving average.
@@ -109,7 +110,7 @@
 	cfg      Config
 	tickets  map[ID]*ticket
 	busy     int
-	levels   [priorities]level
+	levels   [Priorities]level
 	queued   int
 	service  time.Duration
 	draining bool
@@ -126,6 +127,15 @@
 // Queued counts the requests that wait.
 func (q *Queue) Queued() int { return q.queued }
 
+// Waiting is the work that waits at each priority, in the time of one slot.
+func (q *Queue) Waiting() [Priorities]time.Duration {
+	var out [Priorities]time.Duration
+	for p := range q.levels {
+		q.levels[p].each(func(t *ticket) { out[p] += t.Expect })
+	}
+	return out
+}
+
 // Service is the moving average of the service time.
 func (q *Queue) Service() time.Duration { return q.service }
 
@@ -178,7 +188,7 @@
 	if q.draining {
 		return []Decision{{ID: r.ID, Action: Refuse, Reason: verdict.ReasonDraining}}
 	}
-	r.Priority = min(r.Priority, priorities-1)
+	r.Priority = min(r.Priority, Priorities-1)
 	if r.Objective.IsZero() {
 		r.Objective = r.Deadline
 	}
@@ -371,7 +381,7 @@
 // waitBehind is the wait behind all that goes before the newcomer.
 func (q *Queue) waitBehind(now time.Time, newcomer *ticket) time.Duration {
 	ahead := q.service
-	for p := int(newcomer.Priority); p < priorities; p++ {
+	for p := int(newcomer.Priority); p < Priorities; p++ {
 		q.levels[p].each(func(t *ticket) {
 			if p > int(newcomer.Priority) || t.goesBefore(now, newcomer) {
 				ahead += t.Expect
--- a/internal/core/admit/fair.go
+++ b/internal/core/admit/fair.go
@@ -87,7 +87,7 @@
 func (q *Queue) next(now time.Time) *ticket {
 	feasible := func(t *ticket) bool { return t.feasible(now) }
 	any := func(*ticket) bool { return true }
-	for p := priorities - 1; p >= 0; p-- {
+	for p := Priorities - 1; p >= 0; p-- {
 		t := q.levels[p].pop(feasible, func(t *ticket) time.Time { return t.Objective })
 		if t == nil {
 			t = q.levels[p].pop(any, func(t *ticket) time.Time { return t.Deadline })
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -15,13 +15,14 @@
 // Candidate is one instance as the chooser sees it.
 type Candidate struct {
 	Slots int
-	// Running and Queued are the guard's count when it last told.
-	Running, Queued int
+	// Running is the guard's count when it last told, and Waiting the work that
+	// then waited before this request, in the time of one slot.
+	Running int
+	Waiting time.Duration
 	// LoadAge is how old that count is.
 	LoadAge time.Duration
-	// Typical is how many requests a slot of the service has at present, as far
-	// as is known: what an old count is taken to have become.
-	Typical float64
+	// Typical is what an old count is taken to have become.
+	Typical Typical
 	// Pending is how many requests this front has under way there beyond
 	// those that the count already holds.
 	Pending int
@@ -38,6 +39,15 @@
 	Fails float64
 }
 
+// Typical is the load of a service's instances at present as far as is known: by
+// fresh counts, a slot.
+type Typical struct {
+	// Running is the share of the slots that are taken, and Waiting the work that
+	// waits before the request.
+	Running float64
+	Waiting time.Duration
+}
+
 // Stakes is what the choice means for one request.
 type Stakes struct {
 	// Objective is the time in which the answer is worth its whole value, and
@@ -88,11 +98,11 @@
 	}
 	slots := float64(max(c.Slots, 1))
 	fresh := math.Exp2(-float64(c.LoadAge) / float64(staleAfter))
-	reported := float64(c.Running + c.Queued)
-	taken := fresh*reported + (1-fresh)*c.Typical*slots + float64(c.Pending)
-	busy := min(taken/slots, 1)
-	wait := max(taken+1-slots, 0) / slots
-	run := service.Seconds() * (1 + slowdown*busy*busy + wait) / max(c.Warmth, minWarmth)
+	running := fresh*float64(c.Running) + (1-fresh)*c.Typical.Running*slots + float64(c.Pending)
+	waiting := fresh*c.Waiting.Seconds()/slots + (1-fresh)*c.Typical.Waiting.Seconds()
+	busy := min(running/slots, 1)
+	wait := waiting + service.Seconds()*max(running+1-slots, 0)/slots
+	run := (service.Seconds()*(1+slowdown*busy*busy) + wait) / max(c.Warmth, minWarmth)
 	total := path.Seconds() + run
 	value := (1 - c.Fails*s.FailureWeight) * s.worth(total)
 	if !c.Local {
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -26,8 +26,8 @@
 		better, worse func(*Candidate)
 	}{
 		{"a likely failure", once(), func(*Candidate) {}, func(c *Candidate) { c.Fails = 0.5 }},
-		{"a likely failure, against a queue that still meets the objective", once(), func(c *Candidate) { c.Running, c.Queued = 4, 3 }, func(c *Candidate) { c.Fails = 0.6 }},
-		{"a queue that misses the objective, against a doubtful instance", once(), func(c *Candidate) { c.Fails = 0.3 }, func(c *Candidate) { c.Running, c.Queued = 4, 30 }},
+		{"a likely failure, against a queue that still meets the objective", once(), func(c *Candidate) { c.Running, c.Waiting = 4, 1200*time.Millisecond }, func(c *Candidate) { c.Fails = 0.6 }},
+		{"a queue that misses the objective, against a doubtful instance", once(), func(c *Candidate) { c.Fails = 0.3 }, func(c *Candidate) { c.Running, c.Waiting = 4, 12*time.Second }},
 		{"another data centre", once(), func(*Candidate) {}, func(c *Candidate) { c.Local, c.Path = false, 2*time.Millisecond }},
 		{"a failure costs more than distance", once(), func(c *Candidate) { c.Local = false }, func(c *Candidate) { c.Fails = 0.2 }},
 		{"a cold start", once(), func(*Candidate) {}, func(c *Candidate) { c.Warmth = 0.3 }},
--- a/internal/experiment/ours.go
+++ b/internal/experiment/ours.go
@@ -266,8 +266,8 @@
 		i := usable[k]
 		t := &f.targets[i]
 		return balance.Cost(balance.Candidate{
-			Typical: 0.3,
-			Slots:   t.slots, Running: t.running, Queued: t.queued, LoadAge: o.now - t.loadAt, Pending: t.pending,
+			Typical: balance.Typical{Running: 0.3},
+			Slots:   t.slots, Running: t.running, Waiting: time.Duration(t.queued) * t.service, LoadAge: o.now - t.loadAt, Pending: t.pending,
 			Service: t.service, Path: t.path, Warmth: 1, Local: f.index%o.site.DCs == i%o.site.DCs,
 		}, balance.Stakes{})
 	})
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -97,10 +97,10 @@
 		usable, local = st.withRepeats(now, usable), st.withRepeats(now, local)
 	}
 	at := localPositions(usable, local)
-	typical := st.typical(now)
+	typical := st.typical(now, req)
 	expected, stakes := st.expected(req), req.stakes(now, req.idempotent && len(tried) == 0 && st.mayRepeat(now))
 	i := balance.Pick(rng, len(usable), at, func(k int) float64 {
-		return balance.Cost(st.targets[usable[k]].candidate(now, expected, typical, p, cfg), stakes)
+		return balance.Cost(st.targets[usable[k]].candidate(now, req, expected, typical, p, cfg), stakes)
 	})
 	if i < 0 {
 		return nil
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/radishhoist/radishhoist/internal/core/balance"
 	"github.com/radishhoist/radishhoist/internal/core/chance"
 	"github.com/radishhoist/radishhoist/internal/core/detect"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
@@ -152,84 +151,6 @@
 	st.choice = c
 }
 
-// candidate describes a target to the chooser. expected is the route's mean
-// service time. The caller holds the lock.
-func (t *target) candidate(now time.Time, expected time.Duration, typical float64, p *paths, cfg Config) balance.Candidate {
-	warm := 1.0
-	if left := t.WarmAt.Sub(now); left > 0 {
-		warm = max(1-left.Seconds()/directory.RampUp.Seconds(), 0)
-	}
-	return balance.Candidate{
-		Slots: t.Slots, Running: int(t.seen.load.Running), Queued: int(t.seen.load.Queued),
-		LoadAge: now.Sub(t.seen.loadAt), Typical: typical, Pending: t.seen.pending, Service: t.service(expected),
-		Path: p.roundTrip(t.Host.Name), Warmth: warm, Local: t.Host.DC == cfg.DC,
-		Fails: t.seen.sick.Fails(now, model),
-	}
-}
-
-const (
-	// freshLoad is how old a count may be to speak for the service's load, and
-	// for the repeats that a guard has left.
-	freshLoad = time.Second
-	// typicalLoad is the load a slot that is assumed where nothing fresh is
-	// known.
-	typicalLoad = 0.3
-)
-
-// typical is how many requests a slot of the usable targets has, by the counts
-// that are fresh: hosts far away tell theirs with answers only. The caller holds
-// the lock.
-func (st *serviceState) typical(now time.Time) float64 {
-	slots, taken := 0, 0
-	for _, i := range st.choice.usable {
-		t := st.targets[i]
-		if now.Sub(t.seen.loadAt) > freshLoad {
-			continue
-		}
-		slots += t.Slots
-		taken += int(t.seen.load.Running + t.seen.load.Queued)
-	}
-	if slots == 0 {
-		return typicalLoad
-	}
-	return float64(taken) / float64(slots)
-}
-
-// model is what is assumed of instances that fail by turns.
-var model = chance.Default()
-
-const (
-	// againWeight is how much of a failure counts for work that can be repeated:
-	// a repeat may save it, but the budget does not pay for all when many fail.
-	againWeight = 0.8
-	// distanceStake is what bytes between data centres are worth, as a part of
-	// the request's value.
-	distanceStake = 0.05
-)
-
-// stakes says what the choice of a target means for a request, which can be
-// repeated only where the budget has a repeat.
-func (req *request) stakes(now time.Time, repeatable bool) balance.Stakes {
-	weight := 1.0
-	if repeatable {
-		weight = againWeight
-	}
-	objective := req.route.Objective()
-	return balance.Stakes{
-		Objective: objective, Left: objective - now.Sub(req.arrived),
-		FailureWeight: weight, Distance: distanceStake,
-	}
-}
-
-// expected is the mean service time of a request's route, a third of its
-// objective before any answer. The caller holds the lock.
-func (st *serviceState) expected(req *request) time.Duration {
-	if l, ok := st.routes[req.route.Name]; ok && l.mean > 0 {
-		return l.mean
-	}
-	return req.route.Objective() / 3
-}
-
 // mayRepeat says that some target's guard may have a repeat left. The caller
 // holds the lock.
 func (st *serviceState) mayRepeat(now time.Time) bool {
--- /dev/null
+++ b/internal/front/weigh.go
@@ -0,0 +1,107 @@
+package front
+
+import (
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/core/balance"
+	"github.com/radishhoist/radishhoist/internal/core/chance"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/msg"
+)
+
+// candidate describes a target to the chooser. expected is the route's mean
+// service time. The caller holds the lock.
+func (t *target) candidate(now time.Time, req *request, expected time.Duration, typical balance.Typical, p *paths, cfg Config) balance.Candidate {
+	warm := 1.0
+	if left := t.WarmAt.Sub(now); left > 0 {
+		warm = max(1-left.Seconds()/directory.RampUp.Seconds(), 0)
+	}
+	return balance.Candidate{
+		Slots: t.Slots, Running: int(t.seen.load.Running), Waiting: req.behind(now, t.seen.load),
+		LoadAge: now.Sub(t.seen.loadAt), Typical: typical, Pending: t.seen.pending, Service: t.service(expected),
+		Path: p.roundTrip(t.Host.Name), Warmth: warm, Local: t.Host.DC == cfg.DC,
+		Fails: t.seen.sick.Fails(now, model),
+	}
+}
+
+const (
+	// freshLoad is how old a count may be to speak for the service's load, and
+	// for the repeats that a guard has left.
+	freshLoad = time.Second
+	// typicalLoad is the load a slot that is assumed where nothing fresh is
+	// known.
+	typicalLoad = 0.3
+)
+
+// typical is the load a slot of the usable targets by the counts that are fresh:
+// hosts far away tell theirs with answers only. The caller holds the lock.
+func (st *serviceState) typical(now time.Time, req *request) balance.Typical {
+	slots, running, waiting := 0, 0, time.Duration(0)
+	for _, i := range st.choice.usable {
+		t := st.targets[i]
+		if now.Sub(t.seen.loadAt) > freshLoad {
+			continue
+		}
+		slots += t.Slots
+		running += int(t.seen.load.Running)
+		waiting += req.behind(now, t.seen.load)
+	}
+	if slots == 0 {
+		return balance.Typical{Running: typicalLoad}
+	}
+	return balance.Typical{Running: float64(running) / float64(slots), Waiting: waiting / time.Duration(slots)}
+}
+
+// behind is the work that would go before the request at an instance, in the time
+// of one slot: all of higher priority, and of its own what is due before it. A
+// queue that takes only what will be in time holds no more of that than fits
+// into the time that the request has left; half of it is expected.
+//
+// Counting all that waits sent requests of the highest priority to sick
+// instances because work of lower priority waited at well ones: a fifth of them
+// failed so on a day on which most instances of a service were sick.
+func (req *request) behind(now time.Time, l msg.Load) time.Duration {
+	var higher uint32
+	for p := req.route.Priority + 1; p < len(l.WaitingMS); p++ {
+		higher += l.WaitingMS[p]
+	}
+	own := time.Duration(l.WaitingMS[min(req.route.Priority, len(l.WaitingMS)-1)]) * time.Millisecond
+	left := max(req.route.Objective()-now.Sub(req.arrived), 0)
+	due := left / 2 * time.Duration(l.Slots)
+	return time.Duration(higher)*time.Millisecond + min(own, due)
+}
+
+// model is what is assumed of instances that fail by turns.
+var model = chance.Default()
+
+const (
+	// againWeight is how much of a failure counts for work that can be repeated:
+	// a repeat may save it, but the budget does not pay for all when many fail.
+	againWeight = 0.8
+	// distanceStake is what bytes between data centres are worth, as a part of
+	// the request's value.
+	distanceStake = 0.05
+)
+
+// stakes says what the choice of a target means for a request, which can be
+// repeated only where the budget has a repeat.
+func (req *request) stakes(now time.Time, repeatable bool) balance.Stakes {
+	weight := 1.0
+	if repeatable {
+		weight = againWeight
+	}
+	objective := req.route.Objective()
+	return balance.Stakes{
+		Objective: objective, Left: objective - now.Sub(req.arrived),
+		FailureWeight: weight, Distance: distanceStake,
+	}
+}
+
+// expected is the mean service time of a request's route, a third of its
+// objective before any answer. The caller holds the lock.
+func (st *serviceState) expected(req *request) time.Duration {
+	if l, ok := st.routes[req.route.Name]; ok && l.mean > 0 {
+		return l.mean
+	}
+	return req.route.Objective() / 3
+}
--- /dev/null
+++ b/internal/front/weigh_test.go
@@ -0,0 +1,40 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/core/balance"
+	"github.com/radishhoist/radishhoist/internal/core/route"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+func weighed(priority int, objective time.Duration, now time.Time) *request {
+	r := &route.Route{Route: record.Route{Priority: priority, ObjectiveMS: int(objective.Milliseconds())}}
+	return &request{route: r, arrived: now}
+}
+
+// A request waits for what is served before it and for nothing else: at a well
+// instance with a long queue of lower priority it is seated next, and a sick one
+// is no match for that.
+func TestOnlyWhatGoesFirstIsWaitedFor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	load := msg.Load{Slots: 4, Running: 4, Queued: 9, WaitingMS: [4]uint32{3000, 5000, 2000, 400}}
+	second := 1000 * time.Millisecond
+	assert.Equal(t, weighed(3, time.Minute, now).behind(now, load), 400*time.Millisecond)
+	assert.Equal(t, weighed(1, time.Minute, now).behind(now, load), 7400*time.Millisecond)
+	assert.Equal(t, weighed(1, second, now).behind(now, load), 2400*time.Millisecond+2*second, "half a second at four slots")
+	assert.Equal(t, weighed(1, second, now).behind(now.Add(2*second), load), 2400*time.Millisecond, "nothing of its own priority is due before")
+
+	urgent := weighed(3, 800*time.Millisecond, now)
+	cost := func(l msg.Load, fails float64) float64 {
+		return balance.Cost(balance.Candidate{
+			Slots: 4, Running: int(l.Running), Waiting: urgent.behind(now, l), Service: 240 * time.Millisecond,
+			Path: time.Millisecond, Warmth: 1, Local: true, Fails: fails,
+		}, urgent.stakes(now, false))
+	}
+	assert.Assert(t, cost(load, 0.03) < cost(msg.Load{Slots: 4}, 0.7))
+}
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/core/admit"
 	"github.com/radishhoist/radishhoist/internal/core/chance"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
@@ -71,8 +72,13 @@
 // loadAt is load for a caller that holds the lock.
 func (i *instance) loadAt(now time.Time) msg.Load {
 	sick := i.sick.Sick(now, i.guard.model)
+	var waiting [admit.Priorities]uint32
+	for p, work := range i.queue.Waiting() {
+		waiting[p] = uint32(work.Milliseconds())
+	}
 	return msg.Load{
-		Slots: uint32(i.slots), Running: uint32(i.queue.Running()), Queued: uint32(i.queue.Queued()),
+		WaitingMS: waiting,
+		Slots:     uint32(i.slots), Running: uint32(i.queue.Running()), Queued: uint32(i.queue.Queued()),
 		Health: uint8(i.detector.Health()), Evidence: uint32(i.detector.Evidence() * evidenceScale),
 		Sick: uint16(sick * msg.Thousandths), Repeats: i.guard.repeats.left(now, i.service), Wants: i.wants(now, sick),
 	}
--- a/internal/msg/requests.go
+++ b/internal/msg/requests.go
@@ -20,6 +20,9 @@
 	Slots   uint32
 	Running uint32
 	Queued  uint32
+	// WaitingMS is the work that waits at each priority, in milliseconds of one
+	// slot: a newcomer waits behind its own and the higher ones only.
+	WaitingMS [4]uint32
 	// Health is the guard's judgement of the instance, see detect.Health.
 	Health uint8
 	// Evidence is the detector's score, in hundredths of a nat.
--- a/internal/msg/requests_gen.go
+++ b/internal/msg/requests_gen.go
@@ -596,11 +596,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint32(o, z.Slots)
 	o = msgp.AppendUint32(o, z.Running)
 	o = msgp.AppendUint32(o, z.Queued)
+	o = msgp.AppendArrayHeader(o, uint32(4))
+	for za0001 := range z.WaitingMS {
+		o = msgp.AppendUint32(o, z.WaitingMS[za0001])
+	}
 	o = msgp.AppendUint8(o, z.Health)
 	o = msgp.AppendUint32(o, z.Evidence)
 	o = msgp.AppendUint16(o, z.Sick)
@@ -617,8 +621,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Slots, bts, err = msgp.ReadUint32Bytes(bts)
@@ -636,6 +640,23 @@
 		err = msgp.WrapError(err, "Queued")
 		return
 	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitingMS")
+		return
+	}
+	if zb0002 != uint32(4) {
+		err = msgp.ArrayError{Wanted: uint32(4), Got: zb0002}
+		return
+	}
+	for za0001 := range z.WaitingMS {
+		z.WaitingMS[za0001], bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "WaitingMS", za0001)
+			return
+		}
+	}
 	z.Health, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Health")
@@ -667,7 +688,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (4 * (msgp.Uint32Size)) + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
 	return
 }
 
