Instances that refuse with free slots are found out; calls of repeats charged whole

Cause of the first: a refusal that says that it has not run was no evidence, so that an instance which refuses nearly everything looked idle and drew the work. Its guard knows that it had a free slot. The share of such refusals is told and weighs in the choice.

--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -50,6 +50,8 @@
 	loadAt  time.Time
 	// sick is the guard's estimate of the instance's state.
 	sick chance.Estimate
+	// sheds is the share of requests that the instance refuses with free slots.
+	sheds chance.Share
 	// pace is the instance's service time relative to that of its peers on the
 	// same routes; 0 before any answer.
 	pace float64
@@ -211,6 +213,7 @@
 func (o *observed) hear(now time.Time, load msg.Load) {
 	o.load, o.loadAt = load, now
 	o.sick = chance.At(now, load.SickChance())
+	o.sheds = chance.ShareAt(now, float64(load.Sheds)/msg.Thousandths)
 }
 
 // expectAt is how long a request is expected to run at a target.
--- a/internal/front/weigh.go
+++ b/internal/front/weigh.go
@@ -20,10 +20,22 @@
 		Slots: t.Slots, Running: int(t.seen.load.Running), Waiting: req.behind(now, t.seen.load),
 		LoadAge: now.Sub(t.seen.loadAt), Typical: typical, Pending: t.seen.pending, Service: t.service(expected),
 		Path: p.roundTrip(t.Host.Name), Warmth: warm, Local: t.Host.DC == cfg.DC,
-		Fails: t.seen.sick.Fails(now, model),
+		Fails: t.seen.fails(now),
 	}
 }
 
+// refusalWeight is how much of a failure a refusal counts for: the request has
+// not run and can be sent elsewhere, but that takes time and a repeat. Whole
+// failures made matters worse where all instances of a service refused half of
+// what they got: the choice ran from one to the other (served 0.66 to 0.63).
+const refusalWeight = 0.3
+
+// fails is the chance that a request is lost at the instance. The service's lock
+// is held.
+func (o *observed) fails(now time.Time) float64 {
+	return 1 - (1-o.sick.Fails(now, model))*(1-refusalWeight*o.sheds.Now(now))
+}
+
 const (
 	// freshLoad is how old a count may be to speak for the service's load, and
 	// for the repeats that a guard has left.
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -9,13 +9,20 @@
 )
 
 // saw takes the outcome of a request as evidence on the instance's state, as
-// soon as it is known. Load that it sheds is none.
+// soon as it is known.
 func (i *instance) saw(now time.Time, r result) {
-	if r.shed || r.cut || r.excused {
-		return
-	}
 	i.mu.Lock()
-	i.sick.Saw(now, r.failed, i.guard.model)
+	switch {
+	case r.shed:
+		i.sheds.Saw(now, i.hadRoom(now))
+	case r.cut:
+		i.cutAt = now
+	default:
+		i.sheds.Saw(now, false)
+	}
+	if !r.shed && !r.cut && !r.excused {
+		i.sick.Saw(now, r.failed, i.guard.model)
+	}
 	if r.failed {
 		i.failedAt = now
 	}
@@ -23,6 +30,15 @@
 	i.tell(now)
 }
 
+// hadRoom says that a request which the instance refused had a free slot there:
+// nothing reaches an instance but through its guard. An instance that does so
+// looks idle and would draw more and more work. Requests that were broken off
+// may still run for a while. The caller holds the lock; the refused request
+// still counts as running.
+func (i *instance) hadRoom(now time.Time) bool {
+	return i.queue.Running() < i.slots && now.Sub(i.cutAt) > leftoverWork
+}
+
 const (
 	// sickNews is by how many thousandths the estimate must differ from what the
 	// fronts believe to be told to them at once.
@@ -32,6 +48,9 @@
 	// tellAgain is how often nearby fronts are told in any case: some have just
 	// started, or had not heard of the instance.
 	tellAgain = 2 * time.Second
+	// leftoverWork is for how long an instance may still work on a request that
+	// was broken off: about as long as one takes at the offices.
+	leftoverWork = time.Second
 	// wantAgain is how often a trial is asked for.
 	wantAgain = 300 * time.Millisecond
 )
@@ -42,7 +61,7 @@
 	i.mu.Lock()
 	load := i.loadAt(now)
 	believed := i.toldSick.Sick(now, i.guard.model) * msg.Thousandths
-	turned := differ(int(load.Sick), int(believed)) >= sickNews
+	turned := differ(int(load.Sick), int(believed)) >= sickNews || differ(int(load.Sheds), int(i.told.Sheds)) >= sickNews
 	stale := now.Sub(i.toldAt) >= tellAgain || load.Wants && now.Sub(i.toldAt) >= wantAgain
 	news := turned || stale || load.Wants != i.told.Wants || float64(differ(busy(load), busy(i.told))) >= busyNews*float64(i.slots)
 	if news {
@@ -80,7 +99,8 @@
 		WaitingMS: waiting,
 		Slots:     uint32(i.slots), Running: uint32(i.queue.Running()), Queued: uint32(i.queue.Queued()),
 		Health: uint8(i.detector.Health()), Evidence: uint32(i.detector.Evidence() * evidenceScale),
-		Sick: uint16(sick * msg.Thousandths), Repeats: i.guard.repeats.left(now, i.service), Wants: i.wants(now, sick),
+		Sick: uint16(sick * msg.Thousandths), Sheds: uint16(i.sheds.Now(now) * msg.Thousandths),
+		Repeats: i.guard.repeats.left(now, i.service), Wants: i.wants(now, sick),
 	}
 }
 
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -34,6 +34,10 @@
 	sick      chance.Estimate
 	// failedAt is when a request last failed.
 	failedAt time.Time
+	// sheds is the share of recent requests that it refused with a free slot.
+	sheds chance.Share
+	// cutAt is when a request was last broken off.
+	cutAt time.Time
 	// told is what fronts were told last, and toldSick what they make of it
 	// since.
 	told     msg.Load
@@ -243,7 +247,7 @@
 	service time.Duration
 	// failed counts against the instance.
 	failed bool
-	// shed says the instance refused by load: no evidence either way.
+	// shed says that the instance refused the request, which did not run.
 	shed bool
 	// cut says the request was stopped from outside before it ended.
 	cut bool
--- a/internal/guard/repeats.go
+++ b/internal/guard/repeats.go
@@ -11,16 +11,12 @@
 
 const (
 	// budgetPart is the part of the retry budget that guards let through. The
-	// rest covers what no guard can know exactly: which of the requests that
-	// begin on a host are calls of a repeated run, and hosts that join meanwhile.
+	// rest covers what no guard can know exactly: how many calls the repeated
+	// runs make, and hosts that join meanwhile.
 	budgetPart = 0.9
 	// keepForFirst is the part of the allowance that hedges and repeats beyond
 	// their objective leave to those that still save an answer in time.
 	keepForFirst = 0.5
-	// callShare is the part of the requests that begin on a host that are calls
-	// of its instances: 0.4 at one office and 0.5 at the other. Taking all of
-	// them for calls spent half of the budget on callers' first requests.
-	callShare = 0.6
 	// shrinkWindows is for how many windows a service counts as kept by as many
 	// guards as before after some have gone: these may have spent their part.
 	shrinkWindows = 2
@@ -175,8 +171,10 @@
 }
 
 // CallPart is the chance that a request that begins on this host is a call of a
-// repeated run, in thousandths. Such calls are repeats at the services that they
-// go to, and nothing tells them from others.
+// repeated run, in thousandths, if it is a call at all. Such calls are repeats at
+// the services that they go to, and nothing tells them from others. Taking three
+// fifths of what begins on a host for calls let a service have 184 repeats where
+// 180 were allowed: a host whose instances call much has a greater share.
 func (g *Guard) CallPart() uint16 {
 	r := g.repeats
 	r.mu.Lock()
@@ -184,5 +182,5 @@
 	if r.running == 0 {
 		return 0
 	}
-	return uint16(callShare * float64(r.parts) / float64(r.running))
+	return uint16(r.parts / r.running)
 }
--- a/internal/msg/requests.go
+++ b/internal/msg/requests.go
@@ -30,6 +30,9 @@
 	// Sick is the guard's estimate of the chance that the instance is failing
 	// most of its requests at present, in thousandths.
 	Sick uint16
+	// Sheds is the share of recent requests that the instance refused though it
+	// had a free slot, in thousandths.
+	Sheds uint16
 	// Repeats is how many repeats the guard's part of the service's retry
 	// budget has left.
 	Repeats uint16
--- a/internal/msg/requests_gen.go
+++ b/internal/msg/requests_gen.go
@@ -596,8 +596,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint32(o, z.Slots)
 	o = msgp.AppendUint32(o, z.Running)
 	o = msgp.AppendUint32(o, z.Queued)
@@ -608,6 +608,7 @@
 	o = msgp.AppendUint8(o, z.Health)
 	o = msgp.AppendUint32(o, z.Evidence)
 	o = msgp.AppendUint16(o, z.Sick)
+	o = msgp.AppendUint16(o, z.Sheds)
 	o = msgp.AppendUint16(o, z.Repeats)
 	o = msgp.AppendBool(o, z.Wants)
 	return
@@ -621,8 +622,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Slots, bts, err = msgp.ReadUint32Bytes(bts)
@@ -672,6 +673,11 @@
 		err = msgp.WrapError(err, "Sick")
 		return
 	}
+	z.Sheds, bts, err = msgp.ReadUint16Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sheds")
+		return
+	}
 	z.Repeats, bts, err = msgp.ReadUint16Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Repeats")
@@ -688,7 +694,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (4 * (msgp.Uint32Size)) + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (4 * (msgp.Uint32Size)) + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
 	return
 }
 
