Routes that callers use are not charged as calls of repeated runs

Cause: first sends are charged to the retry budget by the share of repeated runs on the host where they begin, as they may be calls of these. Callers' own requests were charged as well and spent about half of the budget of a service that gets no calls. A route of which some requests begin on hosts where nothing runs is callers'; its requests are not charged any more.

Ruled out as a sign: the time limit a call comes with (a constant in most), the address that it comes from (the same).

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/core/header"
 	"github.com/radishhoist/radishhoist/internal/core/once"
+	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/wire"
 	"github.com/radishhoist/radishhoist/verdict"
@@ -123,7 +124,8 @@
 		UsedMS:      uint32(max(time.Since(y.req.arrived).Milliseconds(), 0)),
 		ExpectMS:    uint32(y.req.state.expectAt(y.req, y.target).Milliseconds()),
 		Insist:      y.as.insist,
-		Repeat:      y.as.repeat, Hedge: y.as.hedge, CallPart: y.front.guard.CallPart(),
+		Repeat:      y.as.repeat, Hedge: y.as.hedge,
+		CallPart: y.req.callPart, Idle: y.req.idle, Route: uint32(guard.InstanceHash(y.req.route.Name)),
 	}
 }
 
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -43,6 +43,10 @@
 	restUsed bool
 	length   int64
 	attempts int
+	// callPart and idle tell guards whether it may be a call of a repeated run,
+	// see msg.Aim.
+	callPart uint16
+	idle     bool
 	// trail are the attempts that have ended, for the log.
 	trail []step
 	// unpaid says that the budget had no token for a repeat.
@@ -101,7 +105,7 @@
 	if !view.Whole {
 		return nil, retryLater(verdict.ReasonNotReady, "this host does not have the whole configuration yet", time.Second)
 	}
-	req := &request{id: requestID(r), arrived: time.Now(), http: r}
+	req := &request{id: requestID(r), arrived: time.Now(), http: r, callPart: f.guard.CallPart(), idle: f.guard.Idle()}
 	host := r.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -35,9 +35,9 @@
 	}()
 	started := time.Now()
 	x.inst.start(started, x.waiter)
-	x.guard.repeats.begin(started, x.inst.service, x.held, x.part)
+	part := x.guard.repeats.begin(started, x.inst.service, x.held, x.aim)
 	x.held = false
-	defer x.guard.repeats.end(x.part)
+	defer x.guard.repeats.end(part)
 	res, failure := x.exchangeHTTP(ctx, m, started)
 	res.service = time.Since(started)
 	if failure != nil && ctx.Err() != nil {
--- a/internal/guard/repeats.go
+++ b/internal/guard/repeats.go
@@ -40,7 +40,9 @@
 // keeper is the budget of one service.
 type keeper struct {
 	budget *retry.Budget
-	share  float64
+	// origins tells which routes to the service are calls.
+	origins *retry.Origins
+	share   float64
 	// guards is among how many the reserve is divided. fewer is how many there
 	// are since then, where some have gone.
 	guards int
@@ -62,7 +64,7 @@
 	for name, s := range d.Services {
 		k, ok := r.byService[name]
 		if !ok {
-			k = &keeper{budget: retry.NewBudget(now, retry.Limits{})}
+			k = &keeper{budget: retry.NewBudget(now, retry.Limits{}), origins: retry.NewOrigins()}
 			r.byService[name] = k
 		}
 		k.share = s.Record.RetryShare()
@@ -133,22 +135,31 @@
 	}
 }
 
-// begin records that a request is sent to an instance. What was held is used;
-// any other send counts as fresh, and as much for a repeat as its front says.
-func (r *repeats) begin(now time.Time, service string, held bool, part uint16) {
+// begin records that a request is sent to an instance and gives what its run
+// counts for among those that are repeats, in thousandths. What was held is used.
+// Any other send counts as fresh, and where its route is one of calls as much for
+// a repeat as its front says.
+func (r *repeats) begin(now time.Time, service string, held bool, aim msg.Aim) uint16 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.running++
-	r.parts += int(part)
+	part := uint16(0)
 	k, ok := r.byService[service]
 	switch {
 	case !ok:
 	case held:
+		part = msg.Thousandths
 		k.budget.Use(now)
 	default:
 		k.budget.Fresh(now)
-		k.budget.Charge(now, float64(part)/msg.Thousandths)
+		k.origins.Saw(now, aim.Route, aim.Idle)
+		if !k.origins.Callers(aim.Route) {
+			part = min(aim.CallPart, msg.Thousandths)
+			k.budget.Charge(now, float64(part)/msg.Thousandths)
+		}
 	}
+	r.running++
+	r.parts += int(part)
+	return part
 }
 
 // end takes a run off the count.
@@ -170,11 +181,19 @@
 	return uint16(min(k.budget.Left(now), 1<<16-1))
 }
 
+// Idle says that nothing runs on this host's instances.
+func (g *Guard) Idle() bool {
+	g.repeats.mu.Lock()
+	defer g.repeats.mu.Unlock()
+	return g.repeats.running == 0
+}
+
 // CallPart is the chance that a request that begins on this host is a call of a
-// repeated run, in thousandths, if it is a call at all. Such calls are repeats at
-// the services that they go to, and nothing tells them from others. Taking three
-// fifths of what begins on a host for calls let a service have 184 repeats where
-// 180 were allowed: a host whose instances call much has a greater share.
+// repeated run, in thousandths, if it is a call at all: such calls are repeats at
+// the services that they go to, and nothing tells which run has made one. Taking
+// three fifths of what begins on a host for calls let a service have 184 repeats
+// where 180 were allowed; taking all of it spent half of the budget of a service
+// that gets no calls. Hence retry.Origins.
 func (g *Guard) CallPart() uint16 {
 	r := g.repeats
 	r.mu.Lock()
--- a/internal/guard/repeats_test.go
+++ b/internal/guard/repeats_test.go
@@ -70,12 +70,10 @@
 			if i = firstAlive(alive, i); i < 0 {
 				continue
 			}
-			all[i].begin(now, "s", false, 0)
-			all[i].end(0)
+			all[i].end(all[i].begin(now, "s", false, msg.Aim{}))
 			fresh = append(fresh, now)
 			for all[i].hold(now, "s", msg.Aim{}) {
-				all[i].begin(now, "s", true, msg.Thousandths)
-				all[i].end(msg.Thousandths)
+				all[i].end(all[i].begin(now, "s", true, msg.Aim{}))
 				sent = append(sent, now)
 			}
 		}
@@ -137,9 +135,9 @@
 	for k := range perSecond * 30 {
 		now = now.Add(time.Second / perSecond)
 		r := all[k%guards]
-		r.begin(now, "s", false, 0)
+		r.begin(now, "s", false, msg.Aim{})
 		if k >= perSecond*20 && r.hold(now, "s", msg.Aim{}) {
-			r.begin(now, "s", true, msg.Thousandths)
+			r.begin(now, "s", true, msg.Aim{})
 			spent++
 		}
 	}
@@ -161,15 +159,27 @@
 	assert.Assert(t, r.hold(now, "s", msg.Aim{ObjectiveMS: 500, UsedMS: 100}))
 }
 
-// What begins on a host that runs repeats may be their calls.
+// What begins on a host that runs repeats may be their calls, unless callers use
+// the route.
 func TestCallsOfRepeatedRunsAreToldByChance(t *testing.T) {
+	now := time.Now()
 	g := newTestGuard(t, "127.0.0.1:1")
+	g.repeats.apply(now.Add(-time.Minute), seenBy([]bool{true}), repeatLimits())
+	assert.Assert(t, g.Idle())
 	assert.Equal(t, g.CallPart(), uint16(0))
-	g.repeats.begin(time.Now(), "s", false, 0)
-	g.repeats.begin(time.Now(), "s", true, msg.Thousandths)
+	fresh := g.repeats.begin(now, "s", false, msg.Aim{Route: 1, Idle: true})
+	assert.Equal(t, fresh, uint16(0))
+	assert.Assert(t, g.repeats.hold(now, "s", msg.Aim{}))
+	repeat := g.repeats.begin(now, "s", true, msg.Aim{Repeat: true, Route: 1})
 	assert.Equal(t, g.CallPart(), uint16(msg.Thousandths/2))
-	g.repeats.end(msg.Thousandths)
-	assert.Equal(t, g.CallPart(), uint16(0))
+	assert.Assert(t, !g.Idle())
+
+	before := g.repeats.left(now, "s")
+	assert.Equal(t, g.repeats.begin(now, "s", false, msg.Aim{Route: 2, CallPart: msg.Thousandths}), uint16(msg.Thousandths))
+	assert.Equal(t, g.repeats.left(now, "s"), before-1)
+	g.repeats.begin(now, "s", false, msg.Aim{Route: 1, Idle: true})
+	assert.Equal(t, g.repeats.begin(now, "s", false, msg.Aim{Route: 1, CallPart: msg.Thousandths}), uint16(0), "callers use route 1")
+	g.repeats.end(repeat)
 }
 
 // A repeat beyond the budget is refused before it reaches the instance; a first
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -39,10 +39,9 @@
 	lost    chan struct{}
 	// deadline is when the caller stops waiting, on this host's clock.
 	deadline time.Time
-	// part is what the run counts for among those that are repeats, in
-	// thousandths; held says that a repeat was set aside for the request and is
-	// not sent yet.
-	part uint16
+	// aim is what the front tells of the request; held says that a repeat was set
+	// aside for it and is not sent yet.
+	aim  msg.Aim
 	held bool
 }
 
@@ -225,11 +224,10 @@
 // holdRepeat sets aside what the request takes of the retry budget; false where
 // that is spent. A first send is never refused.
 func (x *exchange) holdRepeat(aim msg.Aim) bool {
+	x.aim = aim
 	if !aim.Repeat {
-		x.part = min(aim.CallPart, msg.Thousandths)
 		return true
 	}
-	x.part = msg.Thousandths
 	x.held = x.guard.repeats.hold(x.arrived, x.inst.service, aim)
 	return x.held
 }
--- a/internal/msg/requests.go
+++ b/internal/msg/requests.go
@@ -95,8 +95,12 @@
 	// Hedge that it is under way at one.
 	Repeat, Hedge bool
 	// CallPart is the chance that the request is a call of a repeated run, in
-	// thousandths: it counts for so much in the retry budget.
+	// thousandths, if it is a call: it counts for so much in the retry budget.
 	CallPart uint16
+	// Idle says that nothing ran on the host where the request began, and Route
+	// is a hash of its route's name: together they tell which routes are calls.
+	Idle  bool
+	Route uint32
 }
 
 // Reserve asks a guard for a slot before a request that is not idempotent.
--- a/internal/msg/requests_gen.go
+++ b/internal/msg/requests_gen.go
@@ -16,8 +16,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Aim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint32(o, z.ObjectiveMS)
 	o = msgp.AppendUint32(o, z.UsedMS)
 	o = msgp.AppendUint32(o, z.ExpectMS)
@@ -25,6 +25,8 @@
 	o = msgp.AppendBool(o, z.Repeat)
 	o = msgp.AppendBool(o, z.Hedge)
 	o = msgp.AppendUint16(o, z.CallPart)
+	o = msgp.AppendBool(o, z.Idle)
+	o = msgp.AppendUint32(o, z.Route)
 	return
 }
 
@@ -36,8 +38,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.ObjectiveMS, bts, err = msgp.ReadUint32Bytes(bts)
@@ -75,13 +77,23 @@
 		err = msgp.WrapError(err, "CallPart")
 		return
 	}
+	z.Idle, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Idle")
+		return
+	}
+	z.Route, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Route")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Aim) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.Uint16Size
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.Uint16Size + msgp.BoolSize + msgp.Uint32Size
 	return
 }
 
