A stopping host makes no attempt that its end would break off

The host was stopped at 26.6 s after its instance had left, and again at 28.9 s in its turn; it ended by the first, as the platform does with its kill. Requests were sent to instances 0.6 to 2.95 s before that end though they usually take 2.6 s, and were cut.

Now an attempt needs 1.5 times what its route usually takes; the end is at 95 % of the time to the kill (nine tenths before), and a further stop signal gives the time anew. Ruled out: waiting for the second kill, the process is killed 6 s after the first stop (trial with a drain timeout of 16 s).

--- a/cmd/radishhoistd/main.go
+++ b/cmd/radishhoistd/main.go
@@ -92,7 +92,11 @@
 	})
 	<-stop
 	cancel()
-	if !d.Shutdown() {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGTERM)
+	// A second interrupt from a terminal ends the process at once.
+	signal.Stop(stop)
+	if !d.Shutdown(again) {
 		return fmt.Errorf("requests were still running at the drain timeout of %s", cfg.DrainTimeout)
 	}
 	return nil
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -66,7 +66,7 @@
 	tb.Cleanup(func() {
 		t.Stop()
 		for _, d := range daemons {
-			d.Shutdown()
+			d.Shutdown(nil)
 		}
 	})
 	p := &pair{front: daemons[0], host: daemons[1], target: t}
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"os"
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/event"
@@ -20,28 +21,31 @@
 	// fleet whose hosts are stopped one after the other would be short of them.
 	servingShare = 0.75
 	// endingShare is the part of the drain timeout in which requests may run.
-	endingShare = 0.9
+	endingShare = 0.95
 	// closeTimeout bounds the closing of the small servers.
 	closeTimeout = 200 * time.Millisecond
 )
 
 // Shutdown stops gracefully: callers are told to turn elsewhere, targets get
 // short work for a while longer, then the fleet is told, new work is refused,
-// everything in flight ends, and it closes. It needs no platform. It
-// reports whether all in flight had ended in time.
-func (d *Daemon) Shutdown() bool {
+// everything in flight ends, and it closes. It needs no platform. Whoever asks
+// for the stop once more, on again, gives it the whole time anew. It reports
+// whether all in flight had ended in time.
+func (d *Daemon) Shutdown(again <-chan os.Signal) bool {
 	d.stopped.Store(true)
-	event.Log(d.log, event.Draining, slog.String("cause", "shutdown"))
 	timeout := d.cfg.Load().DrainTimeout
 	takingTime := min(leaveGrace, portion(timeout, takingShare))
 	taking, stopTaking := context.WithTimeout(context.Background(), takingTime)
 	defer stopTaking()
 	serving, stopServing := context.WithTimeout(taking, portion(takingTime, servingShare))
 	defer stopServing()
-	ctx, cancel := context.WithTimeout(context.Background(), portion(timeout, endingShare))
-	defer cancel()
 	d.front.Drain()
-	d.guard.EndBy(time.Now().Add(portion(timeout, endingShare)))
+	ctx, cancel := untilQuiet(portion(timeout, endingShare), again, func(end time.Time) {
+		d.front.EndBy(end)
+		d.guard.EndBy(end)
+		event.Log(d.log, event.Draining, slog.String("cause", "asked to stop"), slog.Duration("within", time.Until(end).Round(time.Millisecond)))
+	})
+	defer cancel()
 	<-serving.Done()
 	// Keys are handed over just before the fleet hears of it: a shard that is
 	// frozen and whose owner still counts as there takes no key.
@@ -65,6 +69,32 @@
 	return whole
 }
 
+// untilQuiet gives a context that ends a time after the last stop signal, and
+// tells each new end. A host may be stopped for two reasons, one after the other;
+// what asked last waits for as long as what asked first did. Ending by the first
+// request cut off work of 3 s, 3 s after the second.
+func untilQuiet(wait time.Duration, again <-chan os.Signal, tell func(end time.Time)) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	tell(time.Now().Add(wait))
+	go func() {
+		defer cancel()
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		for {
+			select {
+			case <-again:
+				tell(time.Now().Add(wait))
+				timer.Reset(wait)
+			case <-timer.C:
+				return
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // lastAnswers lets the answers to abandoned requests go out.
 func (d *Daemon) lastAnswers() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -63,6 +63,9 @@
 	services services
 	draining atomic.Bool
 	refusing atomic.Bool
+	// endBy is when the requests under way are going to be abandoned, nil while
+	// the process is not stopping.
+	endBy atomic.Pointer[time.Time]
 	// life ends when the requests under way are to be abandoned.
 	life    context.Context
 	abandon context.CancelFunc
@@ -105,6 +108,21 @@
 // Drain makes the front tell its callers' connections to close.
 func (f *Front) Drain() { f.draining.Store(true) }
 
+// EndBy says when the requests under way are going to be abandoned.
+func (f *Front) EndBy(end time.Time) { f.endBy.Store(&end) }
+
+// endMargin is how many times as long as a request usually takes an attempt must
+// have before the end to be made. At the offices one answer in seven takes
+// longer than that; with no margin a request was sent to its instance 0.6 s
+// before the end and broken off there.
+const endMargin = 1.5
+
+// fits says that an attempt that is expected to take a time has room for it.
+func (f *Front) fits(now time.Time, expect time.Duration) bool {
+	end := f.endBy.Load()
+	return end == nil || !now.Add(time.Duration(endMargin*float64(expect))).After(*end)
+}
+
 // Refuse makes the front take no more requests, once callers have had time to
 // turn to other hosts.
 func (f *Front) Refuse() { f.refusing.Store(true) }
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -52,6 +52,10 @@
 	if c.spent() {
 		return pick{}, false
 	}
+	if !c.front.fits(time.Now(), c.req.state.usual(c.req)) {
+		c.failed(retryLater(verdict.ReasonDraining, "this host is stopping and the request is expected to take too long; another takes it", defaultRetryAfter))
+		return pick{}, false
+	}
 	p, ok := c.front.choose(c.req, c.tried, repeat, c.rng)
 	if !ok {
 		c.unpaid(repeat)
--- a/internal/front/run_test.go
+++ b/internal/front/run_test.go
@@ -1,10 +1,13 @@
 package front
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/radishhoist/radishhoist/internal/core/route"
 	"github.com/radishhoist/radishhoist/verdict"
 )
 
@@ -28,3 +31,25 @@
 	assert.Equal(t, c.verdict().Reason, verdict.ReasonTargetShed)
 	assert.Equal(t, c.verdict().Verdict, verdict.NotRun)
 }
+
+// A host that is stopping makes no attempt that is expected to be broken off at
+// its end: the caller is told at once that nothing ran, and to go elsewhere.
+func TestNoAttemptIsMadeThatTheEndWouldBreakOff(t *testing.T) {
+	now := time.Now()
+	st := &serviceState{routes: map[string]*latency{"r": {mean: 2 * time.Second}}}
+	req := &request{state: st, route: &route.Route{Name: "r"}}
+	f := &Front{}
+	assert.Assert(t, f.fits(now, st.usual(req)), "it is not stopping")
+	f.EndBy(now.Add(3100 * time.Millisecond))
+	assert.Assert(t, f.fits(now, st.usual(req)))
+	assert.Assert(t, !f.fits(now.Add(200*time.Millisecond), st.usual(req)))
+
+	f.EndBy(now.Add(time.Second))
+	c := &race{front: f, req: req}
+	_, ok := c.next(false)
+	assert.Assert(t, !ok)
+	got := c.verdict()
+	assert.Equal(t, got.Reason, verdict.ReasonDraining)
+	assert.Equal(t, got.Status(), http.StatusServiceUnavailable)
+	assert.Assert(t, got.RetryAfterMS > 0)
+}
--- a/internal/front/weigh.go
+++ b/internal/front/weigh.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// usual is expected for a caller without the lock.
+func (st *serviceState) usual(req *request) time.Duration {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.expected(req)
+}
+
 // expected is the mean service time of a request's route, a third of its
 // objective before any answer. The caller holds the lock.
 func (st *serviceState) expected(req *request) time.Duration {
