Calls of repeated runs stay within the retry budget

They were counted as a quarter fewer, since the share of repeats was taken among all runs of the host, also those of work that is never repeated; they earned repeats; and they came after direct repeats had used up the budget.

Now the share is taken among runs that may be repeated, calls of repeats earn none, and a host of whose calls one finds no repeat left makes no repeats for a second.

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -34,7 +34,7 @@
 
 // bucket is what came in one part of the window.
 type bucket struct {
-	requests int
+	requests float64
 	repeats  float64
 }
 
@@ -55,8 +55,14 @@
 // SetLimits changes the limits.
 func (b *Budget) SetLimits(l Limits) { b.limits = l }
 
-// Fresh records one fresh request.
-func (b *Budget) Fresh(now time.Time) { b.current(now).requests++ }
+// Fresh records the first send of a request. callOfRepeat is the chance, 0 to 1,
+// that it is a call of a run that was itself a repeat: so much of it counts as a
+// repeat that nobody asked the budget for, and only the rest earns any.
+func (b *Budget) Fresh(now time.Time, callOfRepeat float64) {
+	c := b.current(now)
+	c.requests += 1 - callOfRepeat
+	c.repeats += callOfRepeat
+}
 
 // Take pays for one repeat that is sent at once and reports whether the budget
 // had it.
@@ -82,16 +88,12 @@
 // Use records that a repeat that was held is sent now.
 func (b *Budget) Use(now time.Time) {
 	b.held--
-	b.Charge(now, 1)
+	b.current(now).repeats++
 }
 
 // Release gives back a repeat that was held and is not sent.
 func (b *Budget) Release() { b.held-- }
 
-// Charge records a repeat, or a part of one, that nobody asked the budget for:
-// the calls of a run that was itself a repeat.
-func (b *Budget) Charge(now time.Time, part float64) { b.current(now).repeats += part }
-
 // Left is how many repeats the budget has now.
 func (b *Budget) Left(now time.Time) float64 {
 	left := b.allowance(now) - float64(b.held)
@@ -105,14 +107,14 @@
 // oldest part, which the window has partly left.
 func (b *Budget) allowance(now time.Time) float64 {
 	b.current(now)
-	requests := 0
+	requests := 0.0
 	oldest := (b.at + 1) % buckets
 	for i := range b.buckets {
 		if int64(i) != oldest {
 			requests += b.buckets[i].requests
 		}
 	}
-	allowed := b.limits.Share * float64(requests)
+	allowed := b.limits.Share * requests
 	if now.Sub(b.start) >= b.limits.Window {
 		allowed += b.limits.Reserve
 	}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -85,6 +85,9 @@
 	o := c.front.attempt(ctx, c.req, p, as, claim)
 	c.note(p.step, o)
 	c.req.state.observe(c.req, p.target, o)
+	if o.load.Overdrawn {
+		c.front.guard.Overdrawn(time.Now())
+	}
 	if !insist && o.fail != nil && o.fail.Reason == verdict.ReasonQueueFull {
 		c.reconsider(p.target)
 	}
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -35,9 +35,12 @@
 	}()
 	started := time.Now()
 	x.inst.start(started, x.waiter)
-	part := x.guard.repeats.begin(started, x.inst.service, x.held, x.aim)
+	run := x.guard.repeats.begin(started, x.inst.service, x.held, m.Idempotent, x.aim)
+	if !x.held {
+		x.callPart = run.part
+	}
 	x.held = false
-	defer x.guard.repeats.end(part)
+	defer x.guard.repeats.end(run)
 	res, failure := x.exchangeHTTP(ctx, m, started)
 	res.service = time.Since(started)
 	if failure != nil && ctx.Err() != nil {
@@ -112,7 +115,7 @@
 			end.QueueUS = micros(started.Sub(x.arrived))
 			// The count that goes with the answer knows of its outcome.
 			x.inst.saw(time.Now(), res)
-			end.Load = x.inst.load()
+			end.Load = x.load()
 			unsent = append(unsent, end)
 		}
 		if err := x.stream.Send(ctx, unsent...); err != nil {
--- a/internal/guard/repeats.go
+++ b/internal/guard/repeats.go
@@ -11,12 +11,15 @@
 
 const (
 	// budgetPart is the part of the retry budget that guards let through. The
-	// rest covers what no guard can know exactly: how many calls the repeated
-	// runs make, and hosts that join meanwhile.
-	budgetPart = 0.9
+	// rest covers what no guard can know or hold back: how many calls the repeated
+	// runs still make, 12 a second at the worst seen, and hosts that join.
+	budgetPart = 0.85
 	// keepForFirst is the part of the allowance that hedges and repeats beyond
 	// their objective leave to those that still save an answer in time.
 	keepForFirst = 0.5
+	// overdrawnFor is for how long a host makes no repeats after a call of its
+	// runs has found none left: about as long as a run with its calls takes.
+	overdrawnFor = time.Second
 	// shrinkWindows is for how many windows a service counts as kept by as many
 	// guards as before after some have gone: these may have spent their part.
 	shrinkWindows = 2
@@ -31,10 +34,14 @@
 type repeats struct {
 	mu        sync.Mutex
 	byService map[string]*keeper
-	// running counts the runs under way on this host, and parts what they count
-	// for as repeats.
-	running int
-	parts   int
+	// running counts the runs under way on this host, repeatable those of work
+	// that may be repeated, and parts what these count for as repeats.
+	running    int
+	repeatable int
+	parts      int
+	// overdrawnAt is when a call of this host's runs last found no repeat left at
+	// the service that it went to.
+	overdrawnAt time.Time
 }
 
 // keeper is the budget of one service.
@@ -123,7 +130,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k, ok := r.byService[service]
-	return ok && k.budget.Hold(now, keep)
+	return ok && now.Sub(r.overdrawnAt) > overdrawnFor && k.budget.Hold(now, keep)
+}
+
+// Overdrawn notes that a call that may be one of a repeated run of this host has
+// found no repeat left. Such calls cannot be refused, so that the host makes no
+// repeats for a while: a service that got 126 of them in 10 s had 206 repeats
+// where 198 were allowed.
+func (g *Guard) Overdrawn(now time.Time) {
+	g.repeats.mu.Lock()
+	defer g.repeats.mu.Unlock()
+	g.repeats.overdrawnAt = now
 }
 
 // release gives back a repeat that was held.
@@ -135,39 +152,54 @@
 	}
 }
 
-// begin records that a request is sent to an instance and gives what its run
-// counts for among those that are repeats, in thousandths. What was held is used.
+// sent is one run under way.
+type sent struct {
+	// part is what it counts for as a repeat, in thousandths.
+	part uint16
+	// repeatable says that it is work that may be repeated, or a repeat.
+	repeatable bool
+}
+
+// begin records that a request is sent to an instance. What was held is used.
 // Any other send counts as fresh, and where its route is one of calls as much for
 // a repeat as its front says.
-func (r *repeats) begin(now time.Time, service string, held bool, aim msg.Aim) uint16 {
+func (r *repeats) begin(now time.Time, service string, held, idempotent bool, aim msg.Aim) sent {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	part := uint16(0)
+	var run sent
 	k, ok := r.byService[service]
 	switch {
 	case !ok:
 	case held:
-		part = msg.Thousandths
+		run.part = msg.Thousandths
 		k.budget.Use(now)
 	default:
-		k.budget.Fresh(now)
 		k.origins.Saw(now, aim.Route, aim.Idle)
 		if !k.origins.Callers(aim.Route) {
-			part = min(aim.CallPart, msg.Thousandths)
-			k.budget.Charge(now, float64(part)/msg.Thousandths)
+			run.part = min(aim.CallPart, msg.Thousandths)
 		}
+		k.budget.Fresh(now, float64(run.part)/msg.Thousandths)
 	}
-	r.running++
-	r.parts += int(part)
-	return part
+	run.repeatable = idempotent || held
+	r.count(run, 1)
+	return run
 }
 
 // end takes a run off the count.
-func (r *repeats) end(part uint16) {
+func (r *repeats) end(run sent) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.running--
-	r.parts -= int(part)
+	r.count(run, -1)
+}
+
+// count adds a run to the counts, or with -1 takes it off. The caller holds the
+// lock.
+func (r *repeats) count(run sent, n int) {
+	r.running += n
+	if run.repeatable {
+		r.repeatable += n
+		r.parts += n * int(run.part)
+	}
 }
 
 // left is how many repeats this host's part of a service's budget has now.
@@ -190,16 +222,16 @@
 
 // CallPart is the chance that a request that begins on this host is a call of a
 // repeated run, in thousandths, if it is a call at all: such calls are repeats at
-// the services that they go to, and nothing tells which run has made one. Taking
-// three fifths of what begins on a host for calls let a service have 184 repeats
-// where 180 were allowed; taking all of it spent half of the budget of a service
-// that gets no calls. Hence retry.Origins.
+// the services that they go to, and nothing tells which run has made one. It is
+// the share of repeats among the runs of work that may be repeated: taken among
+// all runs, 108 calls of repeats in 10 s were counted as 83, because other work
+// ran on the same hosts, and a service had 222 repeats where 200 were allowed.
 func (g *Guard) CallPart() uint16 {
 	r := g.repeats
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.running == 0 {
+	if r.repeatable == 0 {
 		return 0
 	}
-	return uint16(r.parts / r.running)
+	return uint16(r.parts / r.repeatable)
 }
--- a/internal/guard/repeats_test.go
+++ b/internal/guard/repeats_test.go
@@ -70,10 +70,10 @@
 			if i = firstAlive(alive, i); i < 0 {
 				continue
 			}
-			all[i].end(all[i].begin(now, "s", false, msg.Aim{}))
+			all[i].end(all[i].begin(now, "s", false, true, msg.Aim{}))
 			fresh = append(fresh, now)
 			for all[i].hold(now, "s", msg.Aim{}) {
-				all[i].end(all[i].begin(now, "s", true, msg.Aim{}))
+				all[i].end(all[i].begin(now, "s", true, true, msg.Aim{}))
 				sent = append(sent, now)
 			}
 		}
@@ -135,9 +135,9 @@
 	for k := range perSecond * 30 {
 		now = now.Add(time.Second / perSecond)
 		r := all[k%guards]
-		r.begin(now, "s", false, msg.Aim{})
+		r.begin(now, "s", false, true, msg.Aim{})
 		if k >= perSecond*20 && r.hold(now, "s", msg.Aim{}) {
-			r.begin(now, "s", true, msg.Aim{})
+			r.begin(now, "s", true, true, msg.Aim{})
 			spent++
 		}
 	}
@@ -167,18 +167,18 @@
 	g.repeats.apply(now.Add(-time.Minute), seenBy([]bool{true}), repeatLimits())
 	assert.Assert(t, g.Idle())
 	assert.Equal(t, g.CallPart(), uint16(0))
-	fresh := g.repeats.begin(now, "s", false, msg.Aim{Route: 1, Idle: true})
-	assert.Equal(t, fresh, uint16(0))
+	assert.Equal(t, g.repeats.begin(now, "s", false, true, msg.Aim{Route: 1, Idle: true}).part, uint16(0))
+	g.repeats.begin(now, "s", false, false, msg.Aim{Route: 1, Idle: true})
 	assert.Assert(t, g.repeats.hold(now, "s", msg.Aim{}))
-	repeat := g.repeats.begin(now, "s", true, msg.Aim{Repeat: true, Route: 1})
-	assert.Equal(t, g.CallPart(), uint16(msg.Thousandths/2))
+	repeat := g.repeats.begin(now, "s", true, true, msg.Aim{Repeat: true, Route: 1})
+	assert.Equal(t, g.CallPart(), uint16(msg.Thousandths/2), "work that cannot be repeated says nothing of the calls of repeats")
 	assert.Assert(t, !g.Idle())
 
 	before := g.repeats.left(now, "s")
-	assert.Equal(t, g.repeats.begin(now, "s", false, msg.Aim{Route: 2, CallPart: msg.Thousandths}), uint16(msg.Thousandths))
+	assert.Equal(t, g.repeats.begin(now, "s", false, true, msg.Aim{Route: 2, CallPart: msg.Thousandths}).part, uint16(msg.Thousandths))
 	assert.Equal(t, g.repeats.left(now, "s"), before-1)
-	g.repeats.begin(now, "s", false, msg.Aim{Route: 1, Idle: true})
-	assert.Equal(t, g.repeats.begin(now, "s", false, msg.Aim{Route: 1, CallPart: msg.Thousandths}), uint16(0), "callers use route 1")
+	g.repeats.begin(now, "s", false, true, msg.Aim{Route: 1, Idle: true})
+	assert.Equal(t, g.repeats.begin(now, "s", false, true, msg.Aim{Route: 1, CallPart: msg.Thousandths}).part, uint16(0), "callers use route 1")
 	g.repeats.end(repeat)
 }
 
@@ -200,6 +200,25 @@
 	assert.Equal(t, serveOne(t, g, msg.Aim{CallPart: msg.Thousandths}).Reason, verdict.ReasonTargetDown)
 }
 
+// Calls of repeated runs cannot be refused. Where one finds no repeat left, the
+// host that it came from is told, and makes none itself for a while.
+func TestAHostWhoseCallsOverdrawMakesNoRepeats(t *testing.T) {
+	called := newTestGuard(t, "127.0.0.1:1")
+	called.limits.Store(&Limits{AnnounceExpiry: time.Hour, RetryReserve: 2, RetryWindow: testWindow})
+	called.repeats.apply(time.Now().Add(-time.Minute), seenBy([]bool{true}), *called.limits.Load())
+	call := msg.Aim{CallPart: msg.Thousandths, Route: 7}
+	assert.Assert(t, !serveOne(t, called, msg.Aim{Route: 7}).Load.Overdrawn, "no call of a repeat")
+	assert.Assert(t, serveOne(t, called, call).Load.Overdrawn)
+
+	now := time.Now()
+	caller := newTestGuard(t, "127.0.0.1:1")
+	caller.repeats.apply(now.Add(-time.Minute), seenBy([]bool{true}), repeatLimits())
+	assert.Assert(t, caller.repeats.hold(now, "s", msg.Aim{}))
+	caller.Overdrawn(now)
+	assert.Assert(t, !caller.repeats.hold(now, "s", msg.Aim{}))
+	assert.Assert(t, caller.repeats.hold(now.Add(2*overdrawnFor), "s", msg.Aim{}))
+}
+
 // A repeat that is given up in the queue gives back what it held.
 func TestAnAbandonedRepeatIsNotSpent(t *testing.T) {
 	g := newTestGuard(t, "127.0.0.1:1")
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -43,6 +43,8 @@
 	// aside for it and is not sent yet.
 	aim  msg.Aim
 	held bool
+	// callPart is the chance that the run is a call of a repeated run.
+	callPart uint16
 }
 
 // errGone says the front gave the request up or was lost.
@@ -239,11 +241,18 @@
 	}
 }
 
+// load is the count that goes with the end of the request.
+func (x *exchange) load() msg.Load {
+	l := x.inst.load()
+	l.Overdrawn = x.callPart > 0 && l.Repeats == 0
+	return l
+}
+
 // fail ends the stream with a verdict.
 func (x *exchange) fail(e *verdict.Error) {
 	f := &msg.Fail{Verdict: e.Verdict, Reason: e.Reason, Detail: e.Detail, RetryAfterMS: uint32(e.RetryAfterMS)}
 	if x.inst != nil {
-		f.Load = x.inst.load()
+		f.Load = x.load()
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, failTimeout)
 	defer cancel()
--- a/internal/msg/requests.go
+++ b/internal/msg/requests.go
@@ -36,6 +36,9 @@
 	// Repeats is how many repeats the guard's part of the service's retry
 	// budget has left.
 	Repeats uint16
+	// Overdrawn says that the request may have been a call of a repeated run, and
+	// that no repeat is left here: the host where it began makes too many.
+	Overdrawn bool
 	// Wants says that the guard would like a request that can be repeated, to
 	// learn whether the instance is well again.
 	Wants bool
--- a/internal/msg/requests_gen.go
+++ b/internal/msg/requests_gen.go
@@ -608,8 +608,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint32(o, z.Slots)
 	o = msgp.AppendUint32(o, z.Running)
 	o = msgp.AppendUint32(o, z.Queued)
@@ -622,6 +622,7 @@
 	o = msgp.AppendUint16(o, z.Sick)
 	o = msgp.AppendUint16(o, z.Sheds)
 	o = msgp.AppendUint16(o, z.Repeats)
+	o = msgp.AppendBool(o, z.Overdrawn)
 	o = msgp.AppendBool(o, z.Wants)
 	return
 }
@@ -634,8 +635,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Slots, bts, err = msgp.ReadUint32Bytes(bts)
@@ -695,6 +696,11 @@
 		err = msgp.WrapError(err, "Repeats")
 		return
 	}
+	z.Overdrawn, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Overdrawn")
+		return
+	}
 	z.Wants, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Wants")
@@ -706,7 +712,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (4 * (msgp.Uint32Size)) + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (4 * (msgp.Uint32Size)) + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint16Size + msgp.Uint16Size + msgp.Uint16Size + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
