Whatever keeps a request from a success leaves a line at the guard

Missing were the instance's own 504 (held for no evidence, hence not logged), requests given up while they waited or held a slot, refusals of a stopping host, and instances that are gone.

--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -27,8 +27,8 @@
 // exchange is one request on its way through the guard.
 type exchange struct {
 	guard *Guard
-	// request is the request's id.
-	request string
+	// request is the request's id; service and instance are what it asked for.
+	request, service, instance string
 	stream  wire.Stream
 	ctx     context.Context
 	arrived time.Time
@@ -70,20 +70,21 @@
 
 // admit offers the request to its instance and starts reading the stream.
 func (x *exchange) admit(service, name string, timeoutMS uint32, r admit.Request, aim msg.Aim, sample msg.Sample) bool {
+	x.service, x.instance = service, name
+	x.deadline = x.arrived.Add(time.Duration(timeoutMS) * time.Millisecond)
 	inst, ok := x.guard.find(service, name)
 	if !ok {
-		x.fail(refusal(verdict.ReasonUnknownTarget, "no such instance on this host"))
+		x.refuse(refusal(verdict.ReasonUnknownTarget, "no such instance on this host"))
 		return false
 	}
 	x.inst = inst
-	x.deadline = x.arrived.Add(time.Duration(timeoutMS) * time.Millisecond)
 	r.Deadline = x.deadline
 	objective := time.Duration(aim.ObjectiveMS) * time.Millisecond
 	if objective > 0 {
 		r.Objective = x.arrived.Add(objective - time.Duration(aim.UsedMS)*time.Millisecond)
 	}
 	if !x.guard.fits(x.arrived, time.Duration(aim.ExpectMS)*time.Millisecond) {
-		x.fail(refusal(verdict.ReasonDraining, "this host is stopping and the request is expected to take too long"))
+		x.refuse(refusal(verdict.ReasonDraining, "this host is stopping and the request is expected to take too long"))
 		return false
 	}
 	if !x.holdRepeat(aim) {
@@ -203,6 +204,7 @@
 		x.inst.finish(time.Now(), x.id, result{shed: true})
 	}
 	x.inst.forget(x.id)
+	x.logRefusal(refusal(verdict.ReasonCancelled, ""))
 }
 
 // refused reports an admission decision that is not to run.
--- a/internal/guard/trail.go
+++ b/internal/guard/trail.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/http"
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/event"
@@ -10,9 +11,11 @@
 )
 
 // logEnd tells how a request that was sent to the instance ended, and what the
-// guard made of it: always where it failed, else where it is sampled.
+// guard made of it: always where the caller gets no success, else where it is
+// sampled.
 func (x *exchange) logEnd(started time.Time, res result, failure *verdict.Error) {
-	if failure == nil && !res.failed && !event.Sampled(x.request) {
+	whole := failure == nil && res.status < http.StatusInternalServerError
+	if whole && !event.Sampled(x.request) {
 		return
 	}
 	leftOut, ok := x.guard.lines.Allow(time.Now())
@@ -32,15 +35,18 @@
 		slog.Uint64("linesLeftOut", leftOut))
 }
 
-// logRefusal tells of a request that did not get a slot.
+// logRefusal tells of a request that did not get a slot, or was given up before.
 func (x *exchange) logRefusal(e *verdict.Error) {
 	leftOut, ok := x.guard.lines.Allow(time.Now())
 	if !ok {
 		return
 	}
-	load := x.inst.load()
-	event.Log(x.guard.log, event.RequestRefused, slog.String("request", x.request), slog.String("instance", x.inst.name),
-		slog.String("service", x.inst.service), slog.String("reason", string(e.Reason)), slog.Int64("retryAfterMS", e.RetryAfterMS),
+	load := msg.Load{}
+	if x.inst != nil {
+		load = x.inst.load()
+	}
+	event.Log(x.guard.log, event.RequestRefused, slog.String("request", x.request), slog.String("instance", x.instance),
+		slog.String("service", x.service), slog.String("reason", string(e.Reason)), slog.Int64("retryAfterMS", e.RetryAfterMS),
 		slog.Int64("waitedMS", time.Since(x.arrived).Milliseconds()), slog.Int64("deadlineMS", time.Until(x.deadline).Milliseconds()),
 		slog.Int("running", int(load.Running)), slog.Int("queued", int(load.Queued)), slog.Int("slots", int(load.Slots)),
 		slog.Uint64("linesLeftOut", leftOut))
--- /dev/null
+++ b/internal/guard/trail_test.go
@@ -0,0 +1,111 @@
+package guard
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/wire"
+)
+
+// logBuffer takes lines from several goroutines.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// about counts the lines that name a request.
+func (b *logBuffer) about(request string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return strings.Count(b.buf.String(), `"request":"`+request+`"`)
+}
+
+// unsampled is an id whose ordinary lines are not logged.
+const unsampled = "b82bd3c72d3d0916"
+
+// Whatever keeps a request from a success leaves a line at the guard, so that the
+// way from its id to the cause has no gap.
+func TestEveryFailureLeavesALineAtTheGuard(t *testing.T) {
+	status := http.StatusOK
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.WriteHeader(status)
+	}))
+	defer target.Close()
+	for _, c := range []struct {
+		name  string
+		act   func(g *Guard, run *msg.Run)
+		lines int
+	}{
+		{name: "success", lines: 0},
+		{name: "the instance's time was up", act: func(*Guard, *msg.Run) { status = http.StatusGatewayTimeout }, lines: 1},
+		{name: "the instance failed", act: func(*Guard, *msg.Run) { status = http.StatusInternalServerError }, lines: 1},
+		{name: "unknown instance", act: func(_ *Guard, run *msg.Run) { run.Instance = "other" }, lines: 1},
+		{name: "stopping", act: func(g *Guard, run *msg.Run) {
+			g.EndBy(time.Now().Add(time.Second))
+			run.Aim.ExpectMS = 1000
+		}, lines: 1},
+		{name: "no repeat left", act: func(_ *Guard, run *msg.Run) { run.Aim.Repeat = true }, lines: 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			status = http.StatusOK
+			out := &logBuffer{}
+			g := newTestGuard(t, strings.TrimPrefix(target.URL, "http://"))
+			g.log = slog.New(slog.NewJSONHandler(out, nil))
+			run := &msg.Run{RequestID: unsampled, Service: "s", Instance: "i", TimeoutMS: 20000, Idempotent: true, Method: "GET", URI: "/", Host: "a"}
+			if c.act != nil {
+				c.act(g, run)
+			}
+			near, far := wire.Pipe()
+			defer near.Close()
+			served := make(chan struct{})
+			go func() {
+				defer close(served)
+				g.Serve(far, run)
+			}()
+			for {
+				m, err := near.Recv(context.Background())
+				assert.NilError(t, err)
+				if k := m.Kind(); k == (&msg.End{}).Kind() || k == (&msg.Fail{}).Kind() {
+					break
+				}
+			}
+			<-served
+			assert.Equal(t, out.about(unsampled), c.lines)
+		})
+	}
+}
+
+// A request that its front gives up while it holds a slot leaves a line, too.
+func TestAGivenUpRequestLeavesALine(t *testing.T) {
+	out := &logBuffer{}
+	g := newTestGuard(t, "127.0.0.1:1")
+	g.log = slog.New(slog.NewJSONHandler(out, nil))
+	near, far := wire.Pipe()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		g.Serve(far, &msg.Reserve{RequestID: unsampled, Service: "s", Instance: "i", TimeoutMS: 20000})
+	}()
+	_, err := near.Recv(context.Background())
+	assert.NilError(t, err)
+	near.Close()
+	<-served
+	assert.Equal(t, out.about(unsampled), 1)
+}
