--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -36,9 +36,13 @@
 	// Pace is its service time relative to its peers', 0 where unknown.
 	Pace float64 `json:"pace"`
 	// Sick is the chance that it is failing most requests at present.
-	Sick    float64 `json:"sick"`
-	Running int     `json:"running"`
-	Queued  int     `json:"queued"`
+	Sick float64 `json:"sick"`
+	// Refuses is the share of requests that it refuses though it has free slots,
+	// and RepeatsLeft what its host has left of the retry budget, as last heard.
+	Refuses     float64 `json:"refuses"`
+	RepeatsLeft int     `json:"repeatsLeft"`
+	Running     int     `json:"running"`
+	Queued      int     `json:"queued"`
 }
 
 // Status lists every service with the outcome of the floor rule.
@@ -69,6 +73,7 @@
 		out.Targets = append(out.Targets, TargetStatus{
 			Name: t.Name, Host: t.Host.Name, DC: t.Host.DC, Slots: t.Slots, Use: use, Why: why,
 			Pace: t.seen.pace, Sick: t.seen.sick.Sick(now, model),
+			Refuses: t.seen.sheds.Now(now), RepeatsLeft: int(t.seen.load.Repeats),
 			Running: int(t.seen.load.Running), Queued: int(t.seen.load.Queued),
 		})
 	}
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -29,14 +29,14 @@
 	guard *Guard
 	// request is the request's id; service and instance are what it asked for.
 	request, service, instance string
-	stream  wire.Stream
-	ctx     context.Context
-	arrived time.Time
-	inst    *instance
-	id      admit.ID
-	waiter  *waiter
-	inbox   chan msg.Message
-	lost    chan struct{}
+	stream                     wire.Stream
+	ctx                        context.Context
+	arrived                    time.Time
+	inst                       *instance
+	id                         admit.ID
+	waiter                     *waiter
+	inbox                      chan msg.Message
+	lost                       chan struct{}
 	// deadline is when the caller stops waiting, on this host's clock.
 	deadline time.Time
 	// aim is what the front tells of the request; held says that a repeat was set
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -19,6 +19,8 @@
 	Leaving   bool    `json:"leaving"`
 	// Sick is the estimate that it fails most requests at present.
 	Sick float64 `json:"sick"`
+	// Refuses is the share of recent requests that it refused with a free slot.
+	Refuses float64 `json:"refuses"`
 	// RepeatsLeft is what this host's part of the service's retry budget has.
 	RepeatsLeft int     `json:"repeatsLeft"`
 	Health      string  `json:"health"`
@@ -38,6 +40,7 @@
 		Slots: i.slots, Running: i.queue.Running(), Queued: i.queue.Queued(),
 		ServiceMS:   float64(i.queue.Service().Microseconds()) / 1000,
 		Sick:        i.sick.Sick(time.Now(), i.guard.model),
+		Refuses:     i.sheds.Now(time.Now()),
 		RepeatsLeft: int(i.guard.repeats.left(time.Now(), i.service)),
 		Leaving:     i.leaving || i.stopped,
 		Health:      i.detector.Health().String(), Evidence: i.detector.Evidence(),
