--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -39,13 +38,6 @@
 	spare *answer
 }
 
-// hedge is the attempt that runs beside a slow one.
-type hedge struct {
-	cancel  context.CancelFunc
-	done    chan struct{}
-	outcome *outcome
-}
-
 // next chooses the target of another attempt; false where none is left or all
 // attempts are made. repeat says that the request may have arrived before.
 func (c *race) next(repeat bool) (pick, bool) {
@@ -133,12 +125,6 @@
 // really is, and the next choice knows.
 const politeTries = 1
 
-// arrived says that an attempt may have reached its instance, which the budget
-// counts, also where the instance refused it.
-func arrived(fail *verdict.Error) bool {
-	return fail.Verdict != verdict.NotRun || fail.Reason == verdict.ReasonTargetShed
-}
-
 // runIdempotent makes attempts one after the other, and at most one beside a
 // slow one, until one has a whole answer. The first attempt runs in the
 // caller's goroutine: a goroutine of its own would cost two wake-ups.
@@ -192,156 +178,6 @@
 	cancel()
 }
 
-// runHedge makes an attempt beside the primary one and, where it wins, ends
-// that.
-func (c *race) runHedge(whole context.Context) {
-	c.mu.Lock()
-	if c.over || c.hedge != nil || !c.req.repeatable() || whole.Err() != nil {
-		c.mu.Unlock()
-		return
-	}
-	p, ok := c.next(true)
-	if !ok {
-		c.mu.Unlock()
-		return
-	}
-	ctx, cancel := context.WithCancel(whole)
-	h := &hedge{cancel: cancel, done: make(chan struct{})}
-	c.hedge = h
-	c.mu.Unlock()
-	c.front.counts.hedges.Inc()
-	o := c.try(ctx, p, sending{repeat: true, hedge: true}, nil)
-	o.endWith(cancel)
-
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	h.outcome = o
-	close(h.done)
-	switch {
-	case c.over:
-		o.discard()
-	case o.fail == nil && !retriableStatus(o.answer.head.Status):
-		c.cancelPrimary()
-	}
-}
-
-// awaitHedge waits for the hedge, where one runs, and gives its outcome once.
-func (c *race) awaitHedge() *outcome {
-	c.mu.Lock()
-	h := c.hedge
-	c.mu.Unlock()
-	if h == nil {
-		return nil
-	}
-	<-h.done
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	o := h.outcome
-	h.outcome = nil
-	return o
-}
-
-// finish ends a hedge that lost.
-func (c *race) finish() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.over = true
-	if c.hedge == nil {
-		return
-	}
-	c.hedge.cancel()
-	if o := c.hedge.outcome; o != nil {
-		o.discard()
-	}
-}
-
-// discard lets go of an answer that nobody gets.
-func (o *outcome) discard() {
-	if o.answer != nil {
-		o.answer.close()
-	}
-}
-
-// take accepts an outcome that the caller should get.
-func (c *race) take(o *outcome) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if o.fail != nil {
-		c.failed(o.fail)
-		return false
-	}
-	c.sent = true
-	if !retriableStatus(o.answer.head.Status) || o.answer.open {
-		return true
-	}
-	c.spare = o.answer
-	return false
-}
-
-// failed takes an attempt that ended without an answer. The caller holds the
-// lock, or is alone.
-func (c *race) failed(fail *verdict.Error) {
-	c.failures = append(c.failures, fail)
-	c.sent = c.sent || arrived(fail)
-}
-
-// retriableStatus says that a status tells of the target's trouble rather
-// than of the request.
-func retriableStatus(status uint16) bool {
-	switch int(status) {
-	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return true
-	default:
-		return false
-	}
-}
-
-// settle gives the best that is left once no attempt can follow.
-func (c *race) settle() (*answer, *verdict.Error) {
-	if c.spare != nil {
-		return c.spare, nil
-	}
-	return nil, c.verdict()
-}
-
-// verdict joins the attempts' verdicts: the request did not run only if no
-// attempt did.
-func (c *race) verdict() *verdict.Error {
-	if len(c.failures) == 0 {
-		return c.noTarget()
-	}
-	last := *c.telling()
-	for _, fail := range c.failures {
-		if fail.Verdict != verdict.NotRun && last.Verdict != verdict.Ran {
-			last.Verdict = fail.Verdict
-		}
-		last.RetryAfterMS = max(last.RetryAfterMS, fail.RetryAfterMS)
-	}
-	if last.RetryAfterMS == 0 && last.Reason != verdict.ReasonCancelled {
-		last.RetryAfterMS = defaultRetryAfter.Milliseconds()
-	}
-	return &last
-}
-
-// telling is the failure that the caller is told of: the last one, but for
-// refusals of a repeat, which say nothing of why it was needed.
-func (c *race) telling() *verdict.Error {
-	for _, fail := range slices.Backward(c.failures) {
-		if fail.Reason != verdict.ReasonRetryBudget {
-			return fail
-		}
-	}
-	return c.failures[len(c.failures)-1]
-}
-
-// defaultRetryAfter is told to callers where nothing better is known: by then
-// a failed target is left out.
-const defaultRetryAfter = time.Second
-
-func (c *race) noTarget() *verdict.Error {
-	return retryLater(verdict.ReasonNoTarget, "service "+c.req.service.Name+" has no target that takes work", defaultRetryAfter)
-}
-
 // runOnce makes attempts strictly one after the other, and another only where
 // the one before is proved not to have run.
 func (f *Front) runOnce(ctx context.Context, req *request, claim *claimTask) (*answer, *verdict.Error) {
@@ -390,9 +226,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func (st *serviceState) hedgeDelay(req *request) time.Duration {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	return st.route(req.route.Name).hedgeDelay(req.route.Objective())
-}
--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -25,6 +25,95 @@
 
 var errTooMany = errors.Errorf("this host has its bound of %d instances", maxInstances)
 
+// Announcement is what an instance says of itself, again and again.
+type Announcement struct {
+	Service string `json:"service"`
+	// Address is where the instance answers HTTP, IP:port.
+	Address string `json:"address"`
+	// DC is the instance's data centre, which is this host's.
+	DC string `json:"dc,omitempty"`
+	// Slots is how many requests it runs at once.
+	Slots int `json:"slots"`
+	// Connections is how many connections it accepts; 0 leaves it to the slots.
+	Connections int    `json:"connections,omitempty"`
+	Version     string `json:"version"`
+	// Leaving says that it wants no new work, as does the state "draining".
+	Leaving bool `json:"leaving,omitempty"`
+	// State is "ready", "draining" or empty, which means ready.
+	State string `json:"state,omitempty"`
+	// Sequence grows with each announcement, so that a late one is known; 0
+	// where the instance does not count.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// WarmupLeftMS is how much longer the instance is slow after its start, in
+	// milliseconds; nil where it does not say.
+	WarmupLeftMS *int64 `json:"warmupLeftMS,omitempty"`
+}
+
+// The states of an Announcement.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
+// leaves says that the instance wants no new work.
+func (a *Announcement) leaves() bool { return a.Leaving || a.State == stateDraining }
+
+// connections is how many connections the instance accepts: what it says, or
+// enough for its slots and those that are just being closed or opened.
+func (a *Announcement) connections() int {
+	if a.Connections > 0 {
+		return a.Connections
+	}
+	return 2 * a.Slots
+}
+
+// Announce takes an announcement. One that is older than what is known changes
+// nothing. Once it returns, an instance that is leaving gets no new work.
+func (g *Guard) Announce(now time.Time, name string, a Announcement) error {
+	if err := a.check(name); err != nil {
+		return err
+	}
+	inst, fresh, err := g.hear(now, name, a)
+	if err != nil || inst == nil {
+		return err
+	}
+	if fresh {
+		event.Log(g.log, event.InstanceAnnounced, slog.String("instance", name),
+			slog.String("service", a.Service), slog.String("address", a.Address), slog.Int("slots", a.Slots))
+	}
+	if inst.refresh(now, a) || fresh {
+		g.changed()
+	}
+	return nil
+}
+
+// hear finds or makes the instance of an announcement; nil where the
+// announcement does not count.
+func (g *Guard) hear(now time.Time, name string, a Announcement) (inst *instance, fresh bool, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	inst, known := g.instances[name]
+	if !known && len(g.instances) >= maxInstances {
+		return nil, false, errTooMany
+	}
+	outcome := g.book.Hear(now, name, a.Address, a.Sequence)
+	if !outcome.Counts {
+		return nil, false, nil
+	}
+	if outcome.Replaces != "" {
+		g.remove(outcome.Replaces, "replaced by "+name)
+	}
+	if known && inst.service == a.Service && inst.address == a.Address {
+		return inst, false, nil
+	}
+	if known {
+		inst.close()
+	}
+	inst = newInstance(g, name, a, now)
+	g.instances[name] = inst
+	return inst, true, nil
+}
+
 // check reports the first fault of an announcement and what to write instead.
 func (a *Announcement) check(name string) error {
 	switch {
@@ -48,6 +137,24 @@
 	return nil
 }
 
+// Withdraw takes the word of an instance that it is gone.
+func (g *Guard) Withdraw(now time.Time, name string) {
+	g.mu.Lock()
+	g.book.Leave(now, name)
+	g.remove(name, "withdrawn")
+	g.mu.Unlock()
+	g.changed()
+}
+
+// misled takes an instance out of service whose address answers for another.
+func (g *Guard) misled(name string) {
+	g.mu.Lock()
+	g.book.Misled(name)
+	g.remove(name, "another instance has its address")
+	g.mu.Unlock()
+	g.changed()
+}
+
 // AnnounceReply tells an instance what the guard makes of it.
 type AnnounceReply struct {
 	// ExpiryMS is how soon the next announcement must come.
