--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -156,8 +156,13 @@
 	return err
 }
 
-// StartTarget starts a stand-in of one instance on a host.
+// StartTarget starts a stand-in of one instance on a host, once the host takes
+// announcements: one that comes too early is repeated a second later, and the
+// instance counts as younger and colder than its peers.
 func (f *Fleet) StartTarget(h *Host, service string, index, slots int, serviceTime time.Duration) (*Target, error) {
+	if err := f.Until(startPatience, "the announce address of "+h.Name, h.takesAnnouncements); err != nil {
+		return nil, err
+	}
 	t := &Target{Name: fmt.Sprintf("%s-%s-%d", service, h.Name, index), Address: fmt.Sprintf("%s:%d", h.IP, firstTarget+len(f.procs))}
 	p, err := f.start(t.Name, "radishhoist-lab", "target", "--name", t.Name, "--service", service,
 		"--listen", t.Address, "--announce", fmt.Sprintf("%s:%d", h.IP, AnnouncePort),
@@ -299,7 +304,21 @@
 	return found == len(targets)
 }
 
-const pollInterval = 50 * time.Millisecond
+const (
+	pollInterval = 50 * time.Millisecond
+	// startPatience bounds the wait for a process that was just started.
+	startPatience = 20 * time.Second
+)
+
+// takesAnnouncements says that the daemon listens for its host's instances.
+func (h *Host) takesAnnouncements() bool {
+	c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", h.IP, AnnouncePort), time.Second)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
 
 // Until waits for a condition, and names what was waited for where it fails.
 func (f *Fleet) Until(timeout time.Duration, what string, ok func() bool) error {
