A refusal before the body is sent is heard

A guard on the own host that refuses closes its end; when that came between the front's Run and the body's Data, the send failed with a closed stream and the refusal that waited in it was never read.

Now a closed end is read to its last word before the attempt is given up.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -94,12 +94,24 @@
 		return &outcome{fail: verdict.New(verdict.NotRun, verdict.ReasonLinkLost, err.Error())}
 	}
 	y.stream, y.conn, y.sent = stream, conn, time.Now()
-	if err := y.act(ctx, y.state.Begin(y.req.idempotent, y.claim != nil)); err != nil {
-		return y.giveUp(err)
+	if o := y.proceed(ctx, y.state.Begin(y.req.idempotent, y.claim != nil)); o != nil {
+		return o
 	}
 	return y.receive(ctx)
 }
 
+// proceed sends what the state machine asks for; an outcome means that the
+// attempt is over. Where the guard has closed its end meanwhile, what it said
+// before is still to be received: it refuses a request before the body has gone
+// out, and that the request has not run must not be lost.
+func (y *try) proceed(ctx context.Context, s once.Send) *outcome {
+	err := y.act(ctx, s)
+	if err == nil || errors.Is(err, wire.ErrClosed) {
+		return nil
+	}
+	return y.giveUp(err)
+}
+
 // act sends what the state machine asks for.
 func (y *try) act(ctx context.Context, s once.Send) error {
 	switch s {
@@ -294,9 +306,7 @@
 func (y *try) step(ctx context.Context, m msg.Message) *outcome {
 	switch m := m.(type) {
 	case *msg.Grant:
-		if err := y.act(ctx, y.state.Granted()); err != nil {
-			return y.giveUp(err)
-		}
+		return y.proceed(ctx, y.state.Granted())
 	case *msg.Head:
 		if m.RequestID != y.req.id {
 			return y.broken(verdict.ReasonAnswerMismatch, "the answer is for another request")
@@ -321,10 +331,7 @@
 		return o
 	}
 	y.epoch, y.shard = k.Epoch, k.Shard
-	if err := y.act(ctx, y.state.Claimed()); err != nil {
-		return y.giveUp(err)
-	}
-	return nil
+	return y.proceed(ctx, y.state.Claimed())
 }
 
 func (y *try) data(m *msg.Data) *outcome {
