One end of the process, one form of an attempt, one log buffer: the change read again

What stood twice or was done twice, mended with behaviour as it was: - when a stopping process ends was kept by front and guard; the guard keeps it, and the front works out a request's time only while the host is stopping (before: under the service's lock at each attempt). - whether an attempt is a repeat, a hedge or insists was passed beside the choice and set in three places; the choice carries it. - two locks a request for the share of repeats and for idleness are one. - the work that waits at each priority is kept by the queue's levels, not summed over 64 classes for each answer and each tick; the property test compares. - a service's hosts are counted once, as the directory is built, in place of a map of all targets at each new directory. - an answer for another instance counts as refused again, not as broken off. - two filters of targets, three locked buffers of log lines in tests and two setups of a Control are one each.

Tests keep their assertions and follow the calls.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -24,19 +24,26 @@
 	return objects.Object{}, &objects.UnavailableError{Cause: context.DeadlineExceeded}
 }
 
-// newTestControl makes a Control that is stepped by hand: no sockets.
-func newTestControl(t *testing.T) (*Control, *[]*directory.Directory) {
-	t.Helper()
-	var seen []*directory.Directory
-	c := New(Config{
-		Host: "a", DC: "dc", Peer: "127.0.0.1:0", Incarnation: 1,
+// newOver makes a Control over a store, with no sockets.
+func newOver(store objects.Store, directory func(*directory.Directory)) *Control {
+	return New(Config{
+		Host: "a", DC: "dc", Peer: "127.0.0.1:0", Incarnation: 1, AwayMax: 2 * time.Second,
 		Member: member.DefaultConfig("a"), Replica: config.DefaultConfig(), WatchersPerDC: 1,
 	}, Hooks{
-		Directory: func(d *directory.Directory) { seen = append(seen, d) },
-		Instances: func() []directory.Instance { return nil },
+		Directory: directory,
+		Instances: noInstances,
 		Synced:    func() {},
 		Pulse:     func(*msg.Pulse) {},
-	}, awayStore{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}, store, slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+func noInstances() []directory.Instance { return nil }
+
+// newTestControl makes a Control that is stepped by hand.
+func newTestControl(t *testing.T) (*Control, *[]*directory.Directory) {
+	t.Helper()
+	var seen []*directory.Directory
+	c := newOver(awayStore{}, func(d *directory.Directory) { seen = append(seen, d) })
 	assert.NilError(t, c.Listen())
 	t.Cleanup(func() { _ = c.udp.Close() })
 	return c, &seen
--- a/internal/control/watch_test.go
+++ b/internal/control/watch_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,10 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/radishhoist/radishhoist/internal/core/config"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
-	"github.com/radishhoist/radishhoist/internal/core/member"
-	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/objects"
 	"github.com/radishhoist/radishhoist/record"
 )
@@ -63,15 +58,7 @@
 func TestADroppedHistoryIsFollowedByAListAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &forgetfulStore{}
-		c := New(Config{
-			Host: "a", DC: "dc", Peer: "127.0.0.1:0", Incarnation: 1, AwayMax: 2 * time.Second,
-			Member: member.DefaultConfig("a"), Replica: config.DefaultConfig(), WatchersPerDC: 1,
-		}, Hooks{
-			Directory: func(*directory.Directory) {},
-			Instances: func() []directory.Instance { return nil },
-			Synced:    func() {},
-			Pulse:     func(*msg.Pulse) {},
-		}, store, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c := newOver(store, func(*directory.Directory) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -131,7 +131,7 @@
 func (q *Queue) Waiting() [Priorities]time.Duration {
 	var out [Priorities]time.Duration
 	for p := range q.levels {
-		q.levels[p].each(func(t *ticket) { out[p] += t.Expect })
+		out[p] = q.levels[p].work
 	}
 	return out
 }
--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -73,6 +73,11 @@
 			}
 			assert.Assert(t, q.Running() <= q.cfg.Slots && len(running) <= q.cfg.Slots)
 			assert.Assert(t, q.Queued() <= q.cfg.Slots*q.cfg.QueuePerSlot)
+			for p, work := range q.Waiting() {
+				var sum time.Duration
+				q.levels[p].each(func(t *ticket) { sum += t.Expect })
+				assert.Equal(t, work, sum)
+			}
 		}
 	})
 }
--- a/internal/core/admit/fair.go
+++ b/internal/core/admit/fair.go
@@ -13,12 +13,15 @@
 	classes [Classes][]*ticket
 	count   int
 	turn    int
+	// work is what its requests are expected to take together.
+	work time.Duration
 }
 
 func (l *level) push(t *ticket) {
 	c := t.Class % Classes
 	l.classes[c] = append(l.classes[c], t)
 	l.count++
+	l.work += t.Expect
 }
 
 // pop takes, of the next class in turn that has any, the request that suits and
@@ -38,6 +41,7 @@
 		t := l.classes[c][first]
 		l.classes[c] = append(l.classes[c][:first:first], l.classes[c][first+1:]...)
 		l.count--
+		l.work -= t.Expect
 		l.turn = c + 1
 		return t
 	}
@@ -62,6 +66,7 @@
 		if other == t {
 			l.classes[c] = append(l.classes[c][:i:i], l.classes[c][i+1:]...)
 			l.count--
+			l.work -= t.Expect
 			return
 		}
 	}
--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -76,6 +76,8 @@
 	Version int64
 	Record  *record.Service
 	Targets []*Target
+	// Hosts counts the hosts that run its targets and are alive.
+	Hosts int
 }
 
 // Directory is the whole view.
@@ -138,6 +140,9 @@
 		if !ok {
 			continue
 		}
+		if h.Alive && (len(s.Targets) == 0 || s.Targets[len(s.Targets)-1].Host != h) {
+			s.Hosts++
+		}
 		s.Targets = append(s.Targets, &Target{Instance: inst, Host: h})
 	}
 }
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -41,7 +41,6 @@
 	defer stopServing()
 	d.front.Drain()
 	ctx, cancel := untilQuiet(portion(timeout, endingShare), again, func(end time.Time) {
-		d.front.EndBy(end)
 		d.guard.EndBy(end)
 		event.Log(d.log, event.Draining, slog.String("cause", "asked to stop"), slog.Int64("withinMS", time.Until(end).Milliseconds()))
 	})
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -1,13 +1,11 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +15,7 @@
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/front"
 	"github.com/radishhoist/radishhoist/internal/guard"
+	"github.com/radishhoist/radishhoist/internal/logtest"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/settings"
 )
@@ -24,24 +23,6 @@
 const plain = "[host]\nname = h1\ndc = a\n[listen]\ncallers = 127.0.0.1:8080\npeer = 127.0.0.1:7300\n" +
 	"announce = 127.0.0.1:7700\nadmin = 127.0.0.1:7900\n[platform]\nurl = http://127.0.0.1:7000\n"
 
-// lines keeps what is logged.
-type lines struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.Write(p)
-}
-
-func (l *lines) has(part string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Contains(l.buf.String(), part)
-}
-
 // A signal brings live keys of a changed file into force; a bad file changes
 // nothing and is told with its fault.
 func TestSettingsAreReadAgainOnASignal(t *testing.T) {
@@ -50,7 +31,7 @@
 	write(plain)
 	cfg, err := settings.Load(path)
 	assert.NilError(t, err)
-	out := &lines{}
+	out := &logtest.Buffer{}
 	log := slog.New(slog.NewJSONHandler(out, nil))
 	d := &Daemon{log: log}
 	d.cfg.Store(cfg)
@@ -75,7 +56,7 @@
 	signals <- syscall.SIGHUP
 	waitFor(t, out, event.ReloadRefused.Name)
 	assert.Equal(t, d.cfg.Load().LogLevel, "warn")
-	assert.Assert(t, out.has("[log] level"))
+	assert.Assert(t, strings.Contains(out.String(), "[log] level"))
 
 	assert.NilError(t, os.Remove(path))
 	signals <- syscall.SIGHUP
@@ -85,10 +66,10 @@
 	<-done
 }
 
-func waitFor(t *testing.T, out *lines, part string) {
+func waitFor(t *testing.T, out *logtest.Buffer, part string) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if out.has(part) {
+		if strings.Contains(out.String(), part) {
 			return
 		}
 	}
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/cli"
 	"github.com/radishhoist/radishhoist/internal/lab"
+	"github.com/radishhoist/radishhoist/internal/logtest"
 	"github.com/radishhoist/radishhoist/internal/standin/platformd"
 	"github.com/radishhoist/radishhoist/internal/standin/target"
 	"github.com/radishhoist/radishhoist/record"
@@ -45,18 +46,6 @@
 	os.Exit(code)
 }
 
-// logFile keeps the processes' logs to show on failure.
-type logFile struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (l *logFile) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.Write(p)
-}
-
 // world is one fleet under test.
 type world struct {
 	*lab.Fleet
@@ -67,12 +56,12 @@
 // newFleet starts a platform at 127.0.net.1 and ends the whole fleet with the test.
 func newFleet(t *testing.T, net int) *lab.Fleet {
 	t.Helper()
-	logs := &logFile{}
+	logs := &logtest.Buffer{}
 	f := lab.NewFleet(bin, t.TempDir(), logs)
 	t.Cleanup(func() {
 		f.Stop()
 		if t.Failed() {
-			t.Log(logs.buf.String())
+			t.Log(logs.String())
 		}
 	})
 	assert.NilError(t, f.StartPlatform(fmt.Sprintf("127.0.%d.1", net)))
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -12,7 +12,6 @@
 
 	"github.com/radishhoist/radishhoist/internal/core/header"
 	"github.com/radishhoist/radishhoist/internal/core/once"
-	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/wire"
 	"github.com/radishhoist/radishhoist/verdict"
@@ -79,8 +78,8 @@
 )
 
 // attempt makes one attempt at a target and waits for its end.
-func (f *Front) attempt(ctx context.Context, req *request, p pick, as sending, claim *claimTask) *outcome {
-	y := &try{front: f, req: req, target: p.target, sample: p.sample, as: as, claim: claim}
+func (f *Front) attempt(ctx context.Context, req *request, p pick, claim *claimTask) *outcome {
+	y := &try{front: f, req: req, target: p.target, sample: p.sample, as: p.as, claim: claim}
 	o := y.run(ctx)
 	o.target = p.target
 	req.state.release(p.target)
@@ -137,7 +136,7 @@
 		ExpectMS:    uint32(y.req.state.expectAt(y.req, y.target).Milliseconds()),
 		Insist:      y.as.insist,
 		Repeat:      y.as.repeat, Hedge: y.as.hedge,
-		CallPart: y.req.callPart, Idle: y.req.idle, Route: uint32(guard.InstanceHash(y.req.route.Name)),
+		CallPart: y.req.callPart, Idle: y.req.idle, Route: uint32(xxhash.Sum64String(y.req.route.Name)),
 	}
 }
 
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -20,6 +20,8 @@
 	sample msg.Sample
 	// step is what the log tells of the choice.
 	step step
+	// as is what the attempt asks of the guard.
+	as sending
 }
 
 // choose picks a target that was not tried yet and counts the request as
@@ -94,7 +96,8 @@
 		usable, local = st.without(usable, tried), st.without(local, tried)
 	}
 	if repeat {
-		usable, local = st.withRepeats(now, usable), st.withRepeats(now, local)
+		paid := func(t *target) bool { return t.seen.mayRepeat(now) }
+		usable, local = st.only(usable, paid), st.only(local, paid)
 	}
 	at := localPositions(usable, local)
 	typical := st.typical(now, req)
@@ -139,20 +142,14 @@
 }
 
 func (st *serviceState) without(list []int, tried []*target) []int {
-	out := make([]int, 0, len(list))
-	for _, i := range list {
-		if !wasTried(tried, st.targets[i]) {
-			out = append(out, i)
-		}
-	}
-	return out
+	return st.only(list, func(t *target) bool { return !wasTried(tried, t) })
 }
 
-// withRepeats keeps the targets whose guards may have a repeat left.
-func (st *serviceState) withRepeats(now time.Time, list []int) []int {
+// only keeps the targets of a list that fit.
+func (st *serviceState) only(list []int, fits func(*target) bool) []int {
 	out := make([]int, 0, len(list))
 	for _, i := range list {
-		if st.targets[i].seen.mayRepeat(now) {
+		if fits(st.targets[i]) {
 			out = append(out, i)
 		}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -63,9 +63,6 @@
 	services services
 	draining atomic.Bool
 	refusing atomic.Bool
-	// endBy is when the requests under way are going to be abandoned, nil while
-	// the process is not stopping.
-	endBy atomic.Pointer[time.Time]
 	// life ends when the requests under way are to be abandoned.
 	life    context.Context
 	abandon context.CancelFunc
@@ -108,19 +105,20 @@
 // Drain makes the front tell its callers' connections to close.
 func (f *Front) Drain() { f.draining.Store(true) }
 
-// EndBy says when the requests under way are going to be abandoned.
-func (f *Front) EndBy(end time.Time) { f.endBy.Store(&end) }
-
 // endMargin is how many times as long as a request usually takes an attempt must
 // have before the end to be made: service times have a long tail. With no margin
 // a request that usually takes 2.6 s was sent to its instance 0.6 s before the
 // end and broken off there.
 const endMargin = 1.5
 
-// fits says that an attempt that is expected to take a time has room for it.
-func (f *Front) fits(now time.Time, expect time.Duration) bool {
-	end := f.endBy.Load()
-	return end == nil || !now.Add(time.Duration(endMargin*float64(expect))).After(*end)
+// fits says that an attempt at the request has room before the process ends.
+func (f *Front) fits(now time.Time, req *request) bool {
+	end, stopping := f.guard.End()
+	if !stopping {
+		return true
+	}
+	need := time.Duration(endMargin * float64(req.state.usual(req)))
+	return !now.Add(need).After(end)
 }
 
 // Refuse makes the front take no more requests, once callers have had time to
--- a/internal/front/hedge.go
+++ b/internal/front/hedge.go
@@ -29,7 +29,7 @@
 	h := &hedge{cancel: cancel, done: make(chan struct{})}
 	c.hedge = h
 	c.mu.Unlock()
-	o := c.try(ctx, p, sending{repeat: true, hedge: true}, nil)
+	o := c.try(ctx, p, nil)
 	o.endWith(cancel)
 	if o.fail == nil || arrived(o.fail) {
 		c.front.counts.hedges.Inc()
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -105,7 +105,8 @@
 	if !view.Whole {
 		return nil, retryLater(verdict.ReasonNotReady, "this host does not have the whole configuration yet", time.Second)
 	}
-	req := &request{id: requestID(r), arrived: time.Now(), http: r, callPart: f.guard.CallPart(), idle: f.guard.Idle()}
+	req := &request{id: requestID(r), arrived: time.Now(), http: r}
+	req.callPart, req.idle = f.guard.Origin()
 	host := r.Host
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -39,18 +39,20 @@
 }
 
 // next chooses the target of another attempt; false where none is left or all
-// attempts are made. repeat says that the request may have arrived before.
-func (c *race) next(repeat bool) (pick, bool) {
+// attempts are made. hedge says that another attempt is under way. The caller
+// holds the lock, or is alone.
+func (c *race) next(hedge bool) (pick, bool) {
 	if c.spent() {
 		return pick{}, false
 	}
-	if !c.front.fits(time.Now(), c.req.state.usual(c.req)) {
+	if !c.front.fits(time.Now(), c.req) {
 		c.failed(retryLater(verdict.ReasonDraining, "this host is stopping and the request is expected to take too long; another takes it", defaultRetryAfter))
 		return pick{}, false
 	}
-	p, ok := c.front.choose(c.req, c.tried, repeat, c.rng)
+	as := sending{repeat: c.sent || hedge, hedge: hedge, insist: len(c.failures) >= politeTries}
+	p, ok := c.front.choose(c.req, c.tried, as.repeat, c.rng)
 	if !ok {
-		c.unpaid(repeat)
+		c.unpaid(as.repeat)
 		return pick{}, false
 	}
 	if p.step.Why == whyTrial || p.step.Why == whyPath {
@@ -58,6 +60,7 @@
 	}
 	c.tried = append(c.tried, p.target)
 	c.req.attempts++
+	p.as = as
 	return p, true
 }
 
@@ -71,16 +74,14 @@
 }
 
 // try makes one attempt at a chosen target.
-func (c *race) try(ctx context.Context, p pick, as sending, claim *claimTask) *outcome {
-	insist := c.insist()
-	as.insist = insist
-	o := c.front.attempt(ctx, c.req, p, as, claim)
+func (c *race) try(ctx context.Context, p pick, claim *claimTask) *outcome {
+	o := c.front.attempt(ctx, c.req, p, claim)
 	c.note(p.step, o)
 	c.req.state.observe(c.req, p.target, o)
 	if o.load.Overdrawn {
 		c.front.guard.Overdrawn(time.Now())
 	}
-	if !insist && o.fail != nil && o.fail.Reason == verdict.ReasonQueueFull {
+	if !p.as.insist && o.fail != nil && o.fail.Reason == verdict.ReasonQueueFull {
 		c.reconsider(p.target)
 	}
 	if o.fail != nil && o.fail.Reason == verdict.ReasonRetryBudget {
@@ -112,14 +113,6 @@
 	return c.req.attempts-refused >= c.req.route.Attempts() || refused >= maxRefusals
 }
 
-// insist says that the request was refused by as many guards as there is use in
-// asking for a place in time.
-func (c *race) insist() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.failures) >= politeTries
-}
-
 // politeTries is how many guards are asked for a place within the objective
 // before a late one is taken. The first refusal tells how full the best choice
 // really is, and the next choice knows.
@@ -154,8 +147,7 @@
 func (c *race) primary(whole context.Context) *outcome {
 	ctx, cancel := context.WithCancel(whole)
 	c.mu.Lock()
-	repeat := c.sent
-	p, ok := c.next(repeat)
+	p, ok := c.next(false)
 	c.cancelPrimary = cancel
 	c.mu.Unlock()
 	if !ok {
@@ -164,7 +156,7 @@
 	}
 	timer := time.AfterFunc(c.req.state.hedgeDelay(c.req), func() { c.runHedge(whole) })
 	defer timer.Stop()
-	o := c.try(ctx, p, sending{repeat: repeat}, nil)
+	o := c.try(ctx, p, nil)
 	o.endWith(cancel)
 	return o
 }
@@ -183,11 +175,11 @@
 func (f *Front) runOnce(ctx context.Context, req *request, claim *claimTask) (*answer, *verdict.Error) {
 	c := &race{front: f, req: req, rng: f.rng()}
 	for {
-		p, ok := c.next(c.sent)
+		p, ok := c.next(false)
 		if !ok {
 			break
 		}
-		o := c.try(ctx, p, sending{repeat: c.sent}, claim)
+		o := c.try(ctx, p, claim)
 		if o.fail == nil {
 			return o.answer, nil
 		}
--- a/internal/front/run_test.go
+++ b/internal/front/run_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"log/slog"
 	"net/http"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/core/route"
+	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/verdict"
 )
 
@@ -38,13 +40,13 @@
 	now := time.Now()
 	st := &serviceState{routes: map[string]*latency{"r": {mean: 2 * time.Second}}}
 	req := &request{state: st, route: &route.Route{Name: "r"}}
-	f := &Front{}
-	assert.Assert(t, f.fits(now, st.usual(req)), "it is not stopping")
-	f.EndBy(now.Add(3100 * time.Millisecond))
-	assert.Assert(t, f.fits(now, st.usual(req)))
-	assert.Assert(t, !f.fits(now.Add(200*time.Millisecond), st.usual(req)))
+	f := &Front{guard: guard.New(guard.Config{Host: "h"}, guard.Limits{}, slog.Default(), nil, guard.Hooks{})}
+	assert.Assert(t, f.fits(now, req), "it is not stopping")
+	f.guard.EndBy(now.Add(3100 * time.Millisecond))
+	assert.Assert(t, f.fits(now, req))
+	assert.Assert(t, !f.fits(now.Add(200*time.Millisecond), req))
 
-	f.EndBy(now.Add(time.Second))
+	f.guard.EndBy(now.Add(time.Second))
 	c := &race{front: f, req: req}
 	_, ok := c.next(false)
 	assert.Assert(t, !ok)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -205,6 +205,15 @@
 // done well before is refused.
 func (g *Guard) EndBy(end time.Time) { g.endBy.Store(&end) }
 
+// End is when this process is going to end; false while it is not stopping.
+func (g *Guard) End() (time.Time, bool) {
+	end := g.endBy.Load()
+	if end == nil {
+		return time.Time{}, false
+	}
+	return *end, true
+}
+
 // endMargin is how many times as long as expected a request must have left
 // before the end of the process to be taken: service times have a long tail.
 const endMargin = 3
@@ -212,8 +221,8 @@
 // fits says that a request that is expected to run for a time has room for it
 // before the process ends.
 func (g *Guard) fits(now time.Time, expect time.Duration) bool {
-	end := g.endBy.Load()
-	return end == nil || !now.Add(endMargin*expect).After(*end)
+	end, stopping := g.End()
+	return !stopping || !now.Add(endMargin*expect).After(end)
 }
 
 // Drain refuses new work on every instance; what runs goes on.
--- a/internal/guard/judge.go
+++ b/internal/guard/judge.go
@@ -16,7 +16,7 @@
 func judge(a *targetconn.Answer, m *msg.Run, d header.Dialect) (result, *verdict.Error) {
 	switch {
 	case a.Status == http.StatusMisdirectedRequest && d.ExpectedInstance != "":
-		return result{cut: true}, verdict.New(verdict.NotRun, verdict.ReasonTargetShed, "another instance has the address")
+		return result{shed: true}, verdict.New(verdict.NotRun, verdict.ReasonTargetShed, "another instance has the address")
 	case d.NotRun != "" && a.Header.Get(d.NotRun) != "":
 		return result{shed: true}, verdict.New(verdict.NotRun, verdict.ReasonTargetShed, "the target did not run the request")
 	case promisesNotRun(a.Status) && !m.Idempotent:
--- a/internal/guard/repeats.go
+++ b/internal/guard/repeats.go
@@ -76,7 +76,7 @@
 			r.byService[name] = k
 		}
 		k.share = s.Record.RetryShare()
-		k.count(now, guardsOf(s), shrinkWindows*l.RetryWindow)
+		k.count(now, s.Hosts, shrinkWindows*l.RetryWindow)
 		k.limit(l)
 	}
 }
@@ -90,17 +90,6 @@
 	}
 }
 
-// guardsOf counts the hosts that run a service's instances.
-func guardsOf(s *directory.Service) int {
-	hosts := make(map[string]bool, len(s.Targets))
-	for _, t := range s.Targets {
-		if t.Host.Alive {
-			hosts[t.Host.Name] = true
-		}
-	}
-	return len(hosts)
-}
-
 // count takes how many guards the service has. Fewer than before count once they
 // have stayed so few for a time.
 func (k *keeper) count(now time.Time, guards int, hold time.Duration) {
@@ -214,25 +203,19 @@
 	return uint16(min(k.budget.Left(now), 1<<16-1))
 }
 
-// Idle says that nothing runs on this host's instances.
-func (g *Guard) Idle() bool {
-	g.repeats.mu.Lock()
-	defer g.repeats.mu.Unlock()
-	return g.repeats.running == 0
-}
-
-// CallPart is the chance that a request that begins on this host is a call of a
-// repeated run, in thousandths, if it is a call at all: such calls are repeats at
-// the services that they go to, and nothing tells which run has made one. It is
+// Origin tells of a request that begins on this host now. callPart is the chance
+// that it is a call of a repeated run, in thousandths, if it is a call at all:
+// such calls are repeats at the services that they go to, and nothing tells which
+// run has made one. idle says that nothing runs here. The chance is
 // the share of repeats among the runs of work that may be repeated: taken among
 // all runs, 108 calls of repeats in 10 s were counted as 83, because other work
 // ran on the same hosts, and a service had 222 repeats where 200 were allowed.
-func (g *Guard) CallPart() uint16 {
+func (g *Guard) Origin() (callPart uint16, idle bool) {
 	r := g.repeats
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.repeatable == 0 {
-		return 0
+	if r.repeatable > 0 {
+		callPart = uint16(r.parts / r.repeatable)
 	}
-	return uint16(r.parts / r.repeatable)
+	return callPart, r.running == 0
 }
--- a/internal/guard/repeats_test.go
+++ b/internal/guard/repeats_test.go
@@ -28,12 +28,13 @@
 
 // seenBy is the directory of a host that holds the given hosts for alive.
 func seenBy(alive []bool) *directory.Directory {
-	svc := &directory.Service{Name: "s", Record: &record.Service{RetryPercent: testPercent}}
+	svc := &record.Record{Key: record.Key{Kind: record.KindService, Name: "s"}, Spec: &record.Service{RetryPercent: testPercent}}
+	var hosts []*directory.Host
 	for i, up := range alive {
-		host := &directory.Host{Name: fmt.Sprintf("h%d", i), Alive: up}
-		svc.Targets = append(svc.Targets, &directory.Target{Instance: &directory.Instance{Name: host.Name, Service: "s"}, Host: host})
+		name := fmt.Sprintf("h%d", i)
+		hosts = append(hosts, &directory.Host{Name: name, Alive: up, Instances: []directory.Instance{{Name: name, Service: "s"}}})
 	}
-	return &directory.Directory{Services: map[string]*directory.Service{"s": svc}}
+	return directory.Build(directory.Compile([]*record.Record{svc}, true), hosts)
 }
 
 // Over all guards of a service together, with hosts that stop, start again and
@@ -166,14 +167,16 @@
 	now := time.Now()
 	g := newTestGuard(t, "127.0.0.1:1")
 	g.repeats.apply(now.Add(-time.Minute), seenBy([]bool{true}), repeatLimits())
-	assert.Assert(t, g.Idle())
-	assert.Equal(t, g.CallPart(), uint16(0))
+	callPart, idle := g.Origin()
+	assert.Assert(t, idle)
+	assert.Equal(t, callPart, uint16(0))
 	assert.Equal(t, g.repeats.begin(now, "s", false, true, msg.Aim{Route: 1, Idle: true}).part, uint16(0))
 	g.repeats.begin(now, "s", false, false, msg.Aim{Route: 1, Idle: true})
 	assert.Assert(t, g.repeats.hold(now, "s", msg.Aim{}))
 	repeat := g.repeats.begin(now, "s", true, true, msg.Aim{Repeat: true, Route: 1})
-	assert.Equal(t, g.CallPart(), uint16(msg.Thousandths/2), "work that cannot be repeated says nothing of the calls of repeats")
-	assert.Assert(t, !g.Idle())
+	callPart, idle = g.Origin()
+	assert.Equal(t, callPart, uint16(msg.Thousandths/2), "work that cannot be repeated says nothing of the calls of repeats")
+	assert.Assert(t, !idle)
 
 	before := g.repeats.left(now, "s")
 	assert.Equal(t, g.repeats.begin(now, "s", false, true, msg.Aim{Route: 2, CallPart: msg.Thousandths}).part, uint16(msg.Thousandths))
--- a/internal/guard/trail_test.go
+++ b/internal/guard/trail_test.go
@@ -1,39 +1,24 @@
 package guard
 
 import (
-	"bytes"
 	"context"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/radishhoist/radishhoist/internal/logtest"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/wire"
 )
 
-// logBuffer takes lines from several goroutines.
-type logBuffer struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-func (b *logBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buf.Write(p)
-}
-
-// about counts the lines that name a request.
-func (b *logBuffer) about(request string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return strings.Count(b.buf.String(), `"request":"`+request+`"`)
+// linesAbout counts the lines that name a request.
+func linesAbout(out *logtest.Buffer, request string) int {
+	return strings.Count(out.String(), `"request":"`+request+`"`)
 }
 
 // unsampled is an id whose ordinary lines are not logged.
@@ -65,7 +50,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			status = http.StatusOK
-			out := &logBuffer{}
+			out := &logtest.Buffer{}
 			g := newTestGuard(t, strings.TrimPrefix(target.URL, "http://"))
 			g.log = slog.New(slog.NewJSONHandler(out, nil))
 			run := &msg.Run{RequestID: unsampled, Service: "s", Instance: "i", TimeoutMS: 20000, Idempotent: true, Method: "GET", URI: "/", Host: "a"}
@@ -87,14 +72,14 @@
 				}
 			}
 			<-served
-			assert.Equal(t, out.about(unsampled), c.lines)
+			assert.Equal(t, linesAbout(out, unsampled), c.lines)
 		})
 	}
 }
 
 // A request that its front gives up while it holds a slot leaves a line, too.
 func TestAGivenUpRequestLeavesALine(t *testing.T) {
-	out := &logBuffer{}
+	out := &logtest.Buffer{}
 	g := newTestGuard(t, "127.0.0.1:1")
 	g.log = slog.New(slog.NewJSONHandler(out, nil))
 	near, far := wire.Pipe()
@@ -107,5 +92,5 @@
 	assert.NilError(t, err)
 	near.Close()
 	<-served
-	assert.Equal(t, out.about(unsampled), 1)
+	assert.Equal(t, linesAbout(out, unsampled), 1)
 }
