Instances that start again under their id; words and objects of other writers

Cause: (1) a start was known by its id alone, so that a restarted instance was taken for its last start: its low sequence was late, an earlier leave held for two minutes, and slots, grants and estimate were inherited. An announcement with `born` was refused as unknown field. (2) an announcement with an unknown service took the address of the instance in use. (3) one object of another form in the platform failed the whole list or watch: no configuration came in force. Ruled out: ordering starts by `born` alone (clocks go back); by sequence alone (a late word of a start never heard would win). Change: the book of announcements knows starts; a new one inherits nothing, grants of the last are taken back, and its runs are broken off as "may have run"; a leave of an earlier start is acknowledged and changes nothing. Items and events of the platform are read one by one, what cannot be read is told in a bounded line. Unknown fields are passed over, unknown services refused.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -97,6 +97,8 @@
 	watching  bool
 	away      bool
 	traffic   Traffic
+	// unreadLines bounds the lines about objects that cannot be read.
+	unreadLines event.Limiter
 }
 
 // outbound is one message on its way to a peer address.
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -236,7 +236,18 @@
 	return nil
 }
 
+// tellUnread logs the objects that another writer has left in the platform and
+// that cannot be read, up to a rate.
+func (c *Control) tellUnread(page objects.Page) {
+	for _, err := range page.Unread {
+		if leftOut, ok := c.unreadLines.Allow(time.Now()); ok {
+			event.Log(c.log, event.RecordRefused, slog.String("cause", err.Error()), slog.Uint64("linesLeftOut", leftOut))
+		}
+	}
+}
+
 func (c *Control) load(page objects.Page) {
+	c.tellUnread(page)
 	entries := toEntries(page.Objects)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -248,6 +259,7 @@
 }
 
 func (c *Control) takeEvents(page objects.Page) {
+	c.tellUnread(page)
 	entries := toEntries(page.Objects)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -176,6 +176,19 @@
 	return out
 }
 
+// Revoke takes back every slot that is granted and not used yet; no Run can use
+// it any more.
+func (q *Queue) Revoke() []Decision {
+	var out []Decision
+	for _, t := range q.tickets {
+		if t.state == granted {
+			q.busy--
+			out = append(out, q.refuse(t, verdict.ReasonGrantExpired, 0))
+		}
+	}
+	return out
+}
+
 // Resume undoes Drain, for a planned stop that was taken back.
 func (q *Queue) Resume() { q.draining = false }
 
--- a/internal/core/announce/announce.go
+++ b/internal/core/announce/announce.go
@@ -4,7 +4,10 @@
 // The package does no I/O.
 package announce
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// memory is how long an instance that has left or was replaced is
@@ -12,8 +15,15 @@
 	memory = 2 * time.Minute
 	// silence is how long the holder of an address must not have announced
 	// itself for an instance that it had replaced to take the address back:
-	// more than two intervals of the slowest usual announcements, 1.5 s.
+	// more than two intervals of the slowest usual announcements, 1.5 s. An
+	// earlier start of an instance is believed after the same silence.
 	silence = 4 * time.Second
+	// firstWords is up to which sequence a start that nobody has heard of is taken
+	// for a new one though its clock says that it is older: counts start anew with
+	// each start, and a late word of an older one has a higher count.
+	firstWords = 2
+	// maxPast bounds the earlier starts that are remembered of an instance.
+	maxPast = 8
 	// maxEntries bounds the instances remembered; beyond it the one heard
 	// longest ago is forgotten.
 	maxEntries = 1024
@@ -30,12 +40,25 @@
 	gone
 )
 
+// Word is what tells the announcements of an instance apart.
+type Word struct {
+	// Born is when the instance started, in Unix milliseconds of its own clock: an
+	// instance that starts again under its name tells another one. 0 where it does
+	// not say.
+	Born int64
+	// Sequence grows with each announcement of one start, 0 where the instance does
+	// not count them.
+	Sequence uint64
+}
+
 // entry is what is known of one instance.
 type entry struct {
-	address  string
-	sequence uint64
-	heard    time.Time
-	state    state
+	address string
+	// word is the newest that counted, and past are the earlier starts.
+	word  Word
+	past  []int64
+	heard time.Time
+	state state
 }
 
 // Book remembers the instances of one host. It is not safe for concurrent use.
@@ -54,24 +77,27 @@
 type Outcome struct {
 	// Counts is false for an announcement that is older than what is known.
 	Counts bool
+	// Restarted says that it is the first of a new start of the instance: whatever
+	// its last start held is lost.
+	Restarted bool
 	// Replaces is the instance that had the address before, empty for none.
 	Replaces string
 }
 
-// Hear takes one announcement. sequence grows with each of an instance's
-// announcements, 0 where the instance does not count them.
-func (b *Book) Hear(now time.Time, name, address string, sequence uint64) Outcome {
+// Hear takes one announcement.
+func (b *Book) Hear(now time.Time, name, address string, w Word) Outcome {
 	b.forget(now)
 	e, known := b.byName[name]
-	if known && (e.state == gone || late(e, sequence)) {
+	restarted := known && e.newStart(now, w)
+	if known && !restarted && (e.state == gone || e.late(w)) {
 		return Outcome{}
 	}
 	holder := b.holders[address]
 	if holder == name {
 		holder = ""
 	}
-	if known && e.state == replaced && holder != "" && now.Sub(b.byName[holder].heard) < silence {
-		e.sequence = max(e.sequence, sequence)
+	if known && !restarted && e.state == replaced && holder != "" && now.Sub(b.byName[holder].heard) < silence {
+		e.word.Sequence = max(e.word.Sequence, w.Sequence)
 		return Outcome{}
 	}
 	if !known {
@@ -84,26 +110,73 @@
 	if known && e.address != address && b.holders[e.address] == name {
 		delete(b.holders, e.address)
 	}
-	*e = entry{address: address, sequence: max(e.sequence, sequence), heard: now}
+	if restarted {
+		e.retire(w.Born)
+	}
+	e.word = Word{Born: w.Born, Sequence: max(e.word.Sequence, w.Sequence)}
+	e.address, e.heard, e.state = address, now, present
 	b.holders[address] = name
-	return Outcome{Counts: true, Replaces: holder}
+	return Outcome{Counts: true, Restarted: restarted, Replaces: holder}
 }
 
-// late says that an announcement is no newer than the last one.
-func late(e *entry, sequence uint64) bool { return sequence > 0 && sequence <= e.sequence }
+// newStart says that a word is the first heard of another, newer start. Clocks may
+// go back between two starts, so that an earlier time alone does not make it an
+// old one.
+func (e *entry) newStart(now time.Time, w Word) bool {
+	switch {
+	case w.Born == 0 || w.Born == e.word.Born || slices.Contains(e.past, w.Born):
+		return false
+	case w.Born > e.word.Born:
+		return true
+	default:
+		return w.Sequence > 0 && w.Sequence <= firstWords || now.Sub(e.heard) > silence
+	}
+}
 
-// Leave takes an instance's leave: nothing that it announced before counts any
-// more.
-func (b *Book) Leave(now time.Time, name string) {
+// late says that a word that is not of a new start is no newer than the last one,
+// or not of the start that runs.
+func (e *entry) late(w Word) bool {
+	return w.Born != e.word.Born || w.Sequence > 0 && w.Sequence <= e.word.Sequence
+}
+
+// retire remembers the start known so far as past, and begins another one.
+func (e *entry) retire(born int64) {
+	if e.word.Born != 0 {
+		e.past = append(e.past, e.word.Born)
+	}
+	if len(e.past) > maxPast {
+		e.past = e.past[1:]
+	}
+	e.word = Word{Born: born}
+}
+
+// Leave takes an instance's leave: nothing that this start announced before
+// counts any more. born is the start that leaves, 0 where it is not told. It
+// reports whether the instance is gone with it: an earlier start's leave does not
+// take the one that runs out of service.
+func (b *Book) Leave(now time.Time, name string, born int64) bool {
 	e, known := b.byName[name]
 	if !known {
 		e = &entry{}
 		b.byName[name] = e
 	}
+	switch {
+	case !known && born == 0:
+		// Whatever started before this leave is gone with it.
+		e.word.Born = now.UnixMilli()
+	case !known:
+		e.word.Born = born
+	case born == 0 || born == e.word.Born:
+	case e.newStart(now, Word{Born: born}):
+		e.retire(born)
+	default:
+		return false
+	}
 	if b.holders[e.address] == name {
 		delete(b.holders, e.address)
 	}
 	e.state, e.heard = gone, now
+	return true
 }
 
 // Misled says that the address answers for another instance: whoever announces
--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/radishhoist/radishhoist/internal/core/announce"
 	"github.com/radishhoist/radishhoist/internal/event"
 )
 
@@ -44,6 +46,9 @@
 	// Sequence grows with each announcement, so that a late one is known; 0
 	// where the instance does not count.
 	Sequence uint64 `json:"sequence,omitempty"`
+	// Born is when the instance started, in Unix milliseconds of its own clock, so
+	// that another start under the same name is known; 0 where it does not say.
+	Born int64 `json:"born,omitempty"`
 	// WarmupLeftMS is how much longer the instance is slow after its start, in
 	// milliseconds; nil where it does not say.
 	WarmupLeftMS *int64 `json:"warmupLeftMS,omitempty"`
@@ -96,17 +101,28 @@
 	if !known && len(g.instances) >= maxInstances {
 		return nil, false, errTooMany
 	}
-	outcome := g.book.Hear(now, name, a.Address, a.Sequence)
+	familiar := known && inst.service == a.Service
+	if !familiar && g.whole && !g.offers(a.Service) {
+		if a.leaves() {
+			return nil, false, nil // it gets no work here, which is what it asks for
+		}
+		return nil, false, errors.Errorf("service: no record names %q; write one of a Service record in force", a.Service)
+	}
+	outcome := g.book.Hear(now, name, a.Address, announce.Word{Born: a.Born, Sequence: a.Sequence})
 	if !outcome.Counts {
 		return nil, false, nil
 	}
 	if outcome.Replaces != "" {
 		g.remove(outcome.Replaces, "replaced by "+name)
 	}
-	if known && inst.service == a.Service && inst.address == a.Address {
+	switch {
+	case !known:
+	case outcome.Restarted:
+		g.remove(name, "started again")
+		inst.lose()
+	case inst.service == a.Service && inst.address == a.Address:
 		return inst, false, nil
-	}
-	if known {
+	default:
 		inst.close()
 	}
 	inst = newInstance(g, name, a, now)
@@ -127,6 +143,8 @@
 		return errors.Errorf("connections: %d is out of bounds; write 1 to %d, or leave it out", a.Connections, maxConnections)
 	case a.State != "" && a.State != stateReady && a.State != stateDraining:
 		return errors.Errorf("state: %q is not one; write %q or %q", a.State, stateReady, stateDraining)
+	case a.Born < 0:
+		return errors.Errorf("born: %d is out of bounds; write the start in Unix milliseconds, or leave it out", a.Born)
 	case a.WarmupLeftMS != nil && *a.WarmupLeftMS < 0:
 		return errors.Errorf("warmupLeftMS: %d is out of bounds; write 0 or more", *a.WarmupLeftMS)
 	}
@@ -137,11 +155,14 @@
 	return nil
 }
 
-// Withdraw takes the word of an instance that it is gone.
-func (g *Guard) Withdraw(now time.Time, name string) {
+// Withdraw takes the word of an instance that it is gone. born is the start that
+// says so, 0 where it does not tell: the leave of an earlier start takes nothing
+// out of service.
+func (g *Guard) Withdraw(now time.Time, name string, born int64) {
 	g.mu.Lock()
-	g.book.Leave(now, name)
-	g.remove(name, "withdrawn")
+	if g.book.Leave(now, name, born) {
+		g.remove(name, "withdrawn")
+	}
 	g.mu.Unlock()
 	g.changed()
 }
@@ -163,33 +184,56 @@
 	Draining bool `json:"draining"`
 }
 
+// leave is what an instance may say with its leave.
+type leave struct {
+	Born int64 `json:"born"`
+}
+
 // AnnounceHandler is the HTTP interface for instances on this host:
-// PUT /v1/instances/NAME with an Announcement, again and again, and DELETE.
+// PUT /v1/instances/NAME with an Announcement, again and again, and DELETE. What
+// cannot be read or is not of an instance is refused, and changes nothing.
 func (g *Guard) AnnounceHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /v1/instances/{name}", g.putInstance)
-	mux.HandleFunc("DELETE /v1/instances/{name}", func(w http.ResponseWriter, r *http.Request) {
-		g.Withdraw(time.Now(), r.PathValue("name"))
-		w.WriteHeader(http.StatusNoContent)
-	})
+	mux.HandleFunc("DELETE /v1/instances/{name}", g.deleteInstance)
 	return mux
 }
 
 func (g *Guard) putInstance(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("name")
 	var a Announcement
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
-	dec.DisallowUnknownFields()
-	err := dec.Decode(&a)
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&a)
 	if err == nil {
 		err = g.Announce(time.Now(), name, a)
 	}
 	if err != nil {
-		event.Log(g.log, event.AnnounceRefused, slog.String("instance", name), slog.String("cause", err.Error()))
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		g.refuseAnnouncement(w, name, err)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	reply := AnnounceReply{ExpiryMS: g.limits.Load().AnnounceExpiry.Milliseconds(), Draining: g.Draining()}
 	_ = json.NewEncoder(w).Encode(reply)
 }
+
+func (g *Guard) deleteInstance(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	var l leave
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement)).Decode(&l)
+	if err != nil && !errors.Is(err, io.EOF) {
+		g.refuseAnnouncement(w, name, err)
+		return
+	}
+	g.Withdraw(time.Now(), name, l.Born)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// refuseAnnouncement tells the sender and the log what was wrong.
+func (g *Guard) refuseAnnouncement(w http.ResponseWriter, name string, err error) {
+	http.Error(w, err.Error(), http.StatusBadRequest)
+	leftOut, ok := g.refusals.Allow(time.Now())
+	if !ok {
+		return
+	}
+	event.Log(g.log, event.AnnounceRefused, slog.String("instance", name), slog.String("cause", err.Error()),
+		slog.Uint64("linesLeftOut", leftOut))
+}
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -22,6 +22,7 @@
 func (x *exchange) call(m *msg.Run) {
 	ctx, cancel := context.WithDeadlineCause(x.ctx, x.deadline, errDeadline)
 	defer cancel()
+	defer context.AfterFunc(x.inst.life, cancel)()
 	go func() {
 		select {
 		case <-x.lost:
@@ -49,10 +50,12 @@
 	if failure != nil {
 		x.inst.saw(time.Now(), res)
 	}
-	if failure != nil && ctx.Err() != nil {
-		if errors.Is(context.Cause(ctx), errDeadline) {
-			failure = verdict.New(failure.Verdict, verdict.ReasonDeadline, "the target did not answer within the deadline")
-		}
+	switch {
+	case failure == nil || ctx.Err() == nil:
+	case errors.Is(context.Cause(ctx), errDeadline):
+		failure = verdict.New(failure.Verdict, verdict.ReasonDeadline, "the target did not answer within the deadline")
+	case x.inst.life.Err() != nil:
+		failure = verdict.New(failure.Verdict, verdict.ReasonTargetBroke, "the target has started again; what ran there is lost")
 	}
 	x.logEnd(started, res, failure)
 	x.guard.counts.ended(started.Sub(x.arrived), res)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -74,7 +74,9 @@
 	// repeats is this host's part of the retry budgets.
 	repeats *repeats
 	lines   event.Limiter
-	counts  counters
+	// refusals bounds the lines about announcements that were refused.
+	refusals event.Limiter
+	counts   counters
 	// pulse is called, without locks, with what the fronts should know at once.
 	pulse   func(p *msg.Pulse, far bool)
 	changed func()
@@ -82,8 +84,11 @@
 	mu        sync.Mutex
 	book      *announce.Book
 	instances map[string]*instance
-	presets   map[string]detect.Params
-	draining  bool
+	// presets are the detection parameters of the services in force; whole says
+	// that these are all there are.
+	presets  map[string]detect.Params
+	whole    bool
+	draining bool
 	// active counts the requests under way; idle is closed at the next time
 	// there are none.
 	active int
@@ -125,10 +130,12 @@
 // of this host's instances are to stop.
 func (g *Guard) Apply(d *directory.Directory) {
 	g.repeats.apply(time.Now(), d, *g.limits.Load())
-	g.mu.Lock()
+	presets := make(map[string]detect.Params, len(d.Services))
 	for name, s := range d.Services {
-		g.presets[name] = detect.ForPreset(s.Record.Preset)
+		presets[name] = detect.ForPreset(s.Record.Preset)
 	}
+	g.mu.Lock()
+	g.presets, g.whole = presets, d.Whole
 	all := g.list()
 	g.mu.Unlock()
 	changed := false
@@ -153,6 +160,12 @@
 	return detect.Careful()
 }
 
+// offers says that a service is in force. The caller holds the lock.
+func (g *Guard) offers(service string) bool {
+	_, ok := g.presets[service]
+	return ok
+}
+
 func (g *Guard) list() []*instance {
 	out := make([]*instance, 0, len(g.instances))
 	for _, inst := range g.instances {
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"time"
@@ -26,6 +27,10 @@
 	address string
 	started time.Time
 	client  *targetconn.Pool
+	// life ends when the instance is known to have started again: whatever runs
+	// there is lost.
+	life context.Context
+	end  context.CancelFunc
 
 	mu        sync.Mutex
 	queue     *admit.Queue
@@ -89,8 +94,9 @@
 	if p, ok := g.presets[a.Service]; ok {
 		params = p
 	}
+	life, end := context.WithCancel(context.Background())
 	return &instance{
-		guard: g, name: name, hash: InstanceHash(name),
+		guard: g, name: name, hash: InstanceHash(name), life: life, end: end,
 		service: a.Service, address: a.Address, started: now,
 		client: targetconn.New(targetconn.Config{
 			Address: a.Address, MaxConns: a.connections(), Idle: g.cfg.TargetIdle,
@@ -180,6 +186,16 @@
 	i.client.CloseIdle()
 }
 
+// lose gives up all that a start of the instance held, because another one has
+// begun: what waits or holds a slot has not run, and what runs is broken off, as
+// nobody is going to answer it.
+func (i *instance) lose() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.deliver(i.queue.Revoke())
+	i.end()
+}
+
 // deliver hands decisions to the goroutines that wait for them. The caller
 // holds the lock. Each waiter takes at most one grant and one refusal or start
 // from here, which its channel has room for.
--- a/internal/objects/api.go
+++ b/internal/objects/api.go
@@ -28,6 +28,9 @@
 type Page struct {
 	Revision int64    `json:"revision"`
 	Objects  []Object `json:"objects"`
+	// Unread says of each object that could not be read why: another writer has
+	// left it, and the others hold.
+	Unread []error `json:"-"`
 }
 
 // Store is what the system needs from the platform; Client is the real one.
