--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -173,7 +173,7 @@
 	}
 	d.pool = pool
 	d.control.SetPool(pool)
-	d.front.SetPool(pool)
+	d.front.SetPeers(pool)
 	d.keys.SetPool(pool)
 	d.announce = smallServer(d.guard.AnnounceHandler())
 	if err := d.serve(cfg.Announce, "targets' announcements", d.announce, nil); err != nil {
--- /dev/null
+++ b/internal/fleetsim/fleet.go
@@ -0,0 +1,245 @@
+package fleetsim
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/core/header"
+	"github.com/radishhoist/radishhoist/internal/front"
+	"github.com/radishhoist/radishhoist/internal/guard"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/wire"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+const (
+	// guardTick is how often guards look at their queues, as in the daemon.
+	guardTick = 20 * time.Millisecond
+	// queuePerSlot, grantLife and targetIdle are the daemon's defaults.
+	queuePerSlot = 4
+	grantLife    = 250 * time.Millisecond
+	targetIdle   = 9 * time.Second
+	// windDown is how long all that was under way takes to end: longer than any
+	// work or time-out of a site.
+	windDown = 2 * time.Minute
+)
+
+// host is one host: its front, its guard and its instance.
+type host struct {
+	fleet    *fleet
+	name, dc string
+	front    *front.Front
+	guard    *guard.Guard
+	instance *instance
+}
+
+// fleet is one run.
+type fleet struct {
+	site  *Site
+	hosts []*host
+	begun time.Time
+	ctx   context.Context
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	result  Result
+	arrived map[string]bool
+}
+
+// Run plays a site within a bubble of testing/synctest and gives what was seen.
+func Run(s Site) Result {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := &fleet{
+		site: &s, ctx: ctx, begun: time.Now().Add(s.Warm), rng: rand.New(rand.NewPCG(s.Seed, s.Seed+1)),
+		arrived: make(map[string]bool),
+		result: Result{
+			ByKind: make(map[string]Outcome), Instances: make(map[string]*Seen),
+			Repeats: make(map[string][]time.Duration), Requests: make(map[string][]time.Duration),
+		},
+	}
+	f.build()
+	for _, h := range f.hosts {
+		go h.tick()
+		go h.instance.live()
+	}
+	time.Sleep(s.Warm)
+	f.callers()
+	cancel()
+	time.Sleep(windDown)
+	return f.result
+}
+
+// build makes the hosts and tells each of all others.
+func (f *fleet) build() {
+	for _, s := range f.site.Services {
+		for i := range s.Instances {
+			f.hosts = append(f.hosts, f.newHost(len(f.hosts), s, fmt.Sprintf("%s-%d", s.Name, i)))
+		}
+	}
+	compiled := directory.Compile(f.records(), true)
+	all := make([]*directory.Host, 0, len(f.hosts))
+	for _, h := range f.hosts {
+		all = append(all, &directory.Host{Name: h.name, DC: h.dc, Peer: h.name, Incarnation: 1, Alive: true, Instances: h.guard.Instances()})
+	}
+	for _, h := range f.hosts {
+		d := directory.Build(compiled, all)
+		h.front.SetView(d)
+		h.guard.Apply(d)
+	}
+}
+
+func (f *fleet) records() []*record.Record {
+	c := &record.Configuration{}
+	for _, s := range f.site.Services {
+		c.Services = append(c.Services, record.NamedService{Name: s.Name, Service: record.Service{
+			Preset: record.PresetQuick, Floor: record.Floor{Percent: 70}, RetryPercent: f.site.RetryShare,
+		}})
+	}
+	for _, k := range f.site.Kinds {
+		idempotent := "no"
+		if k.Idempotent {
+			idempotent = "yes"
+		}
+		c.Routes = append(c.Routes, record.NamedRoute{Name: k.Name, Route: record.Route{
+			PathPrefix: "/" + k.Name + "/", Service: k.Service, Idempotent: idempotent, Priority: k.Priority,
+			TimeoutMS: int(k.Deadline.Milliseconds()), ObjectiveMS: int(k.Objective.Milliseconds()), MaxAttempts: k.MaxAttempts,
+		}})
+	}
+	return []*record.Record{{Key: record.Key{Kind: record.KindConfiguration, Name: "main"}, Version: 1, Spec: c}}
+}
+
+func (f *fleet) newHost(n int, s Service, name string) *host {
+	h := &host{fleet: f, name: "h" + name, dc: fmt.Sprint("dc", n%f.site.DCs)}
+	seen := &Seen{Service: s.Name}
+	f.result.Instances[name] = seen
+	h.instance = &instance{host: h, name: name, service: s, seen: seen, rng: f.newRand(), fate: f.newRand()}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	dialect := header.Default()
+	h.guard = guard.New(guard.Config{
+		Host: h.name, QueuePerSlot: queuePerSlot, GrantLife: grantLife, TargetIdle: targetIdle, Dialect: dialect,
+		Dial: func(context.Context, string) (net.Conn, error) { return h.instance.connect(), nil },
+	}, guard.Limits{AnnounceExpiry: time.Hour, RetryReserve: f.site.RetryReserve, RetryWindow: f.site.RetryWindow},
+		log, anyRun{}, guard.Hooks{Changed: func() {}, Pulse: h.tell})
+	h.front = front.New(front.Config{
+		Host: h.name, DC: h.dc, BufferBodyBytes: 1 << 10, MaxConns: 1 << 10, Service: s.Name, Dialect: dialect,
+	}, front.Limits{MaxBodyBytes: 1 << 20}, log, peers{h}, h.guard, nil)
+	warm := int64(0)
+	if err := h.guard.Announce(time.Now(), name, guard.Announcement{
+		Service: s.Name, Address: "10.0.0.1:80", Slots: s.Slots, WarmupLeftMS: &warm,
+	}); err != nil {
+		panic("fleetsim: " + err.Error())
+	}
+	return h
+}
+
+// anyRun lets every claimed run start: no request here has a key.
+type anyRun struct{}
+
+// MayRun implements guard.Fence.
+func (anyRun) MayRun(string, uint32, uint64) bool { return true }
+
+func (f *fleet) newRand() *rand.Rand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return rand.New(rand.NewPCG(f.rng.Uint64(), f.rng.Uint64()))
+}
+
+// now is the time since the first caller.
+func (f *fleet) now() time.Duration { return time.Since(f.begun) }
+
+// delay is that of a message between two hosts.
+func (f *fleet) delay(a, b *host) time.Duration {
+	if a.dc == b.dc {
+		return f.site.Near
+	}
+	return f.site.OneWay
+}
+
+func (h *host) tick() {
+	ticker := time.NewTicker(guardTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			h.guard.Tick(now)
+		case <-h.fleet.ctx.Done():
+			return
+		}
+	}
+}
+
+// tell passes a guard's pulse on: to the fronts nearby, with far to all.
+func (h *host) tell(p *msg.Pulse, far bool) {
+	p = h.known(p)
+	h.front.HearPulse(p)
+	for _, other := range h.fleet.hosts {
+		if other == h || !far && other.dc != h.dc {
+			continue
+		}
+		time.AfterFunc(h.fleet.delay(h, other), func() { other.front.HearPulse(p) })
+	}
+}
+
+// peers are the ways from one host to the others.
+type peers struct{ from *host }
+
+// Open implements front.Peers.
+func (p peers) Open(_ context.Context, address string) (wire.Stream, *wire.Conn, error) {
+	for _, to := range p.from.fleet.hosts {
+		if to.name == address {
+			near, far := wire.Pipe()
+			go to.serve(far)
+			return delayed{near, p.from.fleet.delay(p.from, to), to.instance}, nil, nil
+		}
+	}
+	return nil, nil, io.EOF
+}
+
+func (h *host) serve(s wire.Stream) {
+	first, err := s.Recv(h.fleet.ctx)
+	if err != nil {
+		s.Close()
+		return
+	}
+	h.guard.Serve(s, first)
+}
+
+// delayed is a stream whose messages take a time on their way out; what comes back
+// takes it when it is taken up.
+type delayed struct {
+	wire.Stream
+	by   time.Duration
+	from *instance
+}
+
+// Send implements wire.Stream.
+func (d delayed) Send(ctx context.Context, ms ...msg.Message) error {
+	time.Sleep(d.by)
+	return d.Stream.Send(ctx, ms...)
+}
+
+// Recv implements wire.Stream.
+func (d delayed) Recv(ctx context.Context) (msg.Message, error) {
+	m, err := d.Stream.Recv(ctx)
+	if err != nil {
+		return m, err
+	}
+	time.Sleep(d.by)
+	switch m := m.(type) {
+	case *msg.Grant:
+		d.from.correct(&m.Load)
+	case *msg.End:
+		d.from.correct(&m.Load)
+	case *msg.Fail:
+		d.from.correct(&m.Load)
+	}
+	return m, nil
+}
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -54,39 +54,69 @@
 // out, to an instance whose guard asks for a trial, and to one that is left out.
 func (st *serviceState) pickTrial(now time.Time, req *request, tried []*target, rng *rand.Rand, p *paths) (*target, string) {
 	c := &st.choice
-	if !req.idempotent || len(tried) > 0 {
-		return nil, ""
-	}
-	if !st.mayRepeat(now) {
-		// A trial that fails is repeated elsewhere; without that it would be
-		// lost.
+	if len(tried) > 0 {
 		return nil, ""
 	}
-	for _, i := range c.cut {
-		if p.trial(now, st.targets[i].Host.Name) {
-			return st.targets[i], whyPath
+	paid := req.idempotent && st.mayRepeat(now)
+	if paid {
+		for _, i := range c.cut {
+			if p.trial(now, st.targets[i].Host.Name) {
+				return st.targets[i], whyPath
+			}
 		}
 	}
-	if i := st.wanting(); i >= 0 {
-		st.targets[i].seen.load.Wants = false
-		return st.targets[i], whyTrial
+	if t := st.wanting(now, req.idempotent, paid, rng, p); t != nil {
+		t.seen.load.Wants = false
+		return t, whyTrial
 	}
 	share := trialShare * float64(len(c.out)) / float64(max(len(st.targets), 1))
-	if len(c.out) == 0 || rng.Float64() >= share {
+	if !paid || len(c.out) == 0 || rng.Float64() >= share {
 		return nil, ""
 	}
 	return st.targets[c.out[rng.IntN(len(c.out))]], whyTrial
 }
 
-// wanting finds a target whose guard would like a trial, -1 for none. Whatever
-// sends it sends one request: the guard tells at once that it has one.
-func (st *serviceState) wanting() int {
-	for i, t := range st.targets {
-		if t.seen.load.Wants && t.Usable() {
-			return i
+const (
+	// wellKnown is the estimate up to which a trial is no risk to speak of: a
+	// request goes there that could not be sent again.
+	wellKnown = 0.1
+	// wantsLong is how long a guard has asked for a trial before one may be made
+	// with work that cannot be repeated: requests that can are sent first.
+	wantsLong = 300 * time.Millisecond
+	// trialSpread blurs the estimates among which a trial is chosen, so that fronts
+	// which know the same do not all try one.
+	trialSpread = 0.2
+)
+
+// wanting finds a target whose guard would like a trial, nil for none: the one that
+// is likeliest well, because trials are few and sick instances ask for them too.
+// paid says that the request could be repeated if it fails there. Whatever sends
+// it sends one request: the guard tells at once that it has one.
+func (st *serviceState) wanting(now time.Time, idempotent, paid bool, rng *rand.Rand, p *paths) *target {
+	var best *target
+	least := 0.0
+	for _, t := range st.targets {
+		if !t.seen.load.Wants || !t.Usable() || !p.usable(t.Host.Name) || !t.seen.mayTry(now, idempotent, paid) {
+			continue
 		}
+		sick := t.seen.sick.Sick(now, model) + trialSpread*rng.Float64()
+		if best == nil || sick < least {
+			best, least = t, sick
+		}
+	}
+	return best
+}
+
+// mayTry says that a request is fit for a trial: one that can be sent again at any
+// instance, one that can not only where it is hardly at risk.
+func (o *observed) mayTry(now time.Time, idempotent, paid bool) bool {
+	if paid {
+		return true
+	}
+	if o.sick.Sick(now, model) > wellKnown {
+		return false
 	}
-	return -1
+	return idempotent || now.Sub(o.wantsAt) >= wantsLong
 }
 
 // pickUsable makes the regular choice.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,7 +16,6 @@
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/internal/msg"
-	"github.com/radishhoist/radishhoist/internal/peer"
 	"github.com/radishhoist/radishhoist/internal/wire"
 )
 
@@ -52,7 +51,7 @@
 type Front struct {
 	cfg   Config
 	log   *slog.Logger
-	pool  *peer.Pool
+	peers Peers
 	guard *guard.Guard
 	keys  Keys
 
@@ -73,8 +72,8 @@
 
 // New makes a Front. guard is this host's own, reached without
 // frames; nil keys treat keyed requests like any other.
-func New(cfg Config, limits Limits, log *slog.Logger, pool *peer.Pool, g *guard.Guard, keys Keys) *Front {
-	f := &Front{cfg: cfg, log: log, pool: pool, guard: g, keys: keys, paths: newPaths(log)}
+func New(cfg Config, limits Limits, log *slog.Logger, peers Peers, g *guard.Guard, keys Keys) *Front {
+	f := &Front{cfg: cfg, log: log, peers: peers, guard: g, keys: keys, paths: newPaths(log)}
 	f.life, f.abandon = context.WithCancel(context.Background())
 	f.seed.Store(rand.Uint64())
 	f.limits.Store(&limits)
@@ -96,8 +95,15 @@
 	f.view.Store(d)
 }
 
-// SetPool sets the connections to the other hosts, before the first request.
-func (f *Front) SetPool(p *peer.Pool) { f.pool = p }
+// Peers are the ways to the guards of other hosts.
+type Peers interface {
+	// Open starts a stream to the host at an address. The connection is that which
+	// carries it, nil where there is none to watch for signs of life.
+	Open(ctx context.Context, address string) (wire.Stream, *wire.Conn, error)
+}
+
+// SetPeers sets the ways to the other hosts, before the first request.
+func (f *Front) SetPeers(p Peers) { f.peers = p }
 
 // View gives the directory in force.
 func (f *Front) View() *directory.Directory { return f.view.Load() }
@@ -156,12 +162,7 @@
 		go f.serveLocal(far)
 		return near, nil, nil
 	}
-	conn, err := f.pool.Conn(ctx, h.Peer)
-	if err != nil {
-		return nil, nil, err
-	}
-	s, err := conn.Open()
-	return s, conn, err
+	return f.peers.Open(ctx, h.Peer)
 }
 
 func (f *Front) serveLocal(s wire.Stream) {
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -48,6 +48,8 @@
 	pending int
 	load    msg.Load
 	loadAt  time.Time
+	// wantsAt is since when its guard asks for a trial.
+	wantsAt time.Time
 	// sick is the guard's estimate of the instance's state.
 	sick chance.Estimate
 	// sheds is the share of requests that the instance refuses with free slots.
@@ -211,6 +213,9 @@
 
 // hear takes a guard's count. The service's lock is held.
 func (o *observed) hear(now time.Time, load msg.Load) {
+	if load.Wants && !o.load.Wants {
+		o.wantsAt = now
+	}
 	o.load, o.loadAt = load, now
 	o.sick = chance.At(now, load.SickChance())
 	o.sheds = chance.ShareAt(now, float64(load.Sheds)/msg.Thousandths)
--- a/internal/front/weigh_test.go
+++ b/internal/front/weigh_test.go
@@ -38,3 +38,30 @@
 	}
 	assert.Assert(t, cost(load, 0.03) < cost(msg.Load{Slots: 4}, 0.7))
 }
+
+// A trial goes to the target that is likeliest well. Work that cannot be repeated
+// is not risked at one in doubt, and elsewhere only where nothing else came.
+func TestWhoIsTried(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ask := func(sick uint16, since time.Duration) *observed {
+		o := &observed{}
+		o.hear(now.Add(-since), msg.Load{Slots: 4, Wants: true, Sick: sick})
+		return o
+	}
+	doubtful, well, asksLong := ask(700, 0), ask(10, 0), ask(10, wantsLong)
+	for _, c := range []struct {
+		name             string
+		o                *observed
+		idempotent, paid bool
+		want             bool
+	}{
+		{"a repeat is left", doubtful, true, true, true},
+		{"no repeat is left, in doubt", doubtful, true, false, false},
+		{"no repeat is left, well", well, true, false, true},
+		{"not idempotent, in doubt", doubtful, false, false, false},
+		{"not idempotent, well, has just asked", well, false, false, false},
+		{"not idempotent, well, has asked for long", asksLong, false, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) { assert.Equal(t, c.o.mayTry(now, c.idempotent, c.paid), c.want) })
+	}
+}
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -105,23 +105,29 @@
 }
 
 const (
-	// doubt is the estimate above which an instance is worth a trial: below it
-	// the fronts send work anyway.
+	// doubt is the estimate above which a failure is to be expected of a trial.
 	doubt = 0.1
 	// trialPause is the time between a failed trial and the next one: shorter
 	// uses up the budget of repeats on instances that stay sick for seconds,
 	// longer leaves out for longer those that are well again.
 	trialPause = time.Second
+	// idlePause is how long an instance that is believed well has nothing to do
+	// before it asks for work. Without asking, those that were heard of last got
+	// all of it: of 36 instances that could have shared 50 requests a second
+	// evenly, 14 got nothing for 2 s and one 37, and nobody knew any more whether
+	// the others were well when they were needed.
+	idlePause = 600 * time.Millisecond
 )
 
-// wants says that the instance, sick with the given probability, is in doubt and
-// that nothing is under way that would tell. The caller holds the lock.
+// wants says that the instance, sick with the given probability, has nothing under
+// way that would tell how it is, and should get a request that does. The caller
+// holds the lock.
 func (i *instance) wants(now time.Time, sick float64) bool {
 	if i.leaving || i.stopped || i.queue.Running()+i.queue.Queued() > 0 {
 		return false
 	}
 	if sick < doubt {
-		return false
+		return now.Sub(i.idleAt) >= idlePause
 	}
 	return now.Sub(i.failedAt) >= trialPause
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -4,7 +4,9 @@
 package guard
 
 import (
+	"context"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +32,8 @@
 	GrantLife time.Duration
 	// TargetIdle is how long an idle connection to an instance is kept.
 	TargetIdle time.Duration
+	// Dial connects to the instances in place of the network; nil uses that.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Dialect names the headers of the conversation with the instances.
 	Dialect header.Dialect
 }
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -37,8 +37,9 @@
 	detector  *detect.Detector
 	reference detect.Reference
 	sick      chance.Estimate
-	// failedAt is when a request last failed.
+	// failedAt is when a request last failed, and idleAt when one last ended.
 	failedAt time.Time
+	idleAt   time.Time
 	// sheds is the share of recent requests that it refused with a free slot.
 	sheds chance.Share
 	// cutAt is when a request was last broken off.
@@ -100,7 +101,7 @@
 		service: a.Service, address: a.Address, started: now,
 		client: targetconn.New(targetconn.Config{
 			Address: a.Address, MaxConns: a.connections(), Idle: g.cfg.TargetIdle,
-			DialTimeout: dialTimeout, EchoesRequestID: g.cfg.Dialect.EchoesRequestID,
+			DialTimeout: dialTimeout, Dial: g.cfg.Dial, EchoesRequestID: g.cfg.Dialect.EchoesRequestID,
 		}),
 		queue:    admit.NewQueue(g.queueConfig(a.Slots)),
 		detector: detect.NewDetector(params),
@@ -284,6 +285,7 @@
 		service = 0
 	}
 	i.deliver(i.queue.Done(now, id, service))
+	i.idleAt = now
 	if r.failed {
 		i.counts.Failed++
 	}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -194,6 +194,16 @@
 	}
 }
 
+// Open starts a stream to the host at an address, on its connection or a new one.
+func (p *Pool) Open(ctx context.Context, addr string) (wire.Stream, *wire.Conn, error) {
+	conn, err := p.Conn(ctx, addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := conn.Open()
+	return s, conn, err
+}
+
 // Conn gives the connection to a peer address, making it where there is none.
 // While a recent attempt has failed it returns that error at once.
 func (p *Pool) Conn(ctx context.Context, addr string) (*wire.Conn, error) {
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -28,6 +28,8 @@
 	Idle time.Duration
 	// DialTimeout bounds one attempt to connect.
 	DialTimeout time.Duration
+	// Dial connects in place of the network; nil uses that.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// EchoesRequestID says that every answer of the target repeats the
 	// request's id, so that one without it belongs to no request.
 	EchoesRequestID bool
@@ -111,9 +113,17 @@
 	return nil, nil
 }
 
+// connect makes one connection to the target.
+func (c *Config) connect(ctx context.Context) (net.Conn, error) {
+	if c.Dial != nil {
+		return c.Dial(ctx, c.Address)
+	}
+	dialer := net.Dialer{Timeout: c.DialTimeout}
+	return dialer.DialContext(ctx, "tcp", c.Address)
+}
+
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	dialer := net.Dialer{Timeout: p.cfg.DialTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp", p.cfg.Address)
+	nc, err := p.cfg.connect(ctx)
 	if err != nil {
 		p.mu.Lock()
 		p.held--
