A failure weighs more as repeats run out

Cause: work that can be repeated goes to sick instances at a fifth of a failure's weight, because a repeat saves it; while any guard had told of one repeat, or of nothing for a second, that held also where nearly no repeat was to be had. Hypothesis: the weight must follow the chance of a repeat. Change: the weight goes from 0.2 to 1 with the share of guards that have a repeat left by fresh counts.

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -131,7 +131,7 @@
 	}
 	at := localPositions(usable, local)
 	typical := st.typical(now, req)
-	expected, stakes := st.expected(req), req.stakes(now, req.idempotent && len(tried) == 0 && st.mayRepeat(now))
+	expected, stakes := st.expected(req), req.stakes(now, st.again(now, req, tried))
 	i := balance.Pick(rng, len(usable), at, func(k int) float64 {
 		return balance.Cost(st.targets[usable[k]].candidate(now, req, expected, typical, p, cfg), stakes)
 	})
@@ -141,6 +141,15 @@
 	return st.targets[usable[i]]
 }
 
+// again is the chance that a request can be sent again where its next attempt fails.
+// The caller holds the lock.
+func (st *serviceState) again(now time.Time, req *request, tried []*target) float64 {
+	if !req.idempotent || len(tried) > 0 {
+		return 0
+	}
+	return st.repeatChance(now)
+}
+
 // pickAny falls back to a target that is left out, then to one whose path is
 // left out: it beats refusing.
 func (st *serviceState) pickAny(tried []*target) *target {
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -166,6 +166,27 @@
 	return false
 }
 
+// repeatChance is how likely a repeat is to find a guard that has one left: the
+// part of the guards that told of any; a count that is old is taken for what the
+// fresh ones are. The caller holds the lock.
+func (st *serviceState) repeatChance(now time.Time) float64 {
+	fresh, left := 0, 0
+	for _, i := range st.choice.usable {
+		o := st.targets[i].seen
+		if now.Sub(o.loadAt) > freshLoad {
+			continue
+		}
+		fresh++
+		if o.load.Repeats > 0 {
+			left++
+		}
+	}
+	if fresh == 0 {
+		return 1
+	}
+	return float64(left) / float64(fresh)
+}
+
 // mayRepeat says that the guard has a repeat left as far as is known: it told so,
 // or nothing of late.
 func (o *observed) mayRepeat(now time.Time) bool {
--- a/internal/front/weigh.go
+++ b/internal/front/weigh.go
@@ -88,7 +88,7 @@
 
 const (
 	// againWeight is how much of a failure counts for work that can be repeated,
-	// while a repeat is left: most failures come within milliseconds, so that the
+	// while repeats are left: most failures come within milliseconds, so that the
 	// repeat still answers in time, and each tells of a sick instance before work
 	// that cannot be repeated meets it. Mean worth of 23 days a site with 0.8, 0.4,
 	// 0.2 and 0.05: 0.605, 0.607, 0.616, 0.591 and 0.523, 0.515, 0.529, 0.497.
@@ -98,13 +98,14 @@
 	distanceStake = 0.05
 )
 
-// stakes says what the choice of a target means for a request, which can be
-// repeated only where the budget has a repeat.
-func (req *request) stakes(now time.Time, repeatable bool) balance.Stakes {
-	weight := 1.0
-	if repeatable {
-		weight = againWeight
-	}
+// stakes says what the choice of a target means for a request. again is the chance
+// that it can be repeated where it fails: the weight of a failure grows from
+// againWeight to a whole one as repeats run out. While any guard's last repeat made
+// it light, 487 of 896 lost requests of one service on a heavy day were sent to
+// instances known to be sick and found no repeat; now 20 such days have a mean worth
+// of 0.513 in place of 0.501, and 0.128 of the requests fail in place of 0.162.
+func (req *request) stakes(now time.Time, again float64) balance.Stakes {
+	weight := 1 - again*(1-againWeight)
 	objective := req.route.Objective()
 	return balance.Stakes{
 		Objective: objective, Left: objective - now.Sub(req.arrived),
--- a/internal/front/weigh_test.go
+++ b/internal/front/weigh_test.go
@@ -34,11 +34,43 @@
 		return balance.Cost(balance.Candidate{
 			Slots: 4, Running: int(l.Running), Waiting: urgent.behind(now, l), Service: 240 * time.Millisecond,
 			Path: time.Millisecond, Warmth: 1, Local: true, Fails: fails,
-		}, urgent.stakes(now, false))
+		}, urgent.stakes(now, 0))
 	}
 	assert.Assert(t, cost(load, 0.03) < cost(msg.Load{Slots: 4}, 0.7))
 }
 
+// heard makes a service state whose targets' guards have told of repeats left.
+func heard(now time.Time, age time.Duration, repeats ...uint16) *serviceState {
+	st := &serviceState{}
+	for i, left := range repeats {
+		seen := &observed{}
+		seen.hear(now.Add(-age), msg.Load{Slots: 4, Repeats: left})
+		st.targets = append(st.targets, &target{seen: seen})
+		st.choice.usable = append(st.choice.usable, i)
+	}
+	return st
+}
+
+// A failure of work that can be repeated weighs the more the fewer guards have a
+// repeat left, and whole where none has.
+func TestAFailureWeighsByTheChanceOfARepeat(t *testing.T) {
+	now := time.Unix(1000, 0)
+	req := weighed(1, time.Second, now)
+	last := 0.0
+	for _, st := range []*serviceState{heard(now, 0, 3, 1, 2, 9), heard(now, 0, 3, 0, 2, 9), heard(now, 0, 0, 0, 2, 0), heard(now, 0, 0, 0, 0, 0)} {
+		weight := req.stakes(now, st.repeatChance(now)).FailureWeight
+		assert.Assert(t, weight > last, "%f after %f", weight, last)
+		last = weight
+	}
+	assert.Equal(t, last, 1.0)
+	assert.Equal(t, heard(now, 0, 1, 1).repeatChance(now), 1.0)
+	// What was told long ago says nothing.
+	assert.Equal(t, heard(now, time.Minute, 0, 0).repeatChance(now), 1.0)
+	mixed := heard(now, 0, 0, 4)
+	mixed.targets[1].seen.loadAt = now.Add(-time.Minute)
+	assert.Equal(t, mixed.repeatChance(now), 0.0)
+}
+
 // A trial goes to the target that is likeliest well. Work that cannot be repeated
 // is not risked at one in doubt, and elsewhere only where nothing else came.
 func TestWhoIsTried(t *testing.T) {
