--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -155,6 +155,21 @@
 	return watch
 }
 
+// backupPatience is how many times as long as the first watcher of a data centre
+// the others leave a watch waiting: they hear of a change as soon, and spare calls;
+// only where the platform holds a watch beyond its time the first must be sooner.
+const backupPatience = 4
+
+// patience is that of this host's watches.
+func (c *Control) patience() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rank() == 0 {
+		return 1
+	}
+	return backupPatience
+}
+
 // rank is this host's place among the live hosts of its data centre.
 func (c *Control) rank() int {
 	near, _ := c.members.Live()
@@ -221,7 +236,7 @@
 // followFeed watches one feed from a revision on.
 func (c *Control) followFeed(ctx context.Context, feed objects.Feed, revision int64) error {
 	for ctx.Err() == nil && c.ranksAsWatcher() {
-		page, err := c.store.Watch(ctx, feed, revision)
+		page, err := c.store.Watch(ctx, feed, revision, c.patience())
 		var compacted *objects.CompactedError
 		if errors.As(err, &compacted) {
 			return err
--- a/internal/control/watch_test.go
+++ b/internal/control/watch_test.go
@@ -38,7 +38,7 @@
 	return objects.Page{Revision: s.revision}, nil
 }
 
-func (s *forgetfulStore) Watch(ctx context.Context, feed objects.Feed, after int64) (objects.Page, error) {
+func (s *forgetfulStore) Watch(ctx context.Context, feed objects.Feed, after int64, _ int) (objects.Page, error) {
 	s.mu.Lock()
 	first := s.dropped.IsZero() && feed == "a"
 	s.mu.Unlock()
--- a/internal/objects/api.go
+++ b/internal/objects/api.go
@@ -49,7 +49,8 @@
 	Feeds() []Feed
 	// Watch waits for changes in a feed after a revision. An empty page is a
 	// time-out with nothing new. *CompactedError means: list again.
-	Watch(ctx context.Context, feed Feed, after int64) (Page, error)
+	// The platform is asked to hold the call patience times as long as usual.
+	Watch(ctx context.Context, feed Feed, after int64, patience int) (Page, error)
 	// Close lets go of the connections.
 	Close()
 }
--- a/internal/objects/budget.go
+++ b/internal/objects/budget.go
@@ -99,11 +99,11 @@
 func (b *Budget) Feeds() []Feed { return b.store.Feeds() }
 
 // Watch implements Store.
-func (b *Budget) Watch(ctx context.Context, feed Feed, after int64) (Page, error) {
+func (b *Budget) Watch(ctx context.Context, feed Feed, after int64, patience int) (Page, error) {
 	if err := b.wait(ctx); err != nil {
 		return Page{}, err
 	}
-	out, err := b.store.Watch(ctx, feed, after)
+	out, err := b.store.Watch(ctx, feed, after, patience)
 	b.count("watch", err)
 	return out, err
 }
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -101,10 +101,11 @@
 func (c *Client) Feeds() []Feed { return []Feed{""} }
 
 // Watch implements Store.
-func (c *Client) Watch(ctx context.Context, _ Feed, after int64) (Page, error) {
+func (c *Client) Watch(ctx context.Context, _ Feed, after int64, patience int) (Page, error) {
 	var page Page
-	query := watchQuery{After: after, WaitMS: c.WatchWait.Milliseconds()}
-	status, body, err := c.Call(ctx, c.WatchWait+WatchSlack, c.Request().Get("/v1/watch").QueryStruct(query))
+	wait := time.Duration(patience) * c.WatchWait
+	query := watchQuery{After: after, WaitMS: wait.Milliseconds()}
+	status, body, err := c.Call(ctx, wait+WatchSlack, c.Request().Get("/v1/watch").QueryStruct(query))
 	if err != nil {
 		return page, err
 	}
