--- a/internal/core/admit/admit_test.go
+++ b/internal/core/admit/admit_test.go
@@ -135,3 +135,21 @@
 	q.Done(base, 1, time.Millisecond)
 	assert.Assert(t, q.Idle())
 }
+
+// Slots that were granted and not used are taken back; what runs and what waits is
+// not touched.
+func TestRevokedGrantsCannotRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := NewQueue(Config{Slots: 2, QueuePerSlot: 2, GrantLife: time.Minute})
+	deadline := now.Add(time.Hour)
+	assert.Equal(t, q.Offer(now, Request{ID: 1, Deadline: deadline})[0].Action, Start)
+	assert.Equal(t, q.Offer(now, Request{ID: 2, Deadline: deadline, Reserve: true})[0].Action, Grant)
+	assert.Equal(t, q.Offer(now, Request{ID: 3, Deadline: deadline})[0].Action, Wait)
+	revoked := q.Revoke()
+	assert.Equal(t, len(revoked), 1)
+	assert.Equal(t, revoked[0].ID, ID(2))
+	assert.Equal(t, revoked[0].Action, Refuse)
+	assert.Equal(t, q.Run(now, 2).Action, Refuse)
+	assert.Equal(t, q.Running(), 1)
+	assert.Equal(t, q.Queued(), 1)
+}
--- /dev/null
+++ b/internal/core/admit/wait.go
@@ -0,0 +1,71 @@
+package admit
+
+import (
+	"time"
+)
+
+// feasible says that a waiting request that starts now meets its objective.
+func (t *ticket) feasible(now time.Time) bool { return !now.Add(t.Expect).After(t.Objective) }
+
+// givenUp says that a late request has waited so long beyond its objective that
+// its place is of more use to others: as long again as it had.
+func (t *ticket) givenUp(now time.Time) bool {
+	return now.Sub(t.Objective) > max(t.Objective.Sub(t.arrived), 0)
+}
+
+// countLate counts the waiting requests that miss their objective or are
+// expected to.
+func (q *Queue) countLate(now time.Time) int {
+	late := 0
+	for i := range q.levels {
+		q.levels[i].each(func(t *ticket) {
+			if t.late || !t.feasible(now) {
+				late++
+			}
+		})
+	}
+	return late
+}
+
+// expectedWait estimates how long a newcomer waits: until a slot is free, and
+// the work that will go ahead of it, spread over the slots. It also settles
+// whether the newcomer is expected to miss its objective.
+//
+// Counting all work of its priority told short requests with a near objective,
+// such as a target's calls, that there was no place for them, though they would
+// have been next.
+func (q *Queue) expectedWait(now time.Time, t *ticket) time.Duration {
+	wait := q.waitBehind(now, t)
+	t.late = now.Add(wait + t.Expect).After(t.Objective)
+	if t.late {
+		wait = q.waitBehind(now, t)
+	}
+	return wait
+}
+
+// waitBehind is the wait behind all that goes before the newcomer.
+func (q *Queue) waitBehind(now time.Time, newcomer *ticket) time.Duration {
+	ahead := q.service
+	for p := int(newcomer.Priority); p < Priorities; p++ {
+		q.levels[p].each(func(t *ticket) {
+			if p > int(newcomer.Priority) || t.goesBefore(now, newcomer) {
+				ahead += t.Expect
+			}
+		})
+	}
+	return ahead / time.Duration(max(q.cfg.Slots, 1))
+}
+
+// goesBefore says that a waiting request runs before a newcomer of its
+// priority, whichever class has its turn: the order of next.
+func (t *ticket) goesBefore(now time.Time, newcomer *ticket) bool {
+	late := t.late || !t.feasible(now)
+	switch {
+	case late != newcomer.late:
+		return newcomer.late
+	case late:
+		return !t.Deadline.After(newcomer.Deadline)
+	default:
+		return !t.Objective.After(newcomer.Objective)
+	}
+}
