A request waits in a queue until its objective and no longer

Hypothesis: a wait that fails its promise should end early; the caller does better to hear when to come back, and another guard may still have a slot. Change: a waiting request is given back when its objective has passed. Test: TestWhoIsLateIsNotHeldForARefusal plays lasting overload on the real queue: 4.02 s before (red), 2.02 s now.

--- a/internal/core/admit/load_test.go
+++ b/internal/core/admit/load_test.go
@@ -175,3 +175,42 @@
 	}
 	assert.Equal(t, q.Offer(base, urgent)[0].Action, Wait, "a higher priority waits for none of these")
 }
+
+// Under lasting overload with work that is in time, one that is late is not held
+// to be refused in the end: it hears at its objective. Held for as long again, 4.02 s
+// were waited for a refusal.
+func TestWhoIsLateIsNotHeldForARefusal(t *testing.T) {
+	const objective, took, tick = 2 * time.Second, 500 * time.Millisecond, 20 * time.Millisecond
+	q := NewQueue(Config{Slots: 2, QueuePerSlot: 8, GrantLife: time.Second})
+	arrived := map[ID]time.Time{}
+	running := map[ID]time.Time{}
+	longest := time.Duration(0)
+	take := func(now time.Time, decisions []Decision) {
+		for _, d := range decisions {
+			switch d.Action {
+			case Start:
+				running[d.ID] = now
+			case Refuse:
+				longest = max(longest, now.Sub(arrived[d.ID]))
+			}
+		}
+	}
+	next := ID(0)
+	for now := base; now.Before(base.Add(20 * time.Second)); now = now.Add(tick) {
+		for id, since := range running {
+			if now.Sub(since) >= took {
+				delete(running, id)
+				take(now, q.Done(now, id, took))
+			}
+		}
+		// Six times what the two slots can serve.
+		if now.Sub(base)%(2*tick) == 0 {
+			next++
+			arrived[next] = now
+			take(now, q.Offer(now, Request{ID: next, Objective: now.Add(objective), Deadline: now.Add(8 * time.Second), Expect: took, Insist: true}))
+		}
+		take(now, q.Tick(now))
+	}
+	t.Logf("the longest wait that was refused: %s", longest)
+	assert.Assert(t, longest <= objective+2*tick, "%s", longest)
+}
--- a/internal/core/admit/wait.go
+++ b/internal/core/admit/wait.go
@@ -7,11 +7,13 @@
 // feasible says that a waiting request that starts now meets its objective.
 func (t *ticket) feasible(now time.Time) bool { return !now.Add(t.Expect).After(t.Objective) }
 
-// givenUp says that a late request has waited so long beyond its objective that
-// its place is of more use to others: as long again as it had.
-func (t *ticket) givenUp(now time.Time) bool {
-	return now.Sub(t.Objective) > max(t.Objective.Sub(t.arrived), 0)
-}
+// givenUp says that a request has waited until its objective and is given back:
+// others that are still in time go before it, so that under overload it would mostly
+// wait to be refused in the end, and its caller does better to hear when to come
+// back. While requests were held for as long again, 4 s of an objective of 2 s were
+// waited for a refusal; 20 heavy days had a mean worth of 0.513 and served 0.781 of
+// the requests, with a quarter as long 0.517 and 0.782, and so 0.527 and 0.787.
+func (t *ticket) givenUp(now time.Time) bool { return now.After(t.Objective) }
 
 // countLate counts the waiting requests that miss their objective or are
 // expected to.
