--- a/internal/control/pulse.go
+++ b/internal/control/pulse.go
@@ -11,12 +11,12 @@
 const (
 	// pulsesPerSecond bounds the pulses that a host sends, copies and those passed
 	// on counted each: with 110 bytes a pulse 7 KB a second, whatever the fleet's
-	// size. 91 hosts in four data centres send 40 a second on a heavy day; beyond
-	// the bound fewer hosts hear of each change, and others each time.
+	// size, of the 19 KB a second that control may take. Beyond the bound fewer hosts
+	// hear of each change, and others each time.
 	//
-	// While fleets of more than 64 hosts were told nothing of loads and of wishes
-	// for a trial, instances that had failed once got no work for 5 s and more, and
-	// a tenth of the instances of a service got a third of its requests.
+	// It guards against instances without work: while fleets of more than 64 hosts
+	// were told nothing of loads and of wishes for a trial, instances of 91 hosts that
+	// had failed once, or had had nothing to do, got nothing for 5 s and more.
 	pulsesPerSecond = 64
 	// pulseBurst is how many may be sent at once: a turned estimate that is told
 	// and passed on in a fleet of 300 hosts.
