--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -17,17 +17,17 @@
 // bookings is a site whose heaviest service calls the others, with instances that
 // are sick a third of the time.
 func bookings(seed uint64, load float64) Site {
-	second := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	return Site{
 		DCs: 4, OneWay: 500 * time.Microsecond, Near: 200 * time.Microsecond, Seed: seed,
 		Services: []Service{{"browser", 8, 5}, {"desk", 11, 5}, {"shelf", 8, 5}},
 		Kinds: []Kind{
-			{Name: "browse", Service: "browser", PerSecond: 23 * load, Work: second(620), Objective: second(2000), Deadline: second(4000), Idempotent: true, Priority: 1, MaxAttempts: 2, Calls: "check", CallChance: 0.4},
-			{Name: "deposit", Service: "desk", PerSecond: 44 * load, Work: second(480), Objective: second(2000), Deadline: second(6000), Priority: 3, MaxAttempts: 2, Calls: "catalogue", CallChance: 0.4},
-			{Name: "song", Service: "shelf", PerSecond: 6 * load, Work: second(380), Objective: second(2000), Deadline: second(4000), Idempotent: true, Priority: 1, MaxAttempts: 2},
-			{Name: "voucher", Service: "shelf", PerSecond: 7 * load, Work: second(380), Objective: second(1500), Deadline: second(4000), Priority: 2, MaxAttempts: 2},
-			{Name: "check", Service: "desk", Work: second(120), Objective: second(400), Deadline: second(1500), Idempotent: true, Priority: 3, MaxAttempts: 2},
-			{Name: "catalogue", Service: "shelf", Work: second(120), Objective: second(400), Deadline: second(1500), Idempotent: true, Priority: 3, MaxAttempts: 2},
+			{Name: "browse", Service: "browser", PerSecond: 23 * load, Work: ms(620), Objective: ms(2000), Deadline: ms(4000), Idempotent: true, Priority: 1, MaxAttempts: 2, Calls: "check", CallChance: 0.4},
+			{Name: "deposit", Service: "desk", PerSecond: 44 * load, Work: ms(480), Objective: ms(2000), Deadline: ms(6000), Priority: 3, MaxAttempts: 2, Calls: "catalogue", CallChance: 0.4},
+			{Name: "song", Service: "shelf", PerSecond: 6 * load, Work: ms(380), Objective: ms(2000), Deadline: ms(4000), Idempotent: true, Priority: 1, MaxAttempts: 2},
+			{Name: "voucher", Service: "shelf", PerSecond: 7 * load, Work: ms(380), Objective: ms(1500), Deadline: ms(4000), Priority: 2, MaxAttempts: 2},
+			{Name: "check", Service: "desk", Work: ms(120), Objective: ms(400), Deadline: ms(1500), Idempotent: true, Priority: 3, MaxAttempts: 2},
+			{Name: "catalogue", Service: "shelf", Work: ms(120), Objective: ms(400), Deadline: ms(1500), Idempotent: true, Priority: 3, MaxAttempts: 2},
 		},
 		Health:     Health{WellFor: 26 * time.Second, SickFor: 13 * time.Second, SickFails: 0.9, WellFails: 0.02},
 		RetryShare: 20, RetryReserve: 60, RetryWindow: 10 * time.Second,
