Logs are read by one piece of code; a field that nothing reads taken out

Cause: the change read again. trace and losses each had a scanner with the same bound of a line and the same search for the first brace; a type named after fronts' lines held guards' lines too; since a request waits until its objective no longer depends on when it was offered, the queue kept that time for nothing. Ruled out: one type for both readers: trace shows every field as it stands, losses needs a dozen typed ones. Change: event.ReadLines serves both, the type is `line`, `arrived` is gone, two texts say what the queue does now. No behaviour, bound or assertion changes.

--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -14,10 +13,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
-)
 
-// maxLine bounds one log line that is read, in bytes.
-const maxLine = 4 << 20
+	"github.com/radishhoist/radishhoist/internal/event"
+)
 
 // logLine is one line of a daemon's log.
 type logLine struct {
@@ -67,18 +65,15 @@
 // readLog picks the lines about a request.
 func readLog(r io.Reader, request string) ([]logLine, error) {
 	var out []logLine
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
-	for scanner.Scan() {
-		text := scanner.Bytes()
+	err := event.ReadLines(r, func(text []byte) {
 		if !bytes.Contains(text, []byte(request)) {
-			continue
+			return
 		}
 		if line, ok := parseLine(text); ok && belongs(line.request, request) {
 			out = append(out, line)
 		}
-	}
-	return out, errors.Wrap(scanner.Err(), "read a log")
+	})
+	return out, err
 }
 
 // belongs says that a line is about the request, or about a call whose id its
@@ -88,12 +83,8 @@
 }
 
 func parseLine(text []byte) (logLine, bool) {
-	start := bytes.IndexByte(text, '{')
-	if start < 0 {
-		return logLine{}, false
-	}
 	var line logLine
-	if err := json.Unmarshal(text[start:], &line.rest); err != nil {
+	if err := json.Unmarshal(text, &line.rest); err != nil {
 		return logLine{}, false
 	}
 	for field, into := range map[string]any{"time": &line.at, "host": &line.host, "request": &line.request, "msg": &line.name, "event": &line.event} {
--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -85,10 +85,8 @@
 type ticket struct {
 	Request
 	state state
-	// arrived is when it was offered, and late says that it was then expected to
-	// miss its objective.
-	arrived time.Time
-	late    bool
+	// late says that it was expected to miss its objective when it was offered.
+	late bool
 	// expires is when a grant lapses.
 	expires time.Time
 }
@@ -208,7 +206,7 @@
 	if r.Expect <= 0 {
 		r.Expect = q.service
 	}
-	t := &ticket{Request: r, arrived: now}
+	t := &ticket{Request: r}
 	if q.busy < q.cfg.Slots && q.queued == 0 {
 		q.tickets[r.ID] = t
 		return []Decision{q.seat(now, t)}
--- a/internal/core/admit/fair.go
+++ b/internal/core/admit/fair.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// lost lists the requests that cannot meet their deadline any more, or have
-// missed their objective for too long.
+// lost lists the requests that cannot meet their deadline any more, or have waited
+// past their objective.
 func (l *level) lost(now time.Time) []*ticket {
 	var out []*ticket
 	l.each(func(t *ticket) {
--- a/internal/losses/lines.go
+++ b/internal/losses/lines.go
@@ -1,21 +1,14 @@
 package losses
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"io"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/verdict"
 )
 
-// maxLine bounds one log line that is read, in bytes.
-const maxLine = 4 << 20
-
 // The events that are read.
 var (
 	requestFailed   = event.RequestFailed.Number
@@ -31,8 +24,8 @@
 	statusTimeUp = 504
 )
 
-// front is a front's line about a request that has ended.
-type front struct {
+// line is a line about a request: a front's when it has ended, or a guard's.
+type line struct {
 	At           time.Time `json:"time"`
 	Event        int       `json:"event"`
 	Request      string    `json:"request"`
@@ -58,63 +51,55 @@
 }
 
 // last is the attempt that decided.
-func (f *front) last() attempt {
-	if len(f.Attempts) == 0 {
+func (l *line) last() attempt {
+	if len(l.Attempts) == 0 {
 		return attempt{}
 	}
-	return f.Attempts[len(f.Attempts)-1]
+	return l.Attempts[len(l.Attempts)-1]
 }
 
 // Read takes every line of a log. Other text on a line before its first brace is
 // passed over; a line without one counts as unreadable.
-func (c *Collector) Read(r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
-	for scanner.Scan() {
-		c.line(scanner.Bytes())
-	}
-	return errors.Wrap(scanner.Err(), "read a log")
-}
+func (c *Collector) Read(r io.Reader) error { return event.ReadLines(r, c.take) }
 
-func (c *Collector) line(text []byte) {
-	start := bytes.IndexByte(text, '{')
-	var f front
-	if start < 0 || json.Unmarshal(text[start:], &f) != nil {
+func (c *Collector) take(text []byte) {
+	var l line
+	if json.Unmarshal(text, &l) != nil {
 		c.report.Unreadable++
 		return
 	}
-	c.report.LinesLeftOut += f.LinesLeftOut
-	switch f.Event {
+	c.report.LinesLeftOut += l.LinesLeftOut
+	switch l.Event {
 	case requestFailed:
-		c.ends = append(c.ends, f)
+		c.ends = append(c.ends, l)
 	case requestAnswered:
-		if f.Status >= statusFailed {
-			c.ends = append(c.ends, f)
+		if l.Status >= statusFailed {
+			c.ends = append(c.ends, l)
 		}
 	case requestEnded:
-		if f.ExcusedByCall {
-			c.excused[f.Request+"@"+f.Instance] = true
+		if l.ExcusedByCall {
+			c.excused[l.Request+"@"+l.Instance] = true
 		}
 	case requestRefused:
-		c.refusal(&f)
+		c.refusal(&l)
 	}
 }
 
 // refusal takes a guard's line about a request that got no slot.
-func (c *Collector) refusal(f *front) {
-	if f.Reason == string(verdict.ReasonRetryBudget) {
+func (c *Collector) refusal(l *line) {
+	if l.Reason == string(verdict.ReasonRetryBudget) {
 		c.report.Repeats.Refused++
 	}
-	if f.WaitedMS <= atOnce || f.Reason == string(verdict.ReasonCancelled) {
+	if l.WaitedMS <= atOnce || l.Reason == string(verdict.ReasonCancelled) {
 		return
 	}
-	w, ok := c.waits[f.Service]
+	w, ok := c.waits[l.Service]
 	if !ok {
-		w = &Waits{Service: f.Service}
-		c.waits[f.Service] = w
+		w = &Waits{Service: l.Service}
+		c.waits[l.Service] = w
 	}
 	w.Count++
-	if waited := time.Duration(f.WaitedMS) * time.Millisecond; waited > w.Longest {
-		w.Longest, w.Example = waited, Example{f.Request, f.At}
+	if waited := time.Duration(l.WaitedMS) * time.Millisecond; waited > w.Longest {
+		w.Longest, w.Example = waited, Example{l.Request, l.At}
 	}
 }
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -114,7 +114,7 @@
 // Collector takes log lines in any order.
 type Collector struct {
 	window time.Duration
-	ends   []front
+	ends   []line
 	// excused holds requests by instance that failed with a call of the instance.
 	excused map[string]bool
 	waits   map[string]*Waits
@@ -132,12 +132,12 @@
 	rows := make(map[[2]string]*Row)
 	windows := make(map[time.Time]*Window)
 	for i := range c.ends {
-		f := &c.ends[i]
-		cause := c.cause(f)
+		l := &c.ends[i]
+		cause := c.cause(l)
 		out.Lost++
-		out.Repeats.take(f)
-		addRow(rows, f, cause)
-		from := f.At.Truncate(c.window)
+		out.Repeats.take(l)
+		addRow(rows, l, cause)
+		from := l.At.Truncate(c.window)
 		w, ok := windows[from]
 		if !ok {
 			w = &Window{From: from, Causes: make(map[Cause]int)}
@@ -163,15 +163,15 @@
 	return out
 }
 
-func addRow(rows map[[2]string]*Row, f *front, cause Cause) {
-	key := [2]string{f.Route, string(cause)}
+func addRow(rows map[[2]string]*Row, l *line, cause Cause) {
+	key := [2]string{l.Route, string(cause)}
 	r, ok := rows[key]
 	if !ok {
-		r = &Row{Route: f.Route, Service: f.Service, Cause: cause, Example: Example{f.Request, f.At}}
+		r = &Row{Route: l.Route, Service: l.Service, Cause: cause, Example: Example{l.Request, l.At}}
 		rows[key] = r
 	}
 	r.Lost++
-	if isCall(f.Request) {
+	if isCall(l.Request) {
 		r.Calls++
 	}
 }
@@ -181,15 +181,15 @@
 func isCall(request string) bool { return strings.Contains(request, ".") }
 
 // cause says why a request was lost.
-func (c *Collector) cause(f *front) Cause {
-	if f.Event == requestFailed {
-		return refused(f.Reason)
+func (c *Collector) cause(l *line) Cause {
+	if l.Event == requestFailed {
+		return refused(l.Reason)
 	}
-	last := f.last()
+	last := l.last()
 	switch {
-	case f.Status == statusTimeUp:
+	case l.Status == statusTimeUp:
 		return TimeUp
-	case c.excused[f.Request+"@"+last.Target]:
+	case c.excused[l.Request+"@"+last.Target]:
 		return CallFailed
 	case last.MS > atOnce:
 		return FailedLate
@@ -203,19 +203,19 @@
 }
 
 // take counts the repeats of one lost request.
-func (r *Repeats) take(f *front) {
+func (r *Repeats) take(l *line) {
 	arrived := false
-	for _, a := range f.Attempts {
+	for _, a := range l.Attempts {
 		ran := !strings.HasSuffix(a.Outcome, " not-run")
 		if arrived && ran {
 			r.Sent++
 		}
 		arrived = arrived || ran
 	}
-	if !f.RepeatUnpaid {
+	if !l.RepeatUnpaid {
 		return
 	}
 	if r.Unpaid++; r.Unpaid == 1 {
-		r.Example = Example{f.Request, f.At}
+		r.Example = Example{l.Request, l.At}
 	}
 }
