Late platform calls, pauses and the age of what is in force are told

Cause: the incident's hypotheses look alike in the logs. "Platform away" is written for the first failed call only; which call is waited for, how long, and the pause after it leave no line; no host says how old its records may be. Ruled out: a line for every call (a watcher makes one or two a second for ever). Change: lines 407 (a call is late), 408 (a late or failed call ended) and 409 (pause); 400 names who told of the record; a gauge and the state tell how long ago the records were known to be current and from whom, on every host: watchers tell it in the digests they send anyway (4 to 10 bytes a digest; frame protocol 3). The stand-in platform can fall silent; an in-memory network runs it in virtual time. The tests' stand-in for an away platform now lists a feed, as every store does.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -85,12 +85,14 @@
 	// hostRecords are the platform's Host records of this data centre.
 	hostRecords map[string]hostRecord
 	records     *recordSet
-	compiled    *directory.Records
-	dir         *directory.Directory
-	dirty       bool
-	reports     map[string]report
-	reported    time.Time
-	seeds       []string
+	// confirmed says since when the records in force are known to be current.
+	confirmed *confirmations
+	compiled  *directory.Records
+	dir       *directory.Directory
+	dirty     bool
+	reports   map[string]report
+	reported  time.Time
+	seeds     []string
 	// strangers are hosts to call, by name.
 	strangers map[string]stranger
 	seedAt    time.Time
@@ -137,6 +139,7 @@
 		forgetAt:    make(map[string]time.Time),
 		hostRecords: make(map[string]hostRecord),
 		records:     newRecordSet(),
+		confirmed:   newConfirmations(store.Feeds()),
 		compiled:    directory.Compile(nil, false),
 		dir:         &directory.Directory{},
 		reports:     make(map[string]report),
@@ -303,6 +306,8 @@
 	case *msg.Pulse:
 		c.takePulse(m)
 		return
+	case *msg.Digest:
+		c.hearAges(from.Host, m)
 	}
 	c.replica.Step(c.peers(), from.Host, m)
 	c.flush(time.Now())
@@ -315,6 +320,9 @@
 		out, applied := c.replica.Take()
 		c.apply(now, applied)
 		for _, o := range out {
+			if d, ok := o.Msg.(*msg.Digest); ok {
+				c.tellAges(now, d)
+			}
 			c.queue(o)
 		}
 		if len(out) == 0 && len(applied) == 0 {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -24,6 +24,8 @@
 	return objects.Object{}, &objects.UnavailableError{Cause: context.DeadlineExceeded}
 }
 
+func (awayStore) Feeds() []objects.Feed { return []objects.Feed{"a"} }
+
 // newOver makes a Control over a store, with no sockets.
 func newOver(store objects.Store, directory func(*directory.Directory)) *Control {
 	return New(Config{
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -29,7 +29,7 @@
 		case msg.SetHosts:
 			c.applyHost(now, a.Entry)
 		case msg.SetRecords:
-			c.records.apply(c.log, a.Entry)
+			c.records.apply(c.log, a.Entry, a.From)
 		}
 		c.dirty = true
 	}
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -23,15 +23,22 @@
 	}
 }
 
-// apply brings one entry into force or refuses it with its reason.
-func (s *recordSet) apply(log *slog.Logger, e msg.Entry) {
+// fromPlatform names the source of records that no other host told of.
+const fromPlatform = "platform"
+
+// apply brings one entry into force or refuses it with its reason. from is the
+// host that told of it, empty for this one.
+func (s *recordSet) apply(log *slog.Logger, e msg.Entry, from string) {
+	if from == "" {
+		from = fromPlatform
+	}
 	key := record.Key{Kind: record.Kind(e.Kind), Name: e.Name}
 	s.dirty = true
 	if e.Deleted {
 		delete(s.inForce, key)
 		delete(s.rejected, key)
 		event.Log(log, event.RecordApplied, slog.String("record", key.String()),
-			slog.Int64("version", e.Version), slog.Bool("deleted", true))
+			slog.Int64("version", e.Version), slog.Bool("deleted", true), slog.String("from", from))
 		return
 	}
 	var r *record.Record
@@ -52,7 +59,7 @@
 	s.inForce[key] = r
 	delete(s.rejected, key)
 	event.Log(log, event.RecordApplied, slog.String("record", key.String()),
-		slog.Int64("version", e.Version), slog.Int("schemaVersion", r.SchemaVersion))
+		slog.Int64("version", e.Version), slog.Int("schemaVersion", r.SchemaVersion), slog.String("from", from))
 }
 
 func (s *recordSet) refuse(log *slog.Logger, key record.Key, version int64, err error) {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -174,15 +174,17 @@
 
 // State is the control part of the state dump.
 type State struct {
-	Version   int64                `json:"version"`
-	Leaving   bool                 `json:"leaving"`
-	Whole     bool                 `json:"whole"`
-	Records   int                  `json:"records"`
-	Root      string               `json:"root"`
-	Newest    int64                `json:"newest"`
-	Watching  bool                 `json:"watching"`
-	Away      bool                 `json:"platformAway"`
-	Isolated  bool                 `json:"isolated"`
+	Version  int64  `json:"version"`
+	Leaving  bool   `json:"leaving"`
+	Whole    bool   `json:"whole"`
+	Records  int    `json:"records"`
+	Root     string `json:"root"`
+	Newest   int64  `json:"newest"`
+	Watching bool   `json:"watching"`
+	Away     bool   `json:"platformAway"`
+	Isolated bool   `json:"isolated"`
+	// Confirmed says since when the records in force are known to be current, and from whom.
+	Confirmed []Confirmation       `json:"confirmed"`
 	Rejected  []msg.ReportRejected `json:"rejected"`
 	Members   []MemberState        `json:"members"`
 	Traffic   Traffic              `json:"traffic"`
@@ -207,7 +209,8 @@
 		Version: c.version, Leaving: c.leaving, Whole: c.replica.Whole(),
 		Records: set.Len(), Root: fmt.Sprintf("%016x", set.Root()), Newest: set.Newest(),
 		Watching: c.watching, Away: c.away, Isolated: c.members.Isolated(),
-		Rejected: []msg.ReportRejected{}, Members: []MemberState{}, Traffic: c.traffic,
+		Confirmed: c.confirmed.state(time.Now()),
+		Rejected:  []msg.ReportRejected{}, Members: []MemberState{}, Traffic: c.traffic,
 	}
 	for _, r := range c.records.rejected {
 		s.Rejected = append(s.Rejected, r)
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -39,6 +39,7 @@
 func (c *Control) watch(ctx context.Context) {
 	joined := false
 	pause := awayMin
+	failures := 0
 	for ctx.Err() == nil {
 		var err error
 		if !joined {
@@ -54,12 +55,15 @@
 			continue
 		}
 		if err == nil {
-			pause = awayMin
+			pause, failures = awayMin, 0
 			c.wait(ctx, rankInterval)
 			continue
 		}
 		c.platformAway(err)
-		c.wait(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+		failures++
+		length := pause/2 + time.Duration(rand.Int64N(int64(pause)))
+		event.Log(c.log, event.PlatformPause, slog.Int("failures", failures), slog.Int64("pauseMS", length.Milliseconds()))
+		c.wait(ctx, length)
 		pause = min(2*pause, c.cfg.AwayMax)
 	}
 }
@@ -80,12 +84,13 @@
 	if err := c.writeSelf(ctx); err != nil {
 		return err
 	}
+	began := time.Now()
 	page, err := c.store.List(ctx)
 	if err != nil {
 		return err
 	}
 	c.platformBack()
-	c.load(page)
+	c.load(page, began)
 	c.publish(time.Now())
 	// The maps are in force here now; only then may the guard promise.
 	c.hooks.Synced()
@@ -210,12 +215,13 @@
 // follow lists everything and then watches every feed, until a call fails, the
 // platform has forgotten too much, or this host ranks as watcher no more.
 func (c *Control) follow(ctx context.Context) error {
+	began := time.Now()
 	page, err := c.store.List(ctx)
 	if err != nil {
 		return err
 	}
 	c.platformBack()
-	c.load(page)
+	c.load(page, began)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	feeds := c.store.Feeds()
@@ -236,6 +242,7 @@
 // followFeed watches one feed from a revision on.
 func (c *Control) followFeed(ctx context.Context, feed objects.Feed, revision int64) error {
 	for ctx.Err() == nil && c.ranksAsWatcher() {
+		began := time.Now()
 		page, err := c.store.Watch(ctx, feed, revision, c.patience())
 		var compacted *objects.CompactedError
 		if errors.As(err, &compacted) {
@@ -244,7 +251,7 @@
 		if err != nil {
 			return err
 		}
-		c.takeEvents(page)
+		c.takeEvents(feed, page, began)
 		revision = max(revision, page.Revision)
 		c.wait(ctx, watchPause)
 	}
@@ -261,24 +268,28 @@
 	}
 }
 
-func (c *Control) load(page objects.Page) {
+// load takes a list whose call began at a time: it has everything acknowledged by then.
+func (c *Control) load(page objects.Page, began time.Time) {
 	c.tellUnread(page)
 	entries := toEntries(page.Objects)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replica.LoadList(c.peers(), entries, page.Revision)
 	c.dirty = true
+	c.confirmed.noteAll(began, fromPlatform)
 	c.noteHostRecords(page.Objects)
 	c.meet(only(page.Objects, record.KindHost))
 	c.flush(time.Now())
 }
 
-func (c *Control) takeEvents(page objects.Page) {
+// takeEvents takes the answer of a watch that began at a time.
+func (c *Control) takeEvents(feed objects.Feed, page objects.Page, began time.Time) {
 	c.tellUnread(page)
 	entries := toEntries(page.Objects)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replica.Local(c.peers(), msg.SetRecords, entries)
+	c.confirmed.note(feed, began, fromPlatform)
 	c.noteHostRecords(page.Objects)
 	c.meet(only(page.Objects, record.KindHost))
 	c.flush(time.Now())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,6 +94,7 @@
 	d.cfg.Store(cfg)
 	store := objects.NewBudget(d.store, objects.CallsPerSecond, objects.CallBurst)
 	d.budget = store
+	store.Observe(newLateCalls(log).tell)
 	d.keys = keys.New(keys.Config{
 		Host: cfg.Host, Life: uint64(d.started.UnixMilli()), PromiseLife: cfg.PromiseLife,
 	}, keys.Hooks{Wrote: func(obj objects.Object) { d.control.Inject(obj) }}, store, log)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -48,6 +48,9 @@
 	WatchStarted      = Event{404, "watch started", slog.LevelInfo}
 	WatchStopped      = Event{405, "watch stopped", slog.LevelInfo}
 	SetLoaded         = Event{406, "record set loaded", slog.LevelInfo}
+	PlatformLate      = Event{407, "platform call late", slog.LevelWarn}
+	PlatformCallEnded = Event{408, "platform call ended", slog.LevelWarn}
+	PlatformPause     = Event{409, "platform pause", slog.LevelInfo}
 	HostJoined        = Event{500, "host joined", slog.LevelInfo}
 	HostSuspect       = Event{501, "host suspect", slog.LevelWarn}
 	HostDead          = Event{502, "host dead", slog.LevelWarn}
@@ -64,6 +67,7 @@
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
 		RequestEnded, RequestRefused, InstanceTurned,
 		RecordApplied, RecordRefused, PlatformAway, PlatformBack, WatchStarted, WatchStopped, SetLoaded,
+		PlatformLate, PlatformCallEnded, PlatformPause,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
 	}
 }
--- a/internal/msg/control.go
+++ b/internal/msg/control.go
@@ -39,6 +39,9 @@
 	Root uint64
 	// Whole says the sender holds a complete set.
 	Whole bool
+	// AgesMS says, for each feed of the platform, how long ago, in milliseconds, the
+	// sender's set was known to be current; empty where it never was.
+	AgesMS []uint32 `msg:"ages,limit=8"`
 }
 
 // Buckets answers a Digest that differs: the hash of every bucket.
--- a/internal/msg/control_gen.go
+++ b/internal/msg/control_gen.go
@@ -79,13 +79,17 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Digest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Digest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint8(o, uint8(z.Set))
 	o = msgp.AppendUint64(o, z.Root)
 	o = msgp.AppendBool(o, z.Whole)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.AgesMS)))
+	for za0001 := range z.AgesMS {
+		o = msgp.AppendUint32(o, z.AgesMS[za0001])
+	}
 	return
 }
 
@@ -97,8 +101,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	{
@@ -120,13 +124,35 @@
 		err = msgp.WrapError(err, "Whole")
 		return
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgesMS")
+		return
+	}
+	if zb0003 > 8 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.AgesMS) >= int(zb0003) {
+		z.AgesMS = (z.AgesMS)[:zb0003]
+	} else {
+		z.AgesMS = make([]uint32, zb0003)
+	}
+	for za0001 := range z.AgesMS {
+		z.AgesMS[za0001], bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "AgesMS", za0001)
+			return
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Digest) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint64Size + msgp.BoolSize
+func (z *Digest) Msgsize() (s int) {
+	s = 1 + msgp.Uint8Size + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.AgesMS) * (msgp.Uint32Size))
 	return
 }
 
--- a/internal/objects/api.go
+++ b/internal/objects/api.go
@@ -51,6 +51,8 @@
 	// time-out with nothing new. *CompactedError means: list again.
 	// The platform is asked to hold the call patience times as long as usual.
 	Watch(ctx context.Context, feed Feed, after int64, patience int) (Page, error)
+	// Observe sets who is told of calls that are late or fail, before the first call.
+	Observe(report func(LateCall))
 	// Close lets go of the connections.
 	Close()
 }
--- a/internal/objects/budget.go
+++ b/internal/objects/budget.go
@@ -108,5 +108,8 @@
 	return out, err
 }
 
+// Observe implements Store.
+func (b *Budget) Observe(report func(LateCall)) { b.store.Observe(report) }
+
 // Close implements Store.
 func (b *Budget) Close() { b.store.Close() }
--- a/internal/objects/transport.go
+++ b/internal/objects/transport.go
@@ -40,6 +40,10 @@
 
 	base *sling.Sling
 	http *http.Client
+	// pool holds the connections of http.
+	pool *http.Transport
+	// report is told of calls that are late or fail, nil for nobody.
+	report func(LateCall)
 }
 
 // NewTransport makes a Transport for the object API at base, such as
@@ -55,24 +59,49 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	return &Transport{WatchWait: watchWait, base: sling.New().Base(base), http: &http.Client{Transport: transport}}
+	return &Transport{WatchWait: watchWait, base: sling.New().Base(base), http: &http.Client{Transport: transport}, pool: transport}
 }
 
+// Dial makes one connection to the platform.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// SetDial replaces how connections are made, before the first call.
+func (t *Transport) SetDial(dial Dial) { t.pool.DialContext = dial }
+
 // Close drops idle connections.
 func (t *Transport) Close() { t.http.CloseIdleConnections() }
 
+// Observe sets who is told of calls that are late or fail, before the first call.
+// It must not block.
+func (t *Transport) Observe(report func(LateCall)) { t.report = report }
+
+// Limit bounds one call.
+type Limit struct {
+	// Hold is how long the platform is asked to wait for news before it answers.
+	Hold time.Duration
+	// Answer is how long it may take beyond that.
+	Answer time.Duration
+}
+
 // Request starts the description of one call.
 func (t *Transport) Request() *sling.Sling { return t.base.New() }
 
 // Call makes one call and gives status and body. Transport failures, server
 // errors and refusals over the rate become *UnavailableError.
-func (t *Transport) Call(ctx context.Context, timeout time.Duration, req *sling.Sling) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+func (t *Transport) Call(ctx context.Context, limit Limit, req *sling.Sling) (int, []byte, error) {
 	r, err := req.Request()
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "build platform request")
 	}
+	late := t.follow(r, limit.Hold)
+	status, body, err := t.call(ctx, limit, r)
+	late.end(err)
+	return status, body, err
+}
+
+func (t *Transport) call(ctx context.Context, limit Limit, r *http.Request) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit.Hold+limit.Answer)
+	defer cancel()
 	resp, err := t.http.Do(r.WithContext(ctx))
 	if err != nil {
 		// A connection that has failed once is not tried again: others of the
--- a/internal/standin/platformd/server.go
+++ b/internal/standin/platformd/server.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
 	"time"
@@ -18,6 +19,9 @@
 	Outage bool `json:"outage"`
 	// SlowMS delays every call.
 	SlowMS int `json:"slowMS"`
+	// Silent takes calls and never answers them, nor those under way; connections
+	// stay open and are dead for good.
+	Silent bool `json:"silent"`
 	// LoseAnswers drops the answers of that many writes that took effect.
 	LoseAnswers int `json:"loseAnswers"`
 }
@@ -94,10 +98,27 @@
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
 		}
-		next(w, r)
+		answer := httptest.NewRecorder()
+		if !f.Silent {
+			next(answer, r)
+		}
+		if s.silent() {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Type", answer.Header().Get("Content-Type"))
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
 	}
 }
 
+// silent says that no call is answered now.
+func (s *Server) silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Silent
+}
+
 // loseAnswer reports whether this write's answer is to be lost.
 func (s *Server) loseAnswer() bool {
 	s.mu.Lock()
