Reads of a silent platform are tried anew; feeds are followed by themselves

The only call under way to a platform that comes back was one that cannot be answered any more, with a limit (list 5 s, backup's watch 4.4 s) beyond the bound of a configuration (2 s). Class: a wait that outlives what it is for, and nothing else asked meanwhile. Taken: a read without a byte for 0.4 s is sent again on a new connection, then every 0.8 s, beside the first; the first whole answer counts; time counts from the last byte, so that a long list flows. A platform that answers after 1 s costs 2 calls in place of 1, after 2 s 4; refusals cost none.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -97,8 +97,9 @@
 	strangers map[string]stranger
 	seedAt    time.Time
 	watching  bool
-	away      bool
-	traffic   Traffic
+	// away are the feeds whose last call failed.
+	away    map[objects.Feed]bool
+	traffic Traffic
 	// pulses is the budget of what is told of instances.
 	pulses pulseBudget
 	// unreadLines bounds the lines about objects that cannot be read.
@@ -145,6 +146,7 @@
 		reports:     make(map[string]report),
 		seeds:       append([]string{}, cfg.Seeds...),
 		strangers:   make(map[string]stranger),
+		away:        make(map[objects.Feed]bool),
 		selfDue:     true,
 		pulses:      newPulseBudget(),
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -26,6 +26,8 @@
 
 func (awayStore) Feeds() []objects.Feed { return []objects.Feed{"a"} }
 
+func (awayStore) FeedOf(record.Kind) objects.Feed { return "a" }
+
 // newOver makes a Control over a store, with no sockets.
 func newOver(store objects.Store, directory func(*directory.Directory)) *Control {
 	return New(Config{
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -208,7 +208,7 @@
 	s := State{
 		Version: c.version, Leaving: c.leaving, Whole: c.replica.Whole(),
 		Records: set.Len(), Root: fmt.Sprintf("%016x", set.Root()), Newest: set.Newest(),
-		Watching: c.watching, Away: c.away, Isolated: c.members.Isolated(),
+		Watching: c.watching, Away: len(c.away) > 0, Isolated: c.members.Isolated(),
 		Confirmed: c.confirmed.state(time.Now()),
 		Rejected:  []msg.ReportRejected{}, Members: []MemberState{}, Traffic: c.traffic,
 	}
--- /dev/null
+++ b/internal/control/take.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+// tellUnread logs the objects that another writer has left in the platform and
+// that cannot be read, up to a rate.
+func (c *Control) tellUnread(page objects.Page) {
+	for _, err := range page.Unread {
+		if leftOut, ok := c.unreadLines.Allow(time.Now()); ok {
+			event.Log(c.log, event.RecordRefused, slog.String("cause", err.Error()), slog.Uint64("linesLeftOut", leftOut))
+		}
+	}
+}
+
+// takeWhole takes a list of everything whose call began at a time: it has all that
+// was acknowledged by then.
+func (c *Control) takeWhole(page objects.Page, began time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replica.LoadList(c.peers(), toEntries(page.Objects), page.Revision, nil)
+	c.confirmed.noteAll(began, fromPlatform)
+	c.takePage(page)
+}
+
+// takeList takes a list of one feed whose call began at a time.
+func (c *Control) takeList(feed objects.Feed, page objects.Page, began time.Time) {
+	covers := func(kind string) bool { return c.store.FeedOf(record.Kind(kind)) == feed }
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replica.LoadList(c.peers(), toEntries(page.Objects), page.Revision, covers)
+	c.confirmed.note(feed, began, fromPlatform)
+	c.takePage(page)
+}
+
+// takeEvents takes the answer of a watch that began at a time.
+func (c *Control) takeEvents(feed objects.Feed, page objects.Page, began time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replica.Local(c.peers(), msg.SetRecords, toEntries(page.Objects))
+	c.confirmed.note(feed, began, fromPlatform)
+	c.takePage(page)
+}
+
+// takePage does what every answer of the platform needs. The caller holds the lock.
+func (c *Control) takePage(page objects.Page) {
+	c.tellUnread(page)
+	c.dirty = true
+	c.noteHostRecords(page.Objects)
+	c.meet(only(page.Objects, record.KindHost))
+	c.flush(time.Now())
+}
+
+func only(all []objects.Object, kind record.Kind) []objects.Object {
+	var out []objects.Object
+	for _, obj := range all {
+		if obj.Kind == kind && !obj.Deleted {
+			out = append(out, obj)
+		}
+	}
+	return out
+}
+
+func toEntries(all []objects.Object) []msg.Entry {
+	var out []msg.Entry
+	for _, obj := range all {
+		if replicated[obj.Kind] {
+			out = append(out, msg.Entry{Kind: string(obj.Kind), Name: obj.Name, Version: obj.Version, Deleted: obj.Deleted, Value: pack(obj.Value)})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Version < out[j].Version })
+	return out
+}
--- a/internal/core/config/node.go
+++ b/internal/core/config/node.go
@@ -131,20 +131,23 @@
 }
 
 // LoadList takes a complete list from the platform at a revision. Entries that
-// are not in it and are no newer were deleted unseen: they get tombstones.
-func (n *Node) LoadList(peers Peers, entries []msg.Entry, revision int64) {
+// are not in it and are no newer were deleted unseen: they get tombstones. covers
+// says of which kinds the list is complete; nil means of all, which makes the set
+// whole.
+func (n *Node) LoadList(peers Peers, entries []msg.Entry, revision int64, covers func(kind string) bool) {
 	s := n.sets[msg.SetRecords]
 	listed := make(map[Key]bool, len(entries))
 	for _, e := range entries {
 		listed[Key{e.Kind, e.Name}] = true
 	}
 	s.Each(func(e msg.Entry) {
-		if !e.Deleted && e.Version <= revision && !listed[Key{e.Kind, e.Name}] {
+		covered := covers == nil || covers(e.Kind)
+		if covered && !e.Deleted && e.Version <= revision && !listed[Key{e.Kind, e.Name}] {
 			entries = append(entries, msg.Entry{Kind: e.Kind, Name: e.Name, Version: revision, Deleted: true})
 		}
 	})
 	n.take(peers, msg.SetRecords, "", entries)
-	n.whole[msg.SetRecords] = true
+	n.whole[msg.SetRecords] = n.whole[msg.SetRecords] || covers == nil
 }
 
 // take applies entries and pushes on those that were news.
--- a/internal/daemon/late.go
+++ b/internal/daemon/late.go
@@ -29,6 +29,7 @@
 		event.Log(l.log, event.PlatformLate, attrs...)
 		return
 	}
+	attrs = append(attrs, slog.Int("tries", call.Tries))
 	if call.Cause != nil {
 		attrs = append(attrs, slog.String("cause", call.Cause.Error()))
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -267,7 +267,7 @@
 	case !h.watching:
 		m.Platform.Reads++
 		h.watching = true
-		h.Replica.LoadList(h.peers(), m.Platform.list(), m.Platform.Revision)
+		h.Replica.LoadList(h.peers(), m.Platform.list(), m.Platform.Revision, nil)
 	case h.watched < m.Platform.Revision:
 		m.Platform.Reads++
 		h.Replica.Local(h.peers(), msg.SetRecords, m.Platform.Events[h.watched:])
--- a/internal/objects/api.go
+++ b/internal/objects/api.go
@@ -44,9 +44,13 @@
 	Put(ctx context.Context, key record.Key, value []byte, ifVersion int64) (Object, error)
 	// Delete removes where the stored version equals ifVersion.
 	Delete(ctx context.Context, key record.Key, ifVersion int64) (Object, error)
-	// Feeds lists the feeds that together show every change; each is watched
-	// by itself, from the revision of a List.
+	// Feeds lists the feeds that together show every change; each is listed and
+	// watched by itself.
 	Feeds() []Feed
+	// FeedOf says which feed shows the records of a kind.
+	FeedOf(kind record.Kind) Feed
+	// ListFeed reads all objects that a feed shows.
+	ListFeed(ctx context.Context, feed Feed) (Page, error)
 	// Watch waits for changes in a feed after a revision. An empty page is a
 	// time-out with nothing new. *CompactedError means: list again.
 	// The platform is asked to hold the call patience times as long as usual.
--- a/internal/objects/budget.go
+++ b/internal/objects/budget.go
@@ -98,6 +98,19 @@
 // Feeds implements Store.
 func (b *Budget) Feeds() []Feed { return b.store.Feeds() }
 
+// FeedOf implements Store.
+func (b *Budget) FeedOf(kind record.Kind) Feed { return b.store.FeedOf(kind) }
+
+// ListFeed implements Store.
+func (b *Budget) ListFeed(ctx context.Context, feed Feed) (Page, error) {
+	if err := b.wait(ctx); err != nil {
+		return Page{}, err
+	}
+	out, err := b.store.ListFeed(ctx, feed)
+	b.count("list", err)
+	return out, err
+}
+
 // Watch implements Store.
 func (b *Budget) Watch(ctx context.Context, feed Feed, after int64, patience int) (Page, error) {
 	if err := b.wait(ctx); err != nil {
@@ -108,8 +121,17 @@
 	return out, err
 }
 
-// Observe implements Store.
-func (b *Budget) Observe(report func(LateCall)) { b.store.Observe(report) }
+// Observe implements Store. The further tries of late calls are counted on their way:
+// they are not in the budget, but bounded by RetryInterval.
+func (b *Budget) Observe(report func(LateCall)) {
+	repeats := b.set.NewCounter("radishhoist_store_repeats_total")
+	b.store.Observe(func(call LateCall) {
+		if call.Ended {
+			repeats.Add(call.Tries - 1)
+		}
+		report(call)
+	})
+}
 
 // Close implements Store.
 func (b *Budget) Close() { b.store.Close() }
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -46,7 +46,7 @@
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key record.Key) (Object, error) {
 	var obj Object
-	status, body, err := c.Call(ctx, Limit{Answer: CallTimeout}, c.Request().Get(objectPath(key)))
+	status, body, err := c.Call(ctx, 0, c.Request().Get(objectPath(key)))
 	if err != nil {
 		return obj, err
 	}
@@ -63,7 +63,7 @@
 	for _, k := range kinds {
 		query.Kinds = append(query.Kinds, string(k))
 	}
-	status, body, err := c.Call(ctx, Limit{Answer: ListTimeout}, c.Request().Get("/v1/objects").QueryStruct(query))
+	status, body, err := c.Call(ctx, 0, c.Request().Get("/v1/objects").QueryStruct(query))
 	if err != nil {
 		return page, err
 	}
@@ -84,7 +84,7 @@
 
 func (c *Client) write(ctx context.Context, req *sling.Sling, ifVersion int64) (Object, error) {
 	var obj Object
-	status, body, err := c.Call(ctx, Limit{Answer: CallTimeout}, req)
+	status, body, err := c.Call(ctx, 0, req)
 	if err != nil {
 		return obj, err
 	}
@@ -100,12 +100,18 @@
 // Feeds implements Store: one feed shows every kind.
 func (c *Client) Feeds() []Feed { return []Feed{""} }
 
+// FeedOf implements Store.
+func (c *Client) FeedOf(record.Kind) Feed { return "" }
+
+// ListFeed implements Store.
+func (c *Client) ListFeed(ctx context.Context, _ Feed) (Page, error) { return c.List(ctx) }
+
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, _ Feed, after int64, patience int) (Page, error) {
 	var page Page
 	wait := time.Duration(patience) * c.WatchWait
 	query := watchQuery{After: after, WaitMS: wait.Milliseconds()}
-	status, body, err := c.Call(ctx, Limit{Hold: wait, Answer: WatchSlack}, c.Request().Get("/v1/watch").QueryStruct(query))
+	status, body, err := c.Call(ctx, wait, c.Request().Get("/v1/watch").QueryStruct(query))
 	if err != nil {
 		return page, err
 	}
--- a/internal/objects/late.go
+++ b/internal/objects/late.go
@@ -8,10 +8,6 @@
 	"github.com/pkg/errors"
 )
 
-// UsualAnswer is how long the platform may take beyond what a call asked for before
-// the call counts as late: twice the answer time of a platform that is slow.
-const UsualAnswer = 400 * time.Millisecond
-
 // LateCall tells of a call to the platform that is late, that ended after it was,
 // or that failed.
 type LateCall struct {
@@ -21,6 +17,8 @@
 	Asked time.Duration
 	// Waited is the time since the call began.
 	Waited time.Duration
+	// Tries counts the times the call was sent, once it has ended.
+	Tries int
 	// Ended is false while the call still waits.
 	Ended bool
 	// Cause is why an ended call failed, nil where it was answered.
@@ -50,7 +48,7 @@
 
 // end tells how a call ended that was late or has failed. One that its caller has
 // given up in time is no news.
-func (l *lateness) end(err error) {
+func (l *lateness) end(tries int, err error) {
 	if l.report == nil {
 		return
 	}
@@ -58,6 +56,6 @@
 	if inTime && (err == nil || errors.Is(err, context.Canceled)) {
 		return
 	}
-	l.call.Waited, l.call.Ended, l.call.Cause = time.Since(l.start), true, err
+	l.call.Waited, l.call.Tries, l.call.Ended, l.call.Cause = time.Since(l.start), tries, true, err
 	l.report(l.call)
 }
--- a/internal/objects/transport.go
+++ b/internal/objects/transport.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,20 +12,9 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	// CallTimeout bounds every call but a list and a watch: a platform that
-	// answers in milliseconds and has not in this time is taken for away.
-	CallTimeout = 2 * time.Second
-	// ListTimeout bounds one page of a list.
-	ListTimeout = 5 * time.Second
-	// WatchSlack is what a watch may take beyond the time it asks for: twice the
-	// answer time of a platform that is slow. A platform that had dropped its history
-	// held waiting watches for 2.7 s beyond that, and a configuration came into force
-	// 4.2 s after its acknowledgement.
-	WatchSlack = 400 * time.Millisecond
-	// maxAnswer bounds one answer, in bytes: a list of the whole set.
-	maxAnswer = 256 << 20
-)
+// dialTimeout bounds one attempt to connect: a platform that is there takes a
+// connection within milliseconds.
+const dialTimeout = 2 * time.Second
 
 // keepAlive finds a connection that has gone silent within about 3 s: a watch
 // waits on one for long, and news of the platform must reach the fleet in time.
@@ -51,7 +39,7 @@
 // makes fewer calls; shorter bounds how long news is missed where the platform
 // has dropped its history and leaves a waiting watch in the dark.
 func NewTransport(base string, watchWait time.Duration) *Transport {
-	dialer := &net.Dialer{Timeout: CallTimeout, KeepAliveConfig: keepAlive}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 4,
@@ -75,50 +63,36 @@
 // It must not block.
 func (t *Transport) Observe(report func(LateCall)) { t.report = report }
 
-// Limit bounds one call.
-type Limit struct {
-	// Hold is how long the platform is asked to wait for news before it answers.
-	Hold time.Duration
-	// Answer is how long it may take beyond that.
-	Answer time.Duration
-}
-
 // Request starts the description of one call.
 func (t *Transport) Request() *sling.Sling { return t.base.New() }
 
-// Call makes one call and gives status and body. Transport failures, server
-// errors and refusals over the rate become *UnavailableError.
-func (t *Transport) Call(ctx context.Context, limit Limit, req *sling.Sling) (int, []byte, error) {
+// Call makes one call and gives status and body. hold is how long the call asks the
+// platform to wait for news, 0 for none. Transport failures, server errors and refusals
+// over the rate become *UnavailableError.
+func (t *Transport) Call(ctx context.Context, hold time.Duration, req *sling.Sling) (int, []byte, error) {
 	r, err := req.Request()
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "build platform request")
 	}
-	late := t.follow(r, limit.Hold)
-	status, body, err := t.call(ctx, limit, r)
-	late.end(err)
-	return status, body, err
+	late := t.follow(r, hold)
+	f := newFetch(t, r)
+	answer, err := f.do(ctx, hold)
+	if err == nil {
+		err = refusal(answer.status)
+	} else {
+		err = &UnavailableError{Cause: err}
+	}
+	late.end(f.tries, err)
+	return answer.status, answer.body, err
 }
 
-func (t *Transport) call(ctx context.Context, limit Limit, r *http.Request) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit.Hold+limit.Answer)
-	defer cancel()
-	resp, err := t.http.Do(r.WithContext(ctx))
-	if err != nil {
-		// A connection that has failed once is not tried again: others of the
-		// pool may have gone silent with it.
-		t.http.CloseIdleConnections()
-		return 0, nil, &UnavailableError{Cause: err}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return 0, nil, &UnavailableError{Cause: err}
-	}
-	if resp.StatusCode >= http.StatusInternalServerError || resp.StatusCode == http.StatusTooManyRequests {
-		refused := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
-		return 0, nil, &UnavailableError{Cause: errors.New("status " + strconv.Itoa(resp.StatusCode)), Refused: refused}
+// refusal is the error of a status that says that the platform cannot serve the call.
+func refusal(status int) error {
+	if status < http.StatusInternalServerError && status != http.StatusTooManyRequests {
+		return nil
 	}
-	return resp.StatusCode, body, nil
+	refused := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	return &UnavailableError{Cause: errors.New("status " + strconv.Itoa(status)), Refused: refused}
 }
 
 // Decode reads the answer of a call that should have succeeded.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,6 +86,9 @@
 	WatchersPerDC int
 	// PromiseLife is how long a promise to a key owner lasts.
 	PromiseLife time.Duration
+	// ApplyWithin is the time in which an acknowledged record is to be in force on
+	// every host.
+	ApplyWithin time.Duration
 	// AwayMax is the longest pause between calls to an absent platform.
 	AwayMax time.Duration
 	// WatchWait is how long the platform is asked to hold a watch open.
@@ -108,6 +111,13 @@
 
 // Default gives every key's default; addresses have none.
 func Default() *Config {
+	c := written()
+	c.deriveSteps()
+	return c
+}
+
+// written gives the defaults of the keys that do not follow from others.
+func written() *Config {
 	c := &Config{}
 	for _, k := range keys {
 		if k.def != "" {
@@ -138,7 +148,7 @@
 }
 
 func fromFile(path string, file *ini.File) (*Config, error) {
-	c := Default()
+	c := written()
 	var wrong []string
 	wrong = append(wrong, unknownKeys(path, file)...)
 	for _, k := range keys {
@@ -157,6 +167,10 @@
 	if err := c.checkAnnounce(); err != nil {
 		wrong = append(wrong, fmt.Sprintf("%s: [listen] announce: %v; write a loopback IP number and a port, for example 127.0.0.1:7700", path, err))
 	}
+	c.deriveSteps()
+	if err := c.checkWay(); err != nil {
+		wrong = append(wrong, fmt.Sprintf("%s: [control] apply_within: %s does not suffice: %v; make these shorter, leave them out, or write a longer apply_within", path, c.ApplyWithin, err))
+	}
 	if len(wrong) > 0 {
 		return nil, errors.New(strings.Join(wrong, "\n"))
 	}
--- /dev/null
+++ b/internal/settings/way_test.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The times of the steps follow from the bound, and together keep it.
+func TestTheStepsKeepTheBound(t *testing.T) {
+	for bound := 2 * time.Second; bound <= time.Minute; bound += 500 * time.Millisecond {
+		c, err := Parse("f.ini", []byte(good+fmt.Sprintf("[control]\napply_within = %s\n", bound)))
+		assert.NilError(t, err)
+		w := c.Way()
+		assert.Equal(t, w.Total(), w.Notice+w.Tell+w.Repair)
+		assert.Assert(t, w.Total() <= bound, "%s: %+v", bound, w)
+		assert.Assert(t, c.WatchWait >= 500*time.Millisecond && c.AwayMax > 0 && c.RepairInterval > 0)
+	}
+	assert.Assert(t, Default().Way().Total() <= Default().ApplyWithin)
+}
+
+// A time that is written goes before the derived one, and is refused with its keys
+// where a change would take too long.
+func TestStepsThatTakeTooLongAreRefused(t *testing.T) {
+	c, err := Parse("f.ini", []byte(good+"[control]\napply_within = 17s\nwatch_wait = 8s\nrepair_interval = 5s\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, c.WatchWait, 8*time.Second)
+	for _, text := range []string{"watch_wait = 25s", "away_max = 20s", "repair_interval = 30s", "apply_within = 2s\nwatch_wait = 1s"} {
+		_, err := Parse("f.ini", []byte(good+"[control]\n"+text+"\n"))
+		assert.ErrorContains(t, err, "f.ini: [control] apply_within", text)
+		for _, key := range []string{"watch_wait", "away_max", "repair_interval"} {
+			assert.ErrorContains(t, err, key)
+		}
+	}
+}
--- a/internal/standin/platformd/server.go
+++ b/internal/standin/platformd/server.go
@@ -103,6 +103,8 @@
 			next(answer, r)
 		}
 		if s.silent() {
+			// Only a server that has read the body sees its caller leave.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
 		}
