What came of a request's attempts belongs to its race until the end

Cause: attempts noted their trail, count and unpaid repeat with the request, whose end reads them, though an attempt beside another may outlive the request. Class: state without an owner over two lives. Ruled out: a lock round the one field the detector named: the failures and the body's single use had the same fault. Change: an account under the race's lock; the request gets a copy when the race is closed, after which attempts change nothing. The failures are summed up under the lock, with the race closed first. A body that is not kept is taken by an atomic swap.

--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -68,7 +68,7 @@
 	if a.try != nil {
 		h.Set(header.Target, a.try.target.Name)
 	}
-	h.Set(header.Attempts, strconv.Itoa(req.attempts))
+	h.Set(header.Attempts, strconv.Itoa(req.account.attempts))
 	if !a.open && !a.hasLength() {
 		h.Set("Content-Length", strconv.Itoa(len(a.kept)))
 	}
--- a/internal/front/hedge.go
+++ b/internal/front/hedge.go
@@ -63,18 +63,18 @@
 	return o
 }
 
-// finish ends a hedge that lost.
-func (c *race) finish() {
+// finish ends a hedge that lost and gives the account, which is closed with it.
+func (c *race) finish() account {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.over = true
-	if c.hedge == nil {
-		return
-	}
-	c.hedge.cancel()
-	if o := c.hedge.outcome; o != nil {
-		o.discard()
+	if c.hedge != nil {
+		c.hedge.cancel()
+		if o := c.hedge.outcome; o != nil {
+			o.discard()
+		}
 	}
+	return c.account
 }
 
 // discard lets go of an answer that nobody gets.
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -37,20 +38,18 @@
 	key        string
 
 	// body is the buffered request body; rest is what follows where the body
-	// is too large to keep, and can be sent only once.
+	// is too large to keep, and can be sent only once: by the attempt that sets
+	// restUsed first.
 	body     []byte
 	rest     io.Reader
-	restUsed bool
+	restUsed atomic.Bool
 	length   int64
-	attempts int
 	// callPart and idle tell guards whether it may be a call of a repeated run,
 	// see msg.Aim.
 	callPart uint16
 	idle     bool
-	// trail are the attempts that have ended, for the log.
-	trail []step
-	// unpaid says that the budget had no token for a repeat.
-	unpaid bool
+	// account is what came of the attempts, once the request is over.
+	account account
 }
 
 // ServeHTTP implements http.Handler.
@@ -76,7 +75,7 @@
 	if req == nil {
 		req = &request{id: requestID(r), http: r}
 	}
-	w.Header().Set(header.Attempts, strconv.Itoa(req.attempts))
+	w.Header().Set(header.Attempts, strconv.Itoa(req.account.attempts))
 	f.counts.failed(fail)
 	f.guard.CallFailed(time.Now())
 	f.logFailure(req, fail)
@@ -248,15 +247,14 @@
 	if req.rest == nil {
 		return bytes.NewReader(req.body), true
 	}
-	if req.restUsed {
+	if req.restUsed.Swap(true) {
 		return nil, false
 	}
-	req.restUsed = true
 	return io.MultiReader(bytes.NewReader(req.body), req.rest), true
 }
 
 // repeatable says that another attempt could send the body again.
-func (req *request) repeatable() bool { return req.rest == nil || !req.restUsed }
+func (req *request) repeatable() bool { return req.rest == nil || !req.restUsed.Load() }
 
 // run answers the request or says why not.
 func (f *Front) run(w http.ResponseWriter, req *request) *verdict.Error {
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -28,6 +28,8 @@
 	sent bool
 	// over says that the request has its answer or its failure.
 	over bool
+	// account is what came of the attempts so far.
+	account account
 	// cancelPrimary ends the attempt that the hedge runs beside.
 	cancelPrimary context.CancelFunc
 
@@ -38,6 +40,16 @@
 	spare *answer
 }
 
+// account is what came of a request's attempts. While they run it belongs to the
+// race, under its lock; the request's end gets a copy that no later attempt changes.
+type account struct {
+	attempts int
+	// trail are the attempts that have ended, for the log.
+	trail []step
+	// unpaid says that the budget had no token for a repeat.
+	unpaid bool
+}
+
 // next chooses the target of another attempt; false where none is left or all
 // attempts are made. hedge says that another attempt is under way. The caller
 // holds the lock, or is alone.
@@ -59,17 +71,18 @@
 		c.front.counts.trials.Inc()
 	}
 	c.tried = append(c.tried, p.target)
-	c.req.attempts++
+	c.account.attempts++
 	p.as = as
 	return p, true
 }
 
-// unpaid notes that a repeat was not made because no guard would pay for it.
+// unpaid notes that a repeat was not made because no guard would pay for it. The
+// caller holds the lock, or is alone.
 func (c *race) unpaid(repeat bool) {
-	if !repeat || c.req.unpaid {
+	if !repeat || c.account.unpaid || c.over {
 		return
 	}
-	c.req.unpaid = true
+	c.account.unpaid = true
 	c.front.counts.unpaid.Inc()
 }
 
@@ -110,7 +123,7 @@
 			refused++
 		}
 	}
-	return c.req.attempts-refused >= c.req.route.Attempts() || refused >= maxRefusals
+	return c.account.attempts-refused >= c.req.route.Attempts() || refused >= maxRefusals
 }
 
 // politeTries is how many guards are asked for a place within the objective
@@ -123,7 +136,7 @@
 // caller's goroutine: a goroutine of its own would cost two wake-ups.
 func (f *Front) runIdempotent(ctx context.Context, req *request) (*answer, *verdict.Error) {
 	c := &race{front: f, req: req, rng: f.rng()}
-	defer c.finish()
+	defer func() { req.account = c.finish() }()
 	for {
 		o := c.primary(ctx)
 		if o == nil {
@@ -174,6 +187,7 @@
 // the one before is proved not to have run.
 func (f *Front) runOnce(ctx context.Context, req *request, claim *claimTask) (*answer, *verdict.Error) {
 	c := &race{front: f, req: req, rng: f.rng()}
+	defer func() { req.account = c.finish() }()
 	for {
 		p, ok := c.next(false)
 		if !ok {
--- a/internal/front/settle.go
+++ b/internal/front/settle.go
@@ -48,8 +48,12 @@
 	}
 }
 
-// settle gives the best that is left once no attempt can follow.
+// settle gives the best that is left once no attempt can follow: no hedge begins any
+// more, so that the failures stay as they are.
 func (c *race) settle() (*answer, *verdict.Error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
 	if c.spare != nil {
 		return c.spare, nil
 	}
--- a/internal/front/trail.go
+++ b/internal/front/trail.go
@@ -68,7 +68,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.over {
-		c.req.trail = append(c.req.trail, s)
+		c.account.trail = append(c.account.trail, s)
 	}
 }
 
@@ -104,8 +104,8 @@
 		all = append(all, slog.Int64("ms", time.Since(req.arrived).Milliseconds()))
 	}
 	all = append(all, attrs...)
-	all = append(all, slog.Any("attempts", req.trail))
-	if req.unpaid {
+	all = append(all, slog.Any("attempts", req.account.trail))
+	if req.account.unpaid {
 		all = append(all, slog.Bool("repeatUnpaid", true))
 	}
 	if leftOut > 0 {
--- a/internal/front/trail_test.go
+++ b/internal/front/trail_test.go
@@ -19,7 +19,7 @@
 	f := &Front{log: slog.New(slog.NewJSONHandler(sink, nil))}
 	req := &request{
 		id: "b82bd3c72d3d0916", arrived: time.Now(), http: httptest.NewRequest("GET", "/a/b", nil), route: &route.Route{Name: "r"},
-		trail: []step{{Target: "i-1", Host: "h1", Why: whyCost, Outcome: "status 500"}, {Target: "i-2", Host: "h2", Why: whyCost, Outcome: "status 200"}},
+		account: account{trail: []step{{Target: "i-1", Host: "h1", Why: whyCost, Outcome: "status 500"}, {Target: "i-2", Host: "h2", Why: whyCost, Outcome: "status 200"}}},
 	}
 	b.Run("unsampled", func(b *testing.B) {
 		b.ReportAllocs()
--- a/internal/objects/fetch_test.go
+++ b/internal/objects/fetch_test.go
@@ -43,7 +43,7 @@
 	for _, c := range []struct {
 		slow  time.Duration
 		calls int64
-	}{{200 * time.Millisecond, 1}, {time.Second, 2}, {2 * time.Second, 4}, {2700 * time.Millisecond, 4}} {
+	}{{200 * time.Millisecond, 1}, {time.Second, 2}, {1900 * time.Millisecond, 3}, {2100 * time.Millisecond, 4}, {2700 * time.Millisecond, 4}} {
 		synctest.Test(t, func(t *testing.T) {
 			platform, client, _, stop := startPlatform(t)
 			defer stop()
