Red: the same cause between hosts (known red)

Cause: looked for elsewhere what held the configurations up: a wait that outlives what it is for, with others behind it. Two places on the way of a change from a watcher to the hosts: messages between hosts need no answer, so that one sent on a connection that has fallen silent is lost without a sign, for minutes; and eight senders serve all addresses, so that a stuck one (a dial of 0.5 s, a write of up to 10 s) holds up an eighth of the fleet. Ruled out: the repair finds it: its digests go the same way.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,7 +19,6 @@
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/objects"
-	"github.com/radishhoist/radishhoist/internal/peer"
 	"github.com/radishhoist/radishhoist/record"
 )
 
@@ -63,7 +62,7 @@
 	hooks Hooks
 	log   *slog.Logger
 	store objects.Store
-	pool  *peer.Pool
+	pool  Peers
 	udp   *net.UDPConn
 	sendq [senders]chan outbound
 
@@ -156,8 +155,15 @@
 	return c
 }
 
-// SetPool sets the connections to the other hosts, before Run.
-func (c *Control) SetPool(p *peer.Pool) { c.pool = p }
+// Peers are the ways to the other hosts.
+type Peers interface {
+	// SendControl sends a message to the host at an address. It may wait for as long
+	// as the connection takes.
+	SendControl(ctx context.Context, addr string, m msg.Message) error
+}
+
+// SetPeers sets the ways to the other hosts, before Run.
+func (c *Control) SetPeers(p Peers) { c.pool = p }
 
 // Listen opens the membership socket, before Run.
 func (c *Control) Listen() error {
@@ -179,9 +185,7 @@
 			f(ctx)
 		}()
 	}
-	for i := range c.sendq {
-		start(func(ctx context.Context) { c.sender(ctx, c.sendq[i]) })
-	}
+	c.startSenders(ctx)
 	start(c.readPackets)
 	start(c.watch)
 	start(c.tickLoop)
@@ -368,6 +372,13 @@
 	return (sum%senders + senders) % senders
 }
 
+// startSenders starts what sends the queued messages, until the context ends.
+func (c *Control) startSenders(ctx context.Context) {
+	for i := range c.sendq {
+		go c.sender(ctx, c.sendq[i])
+	}
+}
+
 func (c *Control) sender(ctx context.Context, q <-chan outbound) {
 	for {
 		select {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -173,7 +173,7 @@
 		return err
 	}
 	d.pool = pool
-	d.control.SetPool(pool)
+	d.control.SetPeers(pool)
 	d.front.SetPeers(pool)
 	d.keys.SetPool(pool)
 	d.announce = smallServer(d.guard.AnnounceHandler())
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -47,6 +47,7 @@
 	handlers Handlers
 	log      *slog.Logger
 	listener net.Listener
+	connect  connectFunc
 	wg       sync.WaitGroup
 
 	mu      sync.Mutex
@@ -55,6 +56,9 @@
 	inbound map[*wire.Conn]*msg.Hello
 }
 
+// connectFunc makes one connection to a peer address.
+type connectFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // link is the outbound connection to one address.
 type link struct {
 	mu      sync.Mutex
@@ -73,14 +77,19 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers on %s", addr)
 	}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+	return newPool(listener, dialer.DialContext, self, h, log), nil
+}
+
+func newPool(listener net.Listener, connect connectFunc, self msg.Hello, h Handlers, log *slog.Logger) *Pool {
 	self.Proto = wire.Proto
 	p := &Pool{
-		self: self, handlers: h, log: log, listener: listener,
+		self: self, handlers: h, log: log, listener: listener, connect: connect,
 		links: make(map[string]*link), inbound: make(map[*wire.Conn]*msg.Hello),
 	}
 	p.wg.Add(1)
 	go p.acceptLoop()
-	return p, nil
+	return p
 }
 
 // Close ends every connection and waits for the accept loop.
@@ -276,8 +285,7 @@
 func (p *Pool) dial(addr string) (*wire.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	nc, err := p.connect(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/peer/silent_test.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/standin/memnet"
+)
+
+// network connects two pools by pipes whose connections can fall silent.
+type network struct {
+	listener *memnet.Listener
+	mu       sync.Mutex
+	conns    []*mutableConn
+	dials    atomic.Int64
+}
+
+func (n *network) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	nc, err := n.listener.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	n.dials.Add(1)
+	c := &mutableConn{Conn: nc}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns = append(n.conns, c)
+	return c, nil
+}
+
+// silence makes every connection that stands now carry nothing any more, for good.
+func (n *network) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		c.silent.Store(true)
+	}
+}
+
+// mutableConn drops what is sent either way once it is silent, without an error.
+type mutableConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *mutableConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *mutableConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// twoPools starts a pool that sends and one that notes when it hears a Digest.
+func twoPools(t *testing.T) (from *Pool, n *network, heard func() int64, stop func()) {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	n = &network{listener: memnet.Listen()}
+	var count atomic.Int64
+	to := newPool(n.listener, n.connect, msg.Hello{Host: "b"}, Handlers{Control: func(_ *msg.Hello, m msg.Message) {
+		if _, ok := m.(*msg.Digest); ok {
+			count.Add(1)
+		}
+	}}, log)
+	from = newPool(memnet.Listen(), n.connect, msg.Hello{Host: "a"}, Handlers{}, log)
+	return from, n, count.Load, func() {
+		from.Close()
+		to.Close()
+		time.Sleep(time.Minute)
+	}
+}
+
+// What users saw: nothing yet. Looked for after configurations had come into force late
+// because of waits on connections that never answer.
+//
+// Order of events: the open connections between hosts fall silent, without a reset,
+// while new ones work. Hosts go on sending what they have heard on them, without an
+// error, and nobody hears it.
+//
+// Cause: what is sent to another host needs no answer, so that nothing showed that the
+// connection carries nothing; the system's own time-outs for it are minutes.
+//
+// Evidence: here, a message sent into a silent connection was not heard within a minute.
+func TestMessagesArriveThoughTheOldConnectionIsSilent(t *testing.T) {
+	for _, pause := range []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			from, n, heard, stop := twoPools(t)
+			defer stop()
+			ctx := context.Background()
+			assert.NilError(t, from.SendControl(ctx, "b", &msg.Digest{}))
+			time.Sleep(10 * time.Second)
+			assert.Equal(t, heard(), int64(1))
+			n.silence()
+			for range 3 {
+				start, before := time.Now(), heard()
+				assert.NilError(t, from.SendControl(ctx, "b", &msg.Digest{}))
+				for heard() == before && time.Since(start) < time.Minute {
+					time.Sleep(10 * time.Millisecond)
+				}
+				waited := time.Since(start)
+				assert.Assert(t, waited <= 700*time.Millisecond, "heard after %s", waited)
+				time.Sleep(pause)
+			}
+		})
+	}
+}
