Connections between hosts that fall silent are replaced; each address has its sender

Ruled out: closing a connection that gives no sign: a host that is frozen for a second would lose the requests under way on it. Change: a connection quiet for 2 s is asked for a sign of life with the message; without one for 0.3 s it is in doubt, another is made and the message goes out again. What is under way on the old one goes on; replacements are 1 s apart, then 2, up to 30 s. Requests and calls of key owners without a frame put it in doubt too. One outbox an address, with a sender while there is something to send. Tests that read the queue of a sender read the outbox of an address now, same counts.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -58,13 +58,13 @@
 
 // Control is one host's control role. It is safe for concurrent use.
 type Control struct {
-	cfg   Config
-	hooks Hooks
-	log   *slog.Logger
-	store objects.Store
-	pool  Peers
-	udp   *net.UDPConn
-	sendq [senders]chan outbound
+	cfg      Config
+	hooks    Hooks
+	log      *slog.Logger
+	store    objects.Store
+	pool     Peers
+	udp      *net.UDPConn
+	outboxes *outboxes
 
 	// publishing is held while a directory is built and handed on.
 	publishing sync.Mutex
@@ -105,18 +105,7 @@
 	unreadLines event.Limiter
 }
 
-// outbound is one message on its way to a peer address.
-type outbound struct {
-	addr string
-	msg  msg.Message
-}
-
 const (
-	// senders is the number of goroutines that send control messages; one
-	// address always goes through the same one, in order.
-	senders = 8
-	// senderDepth bounds the messages that wait for one sender.
-	senderDepth = 256
 	// tickInterval is the resolution of the timers.
 	tickInterval = 50 * time.Millisecond
 	// versionShift is where the count of changes starts in a host's version;
@@ -149,9 +138,7 @@
 		selfDue:     true,
 		pulses:      newPulseBudget(),
 	}
-	for i := range c.sendq {
-		c.sendq[i] = make(chan outbound, senderDepth)
-	}
+	c.outboxes = newOutboxes(c.sendMessage)
 	return c
 }
 
@@ -160,6 +147,8 @@
 	// SendControl sends a message to the host at an address. It may wait for as long
 	// as the connection takes.
 	SendControl(ctx context.Context, addr string, m msg.Message) error
+	// SendLossy is SendControl for a message that may vanish on its way.
+	SendLossy(ctx context.Context, addr string, m msg.Message) error
 }
 
 // SetPeers sets the ways to the other hosts, before Run.
@@ -194,6 +183,7 @@
 	<-ctx.Done()
 	_ = c.udp.Close()
 	wg.Wait()
+	c.outboxes.wait()
 }
 
 func (c *Control) tickLoop(ctx context.Context) {
@@ -344,8 +334,7 @@
 	}
 }
 
-// queue hands a message to the sender of its address. A full queue drops it:
-// repair finds what was lost.
+// queue hands a message to the outbox of its host.
 func (c *Control) queue(o config.Outbound) {
 	h, ok := c.hosts[o.To]
 	if !ok || o.To == c.cfg.Host {
@@ -354,39 +343,29 @@
 	c.queueTo(h.Peer, o.Msg)
 }
 
+// queueTo hands a message to the outbox of an address. A full one drops it: repair
+// finds what was lost.
 func (c *Control) queueTo(addr string, m msg.Message) {
-	select {
-	case c.sendq[senderOf(addr)] <- outbound{addr: addr, msg: m}:
-		c.traffic.MessagesOut++
-		c.traffic.BytesOut += uint64(m.(interface{ Msgsize() int }).Msgsize())
-	default:
+	if !c.outboxes.put(addr, m) {
 		c.traffic.Dropped++
+		return
 	}
-}
-
-func senderOf(addr string) int {
-	sum := 0
-	for _, b := range []byte(addr) {
-		sum = sum*31 + int(b)
-	}
-	return (sum%senders + senders) % senders
+	c.traffic.MessagesOut++
+	c.traffic.BytesOut += uint64(m.(interface{ Msgsize() int }).Msgsize())
 }
 
 // startSenders starts what sends the queued messages, until the context ends.
-func (c *Control) startSenders(ctx context.Context) {
-	for i := range c.sendq {
-		go c.sender(ctx, c.sendq[i])
-	}
-}
-
-func (c *Control) sender(ctx context.Context, q <-chan outbound) {
-	for {
-		select {
-		case o := <-q:
-			_ = c.pool.SendControl(ctx, o.addr, o.msg)
-		case <-ctx.Done():
-			return
-		}
+func (c *Control) startSenders(ctx context.Context) { c.outboxes.start(ctx) }
+
+// sendMessage sends a message of an outbox. Loads and reports are soon replaced by newer
+// ones; all else must not vanish in a connection that has fallen silent. A message that
+// cannot be sent is lost: repair finds it.
+func (c *Control) sendMessage(ctx context.Context, addr string, m msg.Message) {
+	switch m.(type) {
+	case *msg.Pulse, *msg.Report:
+		_ = c.pool.SendLossy(ctx, addr, m)
+	default:
+		_ = c.pool.SendControl(ctx, addr, m)
 	}
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -107,10 +107,7 @@
 	now := time.Now()
 	c.tick(now)
 	c.tick(now.Add(tickInterval))
-	var called []msg.Message
-	for len(c.sendq[senderOf("127.0.0.1:2")]) > 0 {
-		called = append(called, (<-c.sendq[senderOf("127.0.0.1:2")]).msg)
-	}
+	called := c.outboxes.boxes["127.0.0.1:2"].waiting
 	assert.Equal(t, len(called), 2)
 	_, tellsOfItself := called[0].(*msg.Rumor)
 	pull, asks := called[1].(*msg.Pull)
--- a/internal/control/pulse_test.go
+++ b/internal/control/pulse_test.go
@@ -33,15 +33,16 @@
 
 // told counts the pulses that wait to be sent, and those to be passed on.
 func told(c *Control) (all, relayed int) {
-	for _, q := range c.sendq {
-		for len(q) > 0 {
-			if p, ok := (<-q).msg.(*msg.Pulse); ok {
+	for addr, box := range c.outboxes.boxes {
+		for _, m := range box.waiting {
+			if p, ok := m.(*msg.Pulse); ok {
 				all++
 				if p.Relay {
 					relayed++
 				}
 			}
 		}
+		delete(c.outboxes.boxes, addr)
 	}
 	return all, relayed
 }
--- a/internal/control/send_test.go
+++ b/internal/control/send_test.go
@@ -32,6 +32,10 @@
 	return nil
 }
 
+func (p *stuckPeers) SendLossy(ctx context.Context, addr string, m msg.Message) error {
+	return p.SendControl(ctx, addr, m)
+}
+
 // What users saw: nothing yet. Looked for after configurations had come into force late
 // because something that could not end stood in front.
 //
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -187,6 +187,8 @@
 		return nil
 	}
 	y.front.paths.missed(time.Now(), y.target.Host.Name)
+	// The next request goes over a new connection: this one may be silent for good.
+	y.conn.Doubt()
 	if y.req.idempotent || y.state.Phase() == once.Reserving {
 		return y.giveUp(errors.New("no frame comes from the host"))
 	}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -211,10 +211,16 @@
 		return nil, err
 	}
 	defer s.Close()
+	sent := time.Now()
 	if err := s.Send(ctx, request); err != nil {
 		return nil, err
 	}
-	return s.Recv(ctx)
+	reply, err := s.Recv(ctx)
+	if ctx.Err() != nil && conn.LastRead().Before(sent) {
+		// The next call goes over a new connection: this one may be silent for good.
+		conn.Doubt()
+	}
+	return reply, err
 }
 
 // Serve answers a stream that another host opened.
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -69,6 +69,13 @@
 	used    time.Time
 	// dialling is closed when the attempt under way has ended, nil for none.
 	dialling chan struct{}
+	// retired are connections in doubt that were replaced while something was under
+	// way on them.
+	retired []*wire.Conn
+	// renewAt is when a connection in doubt may be replaced again, and renewal the
+	// pause before the next one.
+	renewAt time.Time
+	renewal time.Duration
 }
 
 // Listen starts a Pool that takes connections on addr, IP:port.
@@ -113,6 +120,9 @@
 	if l.conn != nil {
 		l.conn.Close()
 	}
+	for _, c := range l.retired {
+		c.Close()
+	}
 }
 
 func (p *Pool) acceptLoop() {
@@ -238,13 +248,14 @@
 func (l *link) get(dial func()) (*wire.Conn, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.used = time.Now()
+	now := time.Now()
+	l.used = now
 	switch {
-	case l.conn != nil && l.conn.Err() == nil:
-		return l.conn, nil, nil
 	case l.dialling != nil:
 		return nil, l.dialling, nil
-	case time.Now().Before(l.retryAt):
+	case l.usable() && !l.renews(now):
+		return l.conn, nil, nil
+	case !l.usable() && now.Before(l.retryAt):
 		return nil, nil, l.lastErr
 	}
 	l.dialling = make(chan struct{})
@@ -259,13 +270,16 @@
 	defer l.mu.Unlock()
 	close(l.dialling)
 	l.dialling = nil
-	if err != nil {
+	switch {
+	case err != nil && l.usable():
+		// The host may be frozen: what stands goes on when it wakes.
+	case err != nil:
 		l.backoff = min(max(2*l.backoff, backoffMin), backoffMax)
 		l.retryAt = time.Now().Add(l.backoff)
 		l.lastErr = errors.Wrapf(err, "connect to %s", addr)
-		return
+	default:
+		l.replace(conn)
 	}
-	l.conn, l.backoff = conn, 0
 }
 
 func (p *Pool) link(addr string) (*link, error) {
@@ -298,16 +312,6 @@
 	return conn, nil
 }
 
-// SendControl sends a message that belongs to no stream to a peer. Where the
-// peer cannot be reached now the message is lost and the sender told.
-func (p *Pool) SendControl(ctx context.Context, addr string, m msg.Message) error {
-	conn, err := p.Conn(ctx, addr)
-	if err != nil {
-		return err
-	}
-	return conn.SendControl(ctx, m)
-}
-
 // Sweep closes connections that have been idle for long.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
@@ -318,7 +322,8 @@
 		if idle && l.conn != nil && l.conn.Streams() == 0 {
 			l.conn.Close()
 		}
-		if idle && l.dialling == nil && (l.conn == nil || l.conn.Err() != nil) {
+		l.closeRetired()
+		if idle && l.dialling == nil && (l.conn == nil || l.conn.Err() != nil) && len(l.retired) == 0 {
 			delete(p.links, addr)
 		}
 		l.mu.Unlock()
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -122,3 +122,52 @@
 		})
 	}
 }
+
+// A host that is frozen leaves every connection without a sign, new ones too: it is not
+// flooded with them, and hears what is sent once it wakes.
+func TestAFrozenPeerIsNotFloodedWithConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from, n, heard, stop := twoPools(t)
+		defer stop()
+		ctx := context.Background()
+		for start := time.Now(); time.Since(start) < 3*time.Minute; {
+			n.silence()
+			assert.NilError(t, from.SendControl(ctx, "b", &msg.Digest{}))
+			time.Sleep(100 * time.Millisecond)
+		}
+		// One at first and one in doubt, then after 1, 2, 4, 8, 16 and each further 30 s.
+		assert.Assert(t, n.dials.Load() <= 12, "%d connections in 3 minutes", n.dials.Load())
+		before := heard()
+		time.Sleep(renewalMax)
+		assert.NilError(t, from.SendControl(ctx, "b", &msg.Digest{}))
+		time.Sleep(time.Second)
+		assert.Assert(t, heard() > before)
+	})
+}
+
+// A connection that was only slow to answer is used again, and one that was replaced is
+// kept for as long as something is under way on it.
+func TestWhatIsUnderWayOnADoubtedConnectionGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from, n, _, stop := twoPools(t)
+		defer stop()
+		ctx := context.Background()
+		_, conn, err := from.Open(ctx, "b")
+		assert.NilError(t, err)
+		conn.Doubt()
+		again, err := from.Conn(ctx, "b")
+		assert.NilError(t, err)
+		assert.Assert(t, again != conn, "a doubted connection is used for new work")
+		assert.NilError(t, conn.Err())
+		assert.Equal(t, n.dials.Load(), int64(2))
+		from.Sweep()
+		assert.NilError(t, conn.Err())
+
+		again.Doubt()
+		assert.Assert(t, again.SignOfLife(ctx, signTimeout))
+		assert.Assert(t, !again.Doubted())
+		same, err := from.Conn(ctx, "b")
+		assert.NilError(t, err)
+		assert.Assert(t, same == again)
+	})
+}
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -55,6 +55,7 @@
 	born time.Time
 	// lastRead is when the newest frame came, in nanoseconds since born.
 	lastRead atomic.Int64
+	signs    signs
 	strays   atomic.Uint64
 }
 
@@ -174,6 +175,7 @@
 			scratch = nil
 		}
 		c.lastRead.Store(int64(time.Since(c.born)))
+		c.signs.heard()
 		if err := c.dispatch(stream, m); err != nil {
 			c.fail(err)
 			return
