The share of spans without work is judged over more seeds

Change: four times the seeds at the same bound of a tenth: as strict a share, with a verdict that is the same each time. Open: runs of a seed that are the same to the letter.

--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -106,8 +106,11 @@
 // little of it and each front hears little. While only instances in doubt asked for
 // work, 61 of 111 spans of the service with the most instances fell short.
 func TestNoSoundInstanceIsLeftWithoutWork(t *testing.T) {
-	const shortfall = 0.1
-	results := play(t, *seeds, idleLarge)
+	// Runs of one seed differ, since what happens at one instant has no order: two seeds
+	// gave 1 to 8 of 74 spans (32 runs, 3.9 on average), over a tenth in one of them.
+	// More seeds make the same share a verdict.
+	const shortfall, more = 0.1, 4
+	results := play(t, more**seeds, idleLarge)
 	for _, service := range idleLarge(0).Services {
 		bad, spans := 0, 0
 		for _, r := range results {
