--- a/cmd/radishhoistd/main.go
+++ b/cmd/radishhoistd/main.go
@@ -51,6 +51,9 @@
 		return err
 	}
 	if cmd.Bool("check") {
+		for _, warning := range cfg.Warnings {
+			fmt.Println(path + ": warning: " + warning)
+		}
 		fmt.Println(path + ": the settings are good")
 		return nil
 	}
--- a/internal/control/silent_test.go
+++ b/internal/control/silent_test.go
@@ -81,11 +81,14 @@
 		w.platform.SetFaults(platformd.Faults{})
 		time.Sleep(time.Minute)
 		w.platform.SetFaults(platformd.Faults{Outage: true})
-		time.Sleep(testWatchWait + watchPause)
+		for !w.control.State().Away {
+			time.Sleep(time.Millisecond)
+		}
+		// One call was refused; the next is not.
 		w.platform.SetFaults(platformd.Faults{})
 		w.change()
 		late := w.late()
-		assert.Assert(t, late <= 2*awayMin+watchPause, "in force %s after", late)
+		assert.Assert(t, late <= awayMin, "in force %s after", late)
 	})
 }
 
--- a/internal/core/config/node_test.go
+++ b/internal/core/config/node_test.go
@@ -95,3 +95,23 @@
 	e, _ := a.Set(msg.SetHosts).Get(Key{"Configuration", "both"})
 	assert.Equal(t, e.Version, int64(9))
 }
+
+// A list of some kinds says nothing of the others: they stay, and the set is whole only
+// once a list of everything was taken.
+func TestAListOfSomeKindsDeletesNoOthers(t *testing.T) {
+	n := newTestNode(1)
+	route := msg.Entry{Kind: "Route", Name: "r", Version: 3}
+	n.LoadList(Peers{}, []msg.Entry{entry("main", 5, 10), route}, 5, nil)
+	assert.Assert(t, n.Whole())
+	onlyRoutes := func(kind string) bool { return kind == "Route" }
+	n.LoadList(Peers{}, nil, 9, onlyRoutes)
+	set := n.Set(msg.SetRecords)
+	gone, _ := set.Get(Key{"Route", "r"})
+	assert.Assert(t, gone.Deleted && gone.Version == 9)
+	kept, _ := set.Get(Key{"Configuration", "main"})
+	assert.Assert(t, !kept.Deleted)
+
+	fresh := newTestNode(2)
+	fresh.LoadList(Peers{}, []msg.Entry{route}, 5, onlyRoutes)
+	assert.Assert(t, !fresh.Whole())
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,6 +127,9 @@
 	d.goRun(func() { d.control.Run(ctx) })
 	d.goRun(func() { d.tick(ctx) })
 	d.goRun(func() { d.keys.Run(ctx) })
+	for _, warning := range cfg.Warnings {
+		event.Log(log, event.SettingsStrained, slog.String("cause", warning))
+	}
 	event.Log(log, event.Started, slog.String("callers", cfg.Callers), slog.String("peer", cfg.Peer),
 		slog.String("announce", cfg.Announce), slog.String("admin", cfg.Admin))
 	return d, nil
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -25,6 +25,7 @@
 	StartFailed       = Event{105, "start failed", slog.LevelError}
 	Reloaded          = Event{106, "settings reloaded", slog.LevelInfo}
 	ReloadRefused     = Event{107, "settings refused", slog.LevelError}
+	SettingsStrained  = Event{108, "settings strained", slog.LevelWarn}
 	RequestFailed     = Event{200, "request failed", slog.LevelWarn}
 	RequestAnswered   = Event{206, "request answered", slog.LevelInfo}
 	AnswerAborted     = Event{201, "answer aborted", slog.LevelWarn}
@@ -62,7 +63,7 @@
 // All lists every event, for the catalogue test.
 func All() []Event {
 	return []Event{
-		Started, Ready, Draining, Drained, DrainTimeout, StartFailed, Reloaded, ReloadRefused,
+		Started, Ready, Draining, Drained, DrainTimeout, StartFailed, Reloaded, ReloadRefused, SettingsStrained,
 		RequestFailed, RequestAnswered, AnswerAborted, LinkLost, PathLeftOut, PathBack, PeerRefused,
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
 		RequestEnded, RequestRefused, InstanceTurned,
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -50,10 +50,12 @@
 	connect  connectFunc
 	wg       sync.WaitGroup
 
-	mu      sync.Mutex
-	closed  bool
-	links   map[string]*link
-	inbound map[*wire.Conn]*msg.Hello
+	mu sync.Mutex
+	// checkedAt is when the quiet connections were last asked for a sign of life.
+	checkedAt time.Time
+	closed    bool
+	links     map[string]*link
+	inbound   map[*wire.Conn]*msg.Hello
 }
 
 // connectFunc makes one connection to a peer address.
@@ -303,7 +305,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := wire.NewConn(nc, wire.Handlers{})
+	conn := wire.NewConn(nc, wire.Handlers{Doubted: p.checkQuiet})
 	hello := p.self
 	if err := conn.SendControl(ctx, &hello); err != nil {
 		conn.Close()
--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -19,6 +19,8 @@
 	// in doubt: a host that is frozen leaves all its connections without a sign.
 	renewalMin = time.Second
 	renewalMax = 30 * time.Second
+	// checkInterval is the least time between two checks of all quiet connections.
+	checkInterval = time.Second
 )
 
 // SendLossy sends a message that belongs to no stream to a peer, one that a newer one
@@ -54,6 +56,47 @@
 	return renewed.SendControl(ctx, m)
 }
 
+// checkQuiet asks every connection that is quiet for a sign of life, once one has come
+// into doubt: what silences one often silences many, and each would otherwise cost the
+// next request on it 0.3 s.
+func (p *Pool) checkQuiet() {
+	for _, conn := range p.quiet() {
+		go func() {
+			if !conn.SignOfLife(context.Background(), signTimeout) {
+				conn.Doubt()
+			}
+		}()
+	}
+}
+
+// quiet lists the connections to check, none where that was done just now.
+func (p *Pool) quiet() []*wire.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if now.Sub(p.checkedAt) < checkInterval {
+		return nil
+	}
+	p.checkedAt = now
+	var out []*wire.Conn
+	for _, l := range p.links {
+		if conn := l.quiet(now); conn != nil {
+			out = append(out, conn)
+		}
+	}
+	return out
+}
+
+// quiet gives the connection where nothing has come on it for a while, else nil.
+func (l *link) quiet(now time.Time) *wire.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.usable() || l.conn.Doubted() || now.Sub(l.conn.LastRead()) < signTimeout {
+		return nil
+	}
+	return l.conn
+}
+
 // usable says that there is a connection that has not ended. The caller holds the lock.
 func (l *link) usable() bool { return l.conn != nil && l.conn.Err() == nil }
 
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -171,3 +171,30 @@
 		assert.Assert(t, same == again)
 	})
 }
+
+// What silences one connection often silences many: once one is found out the others
+// are asked, so that not each costs a request or message.
+func TestOneSilentConnectionHasTheOthersAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from, n, _, stop := twoPools(t)
+		defer stop()
+		ctx := context.Background()
+		addresses := []string{"b", "c", "d", "e"}
+		for _, addr := range addresses {
+			assert.NilError(t, from.SendControl(ctx, addr, &msg.Digest{}))
+		}
+		time.Sleep(5 * time.Second)
+		n.silence()
+		_, conn, err := from.Open(ctx, "b")
+		assert.NilError(t, err)
+		conn.Doubt()
+		time.Sleep(2 * signTimeout)
+		before := n.dials.Load()
+		for _, addr := range addresses {
+			renewed, err := from.Conn(ctx, addr)
+			assert.NilError(t, err)
+			assert.Assert(t, renewed.SignOfLife(ctx, signTimeout), "the connection to %s is still the silent one", addr)
+		}
+		assert.Equal(t, n.dials.Load()-before, int64(len(addresses)))
+	})
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -62,10 +62,10 @@
 	duration("control", "probe_interval", "1s", 50*time.Millisecond, time.Minute, "time between two membership probes of one host; shorter finds dead hosts sooner and sends more", func(c *Config) *time.Duration { return &c.ProbeInterval }),
 	duration("control", "probe_timeout", "300ms", 10*time.Millisecond, 10*time.Second, "time a direct probe may go unanswered before other hosts are asked", func(c *Config) *time.Duration { return &c.ProbeTimeout }),
 	duration("control", "suspicion", "4s", 100*time.Millisecond, time.Minute, "time a suspected host has to refute; shorter is quicker and wrong more often", func(c *Config) *time.Duration { return &c.Suspicion }),
-	duration("control", "apply_within", "17s", 2*time.Second, 10*time.Minute, "time in which an acknowledged record is to be in force on every host; settings whose steps together take longer are refused", func(c *Config) *time.Duration { return &c.ApplyWithin }),
+	duration("control", "apply_within", "17s", 100*time.Millisecond, 10*time.Minute, "time in which an acknowledged record is to be in force on every host; written steps that together take longer are refused", func(c *Config) *time.Duration { return &c.ApplyWithin }),
 	derived(duration("control", "repair_interval", "5s", 100*time.Millisecond, time.Minute, "time between two digests of the record set to a random peer", func(c *Config) *time.Duration { return &c.RepairInterval }), repairMost),
 	derived(duration("control", "away_max", "2s", 100*time.Millisecond, time.Minute, "longest pause between two calls to a platform that does not answer; longer spares it, shorter notices its return sooner", func(c *Config) *time.Duration { return &c.AwayMax }), awayMaxMost),
-	derived(duration("control", "watch_wait", "25s", 500*time.Millisecond, 30*time.Second, "time the platform is asked to hold a watch open; shorter makes more calls and bounds how long a watcher can miss news without a sign", func(c *Config) *time.Duration { return &c.WatchWait }), watchWaitMost),
+	derived(duration("control", "watch_wait", "25s", 100*time.Millisecond, 30*time.Second, "time the platform is asked to hold a watch open; shorter makes more calls and bounds how long a watcher can miss news without a sign", func(c *Config) *time.Duration { return &c.WatchWait }), watchWaitMost),
 	duration("control", "status_interval", "5s", time.Second, time.Hour, "least time between two summaries of what is in force, which a data centre writes to the platform", func(c *Config) *time.Duration { return &c.StatusInterval }),
 	number("control", "watchers_per_dc", "2", "hosts", 1, 16, "hosts of a data centre that watch the platform; each waiting watch counts as a platform read", func(c *Config) *int { return &c.WatchersPerDC }),
 	duration("control", "promise_life", "3s", 100*time.Millisecond, time.Minute, "life of a promise to a key owner; longer rides out longer cuts and delays the successor more", func(c *Config) *time.Duration { return &c.PromiseLife }),
@@ -294,7 +294,7 @@
 // derived makes a key that follows from apply_within where it is not written.
 func derived(k key, most time.Duration) key {
 	k.def = ""
-	k.doc += fmt.Sprintf("; by default %g of apply_within, %s at most", stepShare, most)
+	k.doc += fmt.Sprintf("; by default %g of apply_within, %s at most, less where the sum would not fit", stepShare, most)
 	return k
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,6 +89,10 @@
 	// ApplyWithin is the time in which an acknowledged record is to be in force on
 	// every host.
 	ApplyWithin time.Duration
+	// stepsWritten says that one of AwayMax, WatchWait and RepairInterval was written.
+	stepsWritten bool
+	// Warnings say what the settings cannot keep, for the log at the start.
+	Warnings []string
 	// AwayMax is the longest pause between calls to an absent platform.
 	AwayMax time.Duration
 	// WatchWait is how long the platform is asked to hold a watch open.
--- a/internal/settings/way.go
+++ b/internal/settings/way.go
@@ -32,9 +32,12 @@
 	// repaired within 1.4 intervals (virtual time).
 	repairSpread = 1.5
 	// stepShare is the part of ApplyWithin that each of the steps' times gets where it
-	// is not written. 0.3 + 0.4 s for the notice, 0.1 s to tell and 0.45 for the repair
-	// make 2.0 s of 2 s and 13.3 s of 17 s.
+	// is not written, or less where the bound is below 2 s. 0.3 + 0.4 s for the notice,
+	// 0.1 s to tell and 0.45 for the repair make 2.0 s of 2 s and 13.3 s of 17 s.
 	stepShare = 0.3
+	// stepLeast is the least that is derived: a watch, a pause or a digest ten times a
+	// second is what a host can bear.
+	stepLeast = 100 * time.Millisecond
 	// awayMaxMost is the longest pause that is derived: a platform that is away for
 	// hours is asked every 2 s by two hosts of a data centre, which it does not feel.
 	awayMaxMost = 2 * time.Second
@@ -55,7 +58,11 @@
 
 // deriveSteps sets the times of the steps that were not written.
 func (c *Config) deriveSteps() {
-	part := time.Duration(stepShare * float64(c.ApplyWithin)).Round(time.Millisecond)
+	c.stepsWritten = c.WatchWait != 0 || c.AwayMax != 0 || c.RepairInterval != 0
+	fixed := objects.UsualAnswer + TellTime
+	fits := time.Duration(float64(c.ApplyWithin-fixed) / (1 + repairSpread))
+	part := min(time.Duration(stepShare*float64(c.ApplyWithin)), fits)
+	part = max(part, stepLeast).Round(time.Millisecond)
 	derive := func(field *time.Duration, most time.Duration) {
 		if *field == 0 {
 			*field = min(part, most)
@@ -66,12 +73,18 @@
 	derive(&c.RepairInterval, repairMost)
 }
 
-// checkWay refuses steps that together take longer than a change may.
+// checkWay refuses written steps that together take longer than a change may. A bound
+// that no steps can keep is warned of: the host serves all the same.
 func (c *Config) checkWay() error {
 	w := c.Way()
 	if w.Total() <= c.ApplyWithin {
 		return nil
 	}
-	return fmt.Errorf("a change may take %s (%s until a watcher hears of it, by watch_wait and away_max; %s to tell; %s to repair, by repair_interval)",
+	err := fmt.Errorf("a change may take %s (%s until a watcher hears of it, by watch_wait and away_max; %s to tell; %s to repair, by repair_interval)",
 		w.Total(), w.Notice, w.Tell, w.Repair)
+	if c.stepsWritten {
+		return err
+	}
+	c.Warnings = append(c.Warnings, fmt.Sprintf("[control] apply_within: %s is shorter than any steps can keep: %v", c.ApplyWithin, err))
+	return nil
 }
--- a/internal/settings/way_test.go
+++ b/internal/settings/way_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,17 +11,30 @@
 
 // The times of the steps follow from the bound, and together keep it.
 func TestTheStepsKeepTheBound(t *testing.T) {
-	for bound := 2 * time.Second; bound <= time.Minute; bound += 500 * time.Millisecond {
+	for bound := 750 * time.Millisecond; bound <= time.Minute; bound += 250 * time.Millisecond {
 		c, err := Parse("f.ini", []byte(good+fmt.Sprintf("[control]\napply_within = %s\n", bound)))
 		assert.NilError(t, err)
 		w := c.Way()
 		assert.Equal(t, w.Total(), w.Notice+w.Tell+w.Repair)
 		assert.Assert(t, w.Total() <= bound, "%s: %+v", bound, w)
-		assert.Assert(t, c.WatchWait >= 500*time.Millisecond && c.AwayMax > 0 && c.RepairInterval > 0)
+		assert.Assert(t, c.WatchWait >= stepLeast && c.AwayMax >= stepLeast && c.RepairInterval >= stepLeast)
+		assert.Equal(t, len(c.Warnings), 0)
 	}
+	// At 2 s each step has what the design note says.
+	c, err := Parse("f.ini", []byte(good+"[control]\napply_within = 2s\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, c.WatchWait, 600*time.Millisecond)
 	assert.Assert(t, Default().Way().Total() <= Default().ApplyWithin)
 }
 
+// A platform may ask for more than can be kept: the host serves, and says so.
+func TestABoundThatNothingKeepsIsWarnedOf(t *testing.T) {
+	c, err := Parse("f.ini", []byte(good+"[control]\napply_within = 500ms\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(c.Warnings), 1)
+	assert.Assert(t, strings.Contains(c.Warnings[0], "apply_within"))
+}
+
 // A time that is written goes before the derived one, and is refused with its keys
 // where a change would take too long.
 func TestStepsThatTakeTooLongAreRefused(t *testing.T) {
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -67,6 +67,8 @@
 	// Control is called by the reader, in order, for every message that
 	// belongs to no stream; it must not block. nil drops them.
 	Control func(msg.Message)
+	// Doubted is called when the connection comes into doubt; nil for nobody.
+	Doubted func()
 }
 
 // controlStream is the stream number of messages that belong to no stream.
--- a/internal/wire/sign.go
+++ b/internal/wire/sign.go
@@ -41,7 +41,11 @@
 
 // Doubt says that a sign of life was asked for and did not come: whoever makes
 // connections makes another, and this one goes on for what is under way on it.
-func (c *Conn) Doubt() { c.signs.doubted.Store(true) }
+func (c *Conn) Doubt() {
+	if !c.signs.doubted.Swap(true) && c.handlers.Doubted != nil {
+		c.handlers.Doubted()
+	}
+}
 
 // Doubted says that Doubt was called and no frame has come since.
 func (c *Conn) Doubted() bool { return c.signs.doubted.Load() }
