A soak of real processes under seeded faults from outside

Change: internal/soak and the verb `radishhoist-lab soak`: platform stand-in, daemons and instances as processes, a proxy between each daemon and the platform, twelve kinds of overlapping faults from one seed, seven promises checked from what callers, instances and operators see. Tests: each check finds its planted record; schedules are seeded and bounded.

--- a/cmd/radishhoist-lab/main.go
+++ b/cmd/radishhoist-lab/main.go
@@ -16,6 +16,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/experiment"
 	"github.com/radishhoist/radishhoist/internal/lab"
+	"github.com/radishhoist/radishhoist/internal/soak"
 	"github.com/radishhoist/radishhoist/internal/standin/platformd"
 	"github.com/radishhoist/radishhoist/internal/standin/target"
 )
@@ -26,7 +27,7 @@
 	cmd := &cli.Command{
 		Name:     "radishhoist-lab",
 		Usage:    "stand-ins, demo and load tool for development",
-		Commands: []*cli.Command{platformCommand(), targetCommand(), demoCommand(), loadCommand(), benchCommand(), grayCommand(), capacityCommand(), reserveCommand(), takeoverCommand()},
+		Commands: []*cli.Command{platformCommand(), targetCommand(), demoCommand(), loadCommand(), benchCommand(), grayCommand(), capacityCommand(), reserveCommand(), takeoverCommand(), soakCommand()},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "radishhoist-lab:", err)
@@ -184,6 +185,27 @@
 	}
 }
 
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run a fleet of real processes under seeded faults and check the promises",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "`DIRECTORY` of the built programs"},
+			&cli.IntFlag{Name: "seed", Value: 1, Usage: "first seed"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after the other"},
+			&cli.IntFlag{Name: "hosts", Value: 9, Usage: "hosts, each with a daemon and an instance, 90 at most"},
+			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "`TIME` of one seed; the last 8 s are without faults"},
+			&cli.IntFlag{Name: "net", Value: 77, Usage: "third `NUMBER` of the loopback addresses"},
+			&cli.StringFlag{Name: "logs", Usage: "`DIRECTORY` for the logs of seeds that break a promise"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return soak.Seeds(ctx, os.Stdout, soak.Config{
+				Bin: cmd.String("bin"), Seed: uint64(cmd.Int("seed")), Hosts: cmd.Int("hosts"), Length: cmd.Duration("for"), Net: cmd.Int("net"),
+			}, cmd.Int("seeds"), cmd.String("logs"))
+		},
+	}
+}
+
 func reserveCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "reserve",
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -31,8 +31,10 @@
 	dir      string
 	logs     io.Writer
 	Platform string
-	Hosts    []*Host
-	procs    []*Process
+	// Via is where the hosts to be started reach the platform, empty for Platform.
+	Via   string
+	Hosts []*Host
+	procs []*Process
 }
 
 // Host is one host of a Fleet: an address of its own with a daemon on it.
@@ -126,6 +128,10 @@
 
 // StartHost writes a host's settings and starts its daemon.
 func (f *Fleet) StartHost(name, dc, ip string, extra string) (*Host, error) {
+	platform := f.Platform
+	if f.Via != "" {
+		platform = f.Via
+	}
 	h := &Host{Name: name, DC: dc, IP: ip, Config: filepath.Join(f.dir, name+".ini")}
 	text := fmt.Sprintf(`[host]
 name = %s
@@ -141,7 +147,7 @@
 url = %s
 
 %s
-`, name, dc, h.Callers(), ip, PeerPort, ip, AnnouncePort, h.Admin(), f.Platform, extra)
+`, name, dc, h.Callers(), ip, PeerPort, ip, AnnouncePort, h.Admin(), platform, extra)
 	if err := os.WriteFile(h.Config, []byte(text), 0o600); err != nil {
 		return nil, errors.Wrap(err, "settings of "+name)
 	}
--- /dev/null
+++ b/internal/soak/run_test.go
@@ -0,0 +1,35 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/logtest"
+)
+
+// A short run of a seed that has every class of fault: the long runs are started by hand.
+func TestAShortSoakKeepsThePromises(t *testing.T) {
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin, "../../cmd/...")
+	out, err := build.CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	logs := &logtest.Buffer{}
+	r, err := Run(context.Background(), Config{Bin: bin, Seed: 7, Hosts: 6, Length: 20 * time.Second, Net: 71, Logs: logs})
+	assert.NilError(t, err)
+	var report bytes.Buffer
+	broken := r.Report(&report, 7)
+	t.Log(report.String())
+	if len(broken) > 0 {
+		path := filepath.Join(os.TempDir(), "radishhoist-soak-7.log")
+		assert.NilError(t, os.WriteFile(path, []byte(logs.String()), 0o600))
+		t.Fatalf("%d promises broken; the processes' logs are in %s", len(broken), path)
+	}
+	assert.Assert(t, len(r.Faults) > 5 && len(r.Acked) > 5 && len(r.Samples) > 100 && len(r.Requests) > 500)
+}
