--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -13,8 +13,7 @@
 
 // join writes this host's record, then reads what there is: of two hosts that
 // start at once, at least one sees the other. What it reads is the whole set,
-// so that a fleet that starts anew need not wait for each other.
-// It gives the revision from which the feeds are to be watched.
+// so that a fleet that starts anew need not wait for each other. It gives the revision from which the feeds are to be watched.
 func (c *Control) join(ctx context.Context) (int64, error) {
 	if err := c.writeSelf(ctx); err != nil {
 		return 0, err
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,17 +32,17 @@
 // centre's watchers, follows the platform. The platform may be away for hours:
 // nothing but this goroutine and those it starts waits for it.
 func (c *Control) watch(ctx context.Context) {
-	revision, ok := c.joinInTheEnd(ctx)
+	revision, ok := c.joinFleet(ctx)
 	if !ok {
 		return
 	}
-	followed := make(map[objects.Feed]*position)
+	positions := make(map[objects.Feed]*position)
 	for _, feed := range c.store.Feeds() {
-		followed[feed] = &position{revision: revision, listed: true}
+		positions[feed] = &position{revision: revision, listed: true}
 	}
 	for ctx.Err() == nil {
 		if c.ranksAsWatcher() {
-			c.follow(ctx, followed)
+			c.follow(ctx, positions)
 		}
 		c.wait(ctx, rankInterval)
 	}
@@ -58,9 +57,9 @@
 	}
 }
 
-// joinInTheEnd joins, however often the platform fails it; false where the context
+// joinFleet joins the fleet, however often the platform fails it; false where the context
 // ended before.
-func (c *Control) joinInTheEnd(ctx context.Context) (int64, bool) {
+func (c *Control) joinFleet(ctx context.Context) (int64, bool) {
 	pace := pacer{max: c.cfg.AwayMax}
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -86,17 +85,17 @@
 
 // follow follows every feed by itself, so that none waits for a call of another,
 // until this host ranks as watcher no more.
-func (c *Control) follow(ctx context.Context, followed map[objects.Feed]*position) {
+func (c *Control) follow(ctx context.Context, positions map[objects.Feed]*position) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ends := make(chan struct{}, len(followed))
-	for feed, p := range followed {
+	ends := make(chan struct{}, len(positions))
+	for feed, p := range positions {
 		go func() {
 			c.followFeed(ctx, feed, p)
 			ends <- struct{}{}
 		}()
 	}
-	for range followed {
+	for range positions {
 		<-ends
 		cancel()
 	}
@@ -163,31 +162,6 @@
 	c.wait(ctx, pause)
 }
 
-// awayMin is the first pause after a failed call; it doubles.
-const awayMin = 250 * time.Millisecond
-
-// pacer gives the pauses between calls to a platform that fails them.
-type pacer struct {
-	max      time.Duration
-	failures int
-}
-
-// next is the pause after one more failure, at most max; jitter takes up to half of
-// it off, so that watchers that failed together do not ask together.
-func (p *pacer) next() time.Duration {
-	pause := awayMin
-	for i := 0; i < p.failures && pause < p.max; i++ {
-		pause *= 2
-	}
-	pause = min(pause, p.max)
-	p.failures++
-	return pause/2 + time.Duration(rand.Int64N(int64(pause/2)+1))
-}
-
-// reset makes the next pause the first again: each answer does, or one failure long
-// after an outage would cost the longest pause.
-func (p *pacer) reset() { p.failures = 0 }
-
 // platformAway notes that a feed's call failed.
 func (c *Control) platformAway(feed objects.Feed, err error) {
 	c.mu.Lock()
--- a/internal/peer/send.go
+++ b/internal/peer/send.go
@@ -12,8 +12,8 @@
 	// livelyFor is how long a connection counts as alive after a frame. What is sent in
 	// that time to a connection that has fallen silent is lost; the repair finds it.
 	livelyFor = 2 * time.Second
-	// signTimeout is how long a peer has for a sign of life: 20 times the round trip
-	// between two regions, and a tenth of what a host is suspected after.
+	// signTimeout is how long a peer has for a sign of life: as long as a request waits
+	// for a frame before its path counts as cut.
 	signTimeout = 300 * time.Millisecond
 	// renewalMin and renewalMax bound the time between two replacements of a connection
 	// in doubt: a host that is frozen leaves all its connections without a sign.
