An empty watch builds no directory

Ruled out: a need for it: what is applied marks it by itself, and a set that becomes whole is noticed apart. Change: only lists mark it, as before; the begin of a call is read once a round. Test: TestAnEmptyWatchBuildsNoDirectory, seen red without the change.

--- a/internal/control/confirm_test.go
+++ b/internal/control/confirm_test.go
@@ -77,3 +77,20 @@
 		}
 	})
 }
+
+// A watch that ends with nothing new gives no reason to build the directory again: a
+// watcher would do so, and hand it to all roles, more than once a second.
+func TestAnEmptyWatchBuildsNoDirectory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatched(t, testAwayMax)
+		defer w.stop()
+		time.Sleep(3 * time.Second)
+		w.control.publish(time.Now())
+		before := w.platform.Counts().Watches
+		time.Sleep(10 * time.Second)
+		w.control.mu.Lock()
+		defer w.control.mu.Unlock()
+		assert.Assert(t, w.platform.Counts().Watches > before)
+		assert.Assert(t, w.control.rebuild(time.Now()) == nil)
+	})
+}
--- a/internal/control/take.go
+++ b/internal/control/take.go
@@ -27,6 +27,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replica.LoadList(c.peers(), toEntries(page.Objects), page.Revision, nil)
+	c.dirty = true
 	c.confirmed.noteAll(began, fromPlatform)
 	c.takePage(page)
 }
@@ -37,6 +38,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replica.LoadList(c.peers(), toEntries(page.Objects), page.Revision, covers)
+	c.dirty = true
 	c.confirmed.note(feed, began, fromPlatform)
 	c.takePage(page)
 }
@@ -53,7 +55,6 @@
 // takePage does what every answer of the platform needs. The caller holds the lock.
 func (c *Control) takePage(page objects.Page) {
 	c.tellUnread(page)
-	c.dirty = true
 	c.noteHostRecords(page.Objects)
 	c.meet(only(page.Objects, record.KindHost))
 	c.flush(time.Now())
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -107,7 +107,7 @@
 	pace := pacer{max: c.cfg.AwayMax}
 	for ctx.Err() == nil && c.ranksAsWatcher() {
 		began := time.Now()
-		err := c.advance(ctx, feed, p)
+		err := c.advance(ctx, feed, p, began)
 		var compacted *objects.CompactedError
 		if errors.As(err, &compacted) {
 			p.listed = false
@@ -128,15 +128,15 @@
 	}
 }
 
-// advance makes one call: a watch, or a list where there is nothing to watch from.
-func (c *Control) advance(ctx context.Context, feed objects.Feed, p *position) error {
-	began := time.Now()
+// advance makes one call that begins now: a watch, or a list where there is nothing to
+// watch from.
+func (c *Control) advance(ctx context.Context, feed objects.Feed, p *position, now time.Time) error {
 	if !p.listed {
 		page, err := c.store.ListFeed(ctx, feed)
 		if err != nil {
 			return err
 		}
-		c.takeList(feed, page, began)
+		c.takeList(feed, page, now)
 		p.revision, p.listed, p.fresh = page.Revision, true, true
 		return nil
 	}
@@ -144,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	c.takeEvents(feed, page, began)
+	c.takeEvents(feed, page, now)
 	p.revision, p.fresh = max(p.revision, page.Revision), false
 	return nil
 }
