A start costs what it needs: few calls, one whole set, news passed on together

What users saw: after a loss of all power callers waited for seconds, and a fleet of 354 hosts sent 0.2 MB a host between its data centres while it started.

Cause: every host read the names of all others from the platform, called sixty of them a second and asked each for all that it knew, in any data centre; what came back was passed on as news to three more hosts; each news was a message of its own. Found by adding up a start's messages by kind.

Ruled out: one teller a data centre (70 messages for each batch on a host that may own 0.16 of a core); digests first (9 KB of hashes, and in a start of all every two sets differ). docs/design/0008-starting.md.

Change: internal/core/contact decides whom to call, three in 0.15 s, one near host at a time for its whole set; what was asked for is not passed on; news of hosts goes on at most each 0.1 s, all in one message, at once where little happens; a directory is built at most each 0.2 s where only hosts changed; Host records are parsed once a list; a host that starts again within an hour leaves its record as it stands, one call of four.

Also: who is told of an instance's load is decided by internal/core/pulse, without I/O, so that the fleet in virtual time plays the real rate; it told every front of everything before.

The real processes are not measured yet.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,8 +14,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/contact"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/member"
+	"github.com/radishhoist/radishhoist/internal/core/pulse"
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/objects"
@@ -89,18 +91,18 @@
 	compiled  *directory.Records
 	dir       *directory.Directory
 	dirty     bool
-	reports   map[string]report
-	reported  time.Time
-	seeds     []string
-	// strangers are hosts to call, by name.
-	strangers map[string]stranger
-	seedAt    time.Time
-	watching  bool
+	// builtAt is when dir was built.
+	builtAt  time.Time
+	reports  map[string]report
+	reported time.Time
+	// contacts are the hosts that are known by address only.
+	contacts *contact.Book
+	watching bool
 	// away are the feeds whose last call failed.
 	away    map[objects.Feed]bool
 	traffic Traffic
-	// pulses is the budget of what is told of instances.
-	pulses pulseBudget
+	// pulses says who is told of instances.
+	pulses *pulse.Spread
 	// unreadLines bounds the lines about objects that cannot be read.
 	unreadLines event.Limiter
 }
@@ -132,11 +134,10 @@
 		compiled:    directory.Compile(nil, false),
 		dir:         &directory.Directory{},
 		reports:     make(map[string]report),
-		seeds:       append([]string{}, cfg.Seeds...),
-		strangers:   make(map[string]stranger),
+		contacts:    contact.New(cfg.DC, without(cfg.Seeds, cfg.Peer), rng),
 		away:        make(map[objects.Feed]bool),
 		selfDue:     true,
-		pulses:      newPulseBudget(),
+		pulses:      pulse.New(rng),
 	}
 	c.outboxes = newOutboxes(c.sendMessage)
 	return c
@@ -209,7 +210,7 @@
 		c.publishSelf()
 	}
 	c.replica.Tick(now, c.peers())
-	c.contactSeeds(now)
+	c.callContacts(now)
 	c.report(now)
 	c.flush(now)
 	c.mu.Unlock()
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -86,7 +86,7 @@
 	c, _ := newTestControl(t)
 	value, err := record.Marshal(record.Key{Kind: record.KindHost, Name: "old"}, &record.Host{DC: "dc", Peer: "127.0.0.1:9"})
 	assert.NilError(t, err)
-	c.noteHostRecords([]objects.Object{{Kind: record.KindHost, Name: "old", Version: 5, Value: value}})
+	c.noteHostRecords(hostListings([]objects.Object{{Kind: record.KindHost, Name: "old", Version: 5, Value: value}}))
 	now := time.Now()
 	assert.Equal(t, len(c.goneHosts(now)), 0)
 	assert.Equal(t, len(c.goneHosts(now.Add(janitorPatience/2))), 0)
@@ -115,7 +115,7 @@
 
 	c.hosts["c"] = &directory.Host{Name: "c"}
 	c.noticeStranger(&msg.Packet{Kind: msg.PacketPing, From: "c", FromPeer: "127.0.0.1:3", Target: "a"})
-	assert.Equal(t, len(c.strangers), 1)
+	assert.Equal(t, c.contacts.Strangers(), 1)
 }
 
 // Of hosts that start at once only a few watch: those that come first among the
@@ -125,7 +125,7 @@
 	for _, name := range []string{"b", "c", "d", "e", "f", "g", "h", "i"} {
 		value, err := record.Marshal(record.Key{Kind: record.KindHost, Name: name}, &record.Host{DC: "dc", Peer: "127.0.0.1:9"})
 		assert.NilError(t, err)
-		c.noteHostRecords([]objects.Object{{Kind: record.KindHost, Name: name, Version: 5, Value: value}})
+		c.noteHostRecords(hostListings([]objects.Object{{Kind: record.KindHost, Name: name, Version: 5, Value: value}}))
 	}
 	assert.Assert(t, c.unmet() > 0, "pick another name for the host under test: it comes first")
 	assert.Assert(t, !c.ranksAsWatcher())
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -2,9 +2,11 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/contact"
 	"github.com/radishhoist/radishhoist/internal/core/detect"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/member"
@@ -12,15 +14,15 @@
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
 
-const (
-	// forgetAfter is how long a dead host is remembered: it counts against
-	// its services' healthy capacity until then.
-	forgetAfter = 10 * time.Minute
-	// seedInterval is the time between two calls to seeds while alone.
-	seedInterval = 2 * time.Second
-	// seedsAtOnce bounds the seeds called at once.
-	seedsAtOnce = 3
-)
+// forgetAfter is how long a dead host is remembered: it counts against its
+// services' healthy capacity until then.
+const forgetAfter = 10 * time.Minute
+
+// hostsPause is the least time between two directories where only hosts have changed:
+// each is made of all hosts and instances, and while a fleet starts some host changes
+// with every tick. Work for a host or instance that leaves is refused by its guard
+// meanwhile.
+const hostsPause = 200 * time.Millisecond
 
 // apply takes entries that have come into force in the replicated sets.
 func (c *Control) apply(now time.Time, applied []config.Applied) {
@@ -90,11 +92,15 @@
 	c.forgetDead(now)
 	whole := c.whole()
 	becameWhole := whole != c.dir.Whole
+	recordsChanged := c.records.dirty || becameWhole
 	if !c.dirty && !becameWhole {
 		return nil
 	}
-	c.dirty = false
-	if c.records.dirty || becameWhole {
+	if !recordsChanged && now.Sub(c.builtAt) < hostsPause {
+		return nil
+	}
+	c.dirty, c.builtAt = false, now
+	if recordsChanged {
 		c.records.dirty = false
 		if becameWhole {
 			event.Log(c.log, event.SetLoaded, slog.Int("records", c.replica.Set(msg.SetRecords).Len()),
@@ -145,81 +151,44 @@
 	}
 }
 
-// stranger is a host that the platform names and that is not known yet.
-type stranger struct {
-	addr  string
-	tries int
-	next  time.Time
-}
-
-// strangerTries bounds the calls to one stranger, which may be long gone.
-const strangerTries = 5
-
 // noticeStranger takes a packet of a host that is not known here. A host that
 // has just started while the platform is away knows nobody; its old peers go on
 // probing its address, and it calls back who does. The caller holds the lock.
 func (c *Control) noticeStranger(p *msg.Packet) {
-	if p.From == "" || p.From == c.cfg.Host || p.FromPeer == "" {
-		return
-	}
-	if _, known := c.hosts[p.From]; known {
+	if p.From == "" || p.From == c.cfg.Host || p.FromPeer == "" || c.knows(p.From) {
 		return
 	}
-	if _, called := c.strangers[p.From]; !called && len(c.strangers) < maxStrangers {
-		c.strangers[p.From] = stranger{addr: p.FromPeer}
-	}
+	c.contacts.Probed(p.From, p.FromPeer)
 }
 
-// maxStrangers bounds the hosts to call at once.
-const maxStrangers = 256
+// knows says that the fleet has told of a host.
+func (c *Control) knows(host string) bool {
+	_, known := c.hosts[host]
+	return known
+}
 
-// contactSeeds tells hosts that are not known of this one, and asks them for
-// all others: strangers that the platform names, so that no two parts of the
-// fleet stay apart, and seeds while nobody else is known.
-func (c *Control) contactSeeds(now time.Time) {
-	c.contactStrangers(now)
-	if !c.members.Alone() || now.Before(c.seedAt) {
-		return
-	}
-	c.seedAt = now.Add(seedInterval)
-	called := 0
-	for range len(c.seeds) {
-		addr := c.seeds[0]
-		c.seeds = append(c.seeds[1:], addr)
-		if addr == c.cfg.Peer {
-			continue
-		}
-		c.callSeed(addr)
-		if called++; called == seedsAtOnce {
+// callContacts tells hosts that are known by address only of this one, and asks
+// for what they know. The caller holds the lock.
+func (c *Control) callContacts(now time.Time) {
+	for _, call := range c.contacts.Due(now, c.knows, c.members.Alone()) {
+		self, ok := c.replica.Set(msg.SetHosts).Get(config.Key{Kind: hostKind, Name: c.cfg.Host})
+		if !ok {
 			return
 		}
+		c.queueTo(call.Addr, &msg.Rumor{Set: msg.SetHosts, Entries: []msg.Entry{self}})
+		c.queueTo(call.Addr, ask(call))
 	}
 }
 
-func (c *Control) contactStrangers(now time.Time) {
-	called := 0
-	for name, s := range c.strangers {
-		if _, known := c.hosts[name]; known || s.tries >= strangerTries {
-			delete(c.strangers, name)
-			continue
-		}
-		if now.Before(s.next) || called == seedsAtOnce {
-			continue
-		}
-		called++
-		c.callSeed(s.addr)
-		s.tries++
-		s.next = now.Add(seedInterval)
-		c.strangers[name] = s
+// ask is the question of a call.
+func ask(call contact.Call) *msg.Pull {
+	if call.Whole {
+		return &msg.Pull{Set: msg.SetHosts, All: true}
 	}
+	return &msg.Pull{Set: msg.SetHosts, Items: []msg.VersionItem{{Kind: hostKind, Name: call.Host}}}
 }
 
-// callSeed sends what this host says of itself and asks for what others say.
-func (c *Control) callSeed(addr string) {
-	self, ok := c.replica.Set(msg.SetHosts).Get(config.Key{Kind: hostKind, Name: c.cfg.Host})
-	if !ok {
-		return
-	}
-	c.queueTo(addr, &msg.Rumor{Set: msg.SetHosts, Entries: []msg.Entry{self}})
-	c.queueTo(addr, &msg.Pull{Set: msg.SetHosts, All: true})
+// without leaves one address out of a list.
+func without(addrs []string, not string) []string {
+	return slices.DeleteFunc(slices.Clone(addrs), func(addr string) bool { return addr == not })
 }
--- a/internal/control/janitor.go
+++ b/internal/control/janitor.go
@@ -26,21 +26,19 @@
 
 // noteHostRecords keeps the Host records of this data centre. The caller holds
 // the lock.
-func (c *Control) noteHostRecords(all []objects.Object) {
-	for _, obj := range all {
-		if obj.Kind != record.KindHost {
-			continue
+func (c *Control) noteHostRecords(all []hostListing) {
+	for _, l := range all {
+		if l.DC == c.cfg.DC {
+			c.hostRecords[l.name] = hostRecord{version: l.version}
 		}
-		if obj.Deleted {
+	}
+}
+
+// dropHostRecords takes the removal of Host records. The caller holds the lock.
+func (c *Control) dropHostRecords(all []objects.Object) {
+	for _, obj := range all {
+		if obj.Kind == record.KindHost && obj.Deleted {
 			delete(c.hostRecords, obj.Name)
-			continue
-		}
-		r, err := record.Parse(obj.Value)
-		if err != nil {
-			continue
-		}
-		if h, ok := r.Spec.(*record.Host); ok && h.DC == c.cfg.DC {
-			c.hostRecords[obj.Name] = hostRecord{version: obj.Version}
 		}
 	}
 }
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	mine := func(stored []byte) bool { return string(stored) == string(value) }
+	mine := func(stored []byte) bool { return c.standsFor(key, stored) }
 	_, err = c.store.Put(ctx, key, value, 0)
 	var conflict *objects.ConflictError
 	switch {
@@ -47,30 +46,63 @@
 	case !errors.As(err, &conflict):
 		return err
 	case mine(conflict.Current.Value):
-		// An earlier try whose answer was lost.
+		// An earlier try whose answer was lost, or an earlier life at the same place.
 		return nil
 	}
 	_, err = objects.PutSettled(ctx, c.store, key, value, conflict.Current.Version, mine)
 	return err
 }
 
-// meet takes Host records: their addresses become seeds, and hosts not known
-// yet are called.
-func (c *Control) meet(all []objects.Object) {
+// standsFor says that a Host record in the platform does for this host: it tells of
+// the same place, and was written so lately that nobody can be about to remove it. The
+// start that it tells of may be an earlier one: hosts tell each other of theirs. A host
+// that starts again soon so saves one call of four, and a fleet that lost its power as
+// many calls as it has hosts.
+func (c *Control) standsFor(key record.Key, stored []byte) bool {
+	r, err := record.Parse(stored)
+	if err != nil || r.Key != key {
+		return false
+	}
+	h, ok := r.Spec.(*record.Host)
+	if !ok {
+		return false
+	}
+	age := time.Duration(int64(c.cfg.Incarnation)-int64(h.Incarnation)) * time.Millisecond
+	return h.DC == c.cfg.DC && h.Peer == c.cfg.Peer && h.Admin == c.cfg.Admin && age >= 0 && age < janitorPatience
+}
+
+// hostListing is one Host record as the platform lists it.
+type hostListing struct {
+	name    string
+	version int64
+	*record.Host
+}
+
+// hostListings reads the Host records of a page, each once: 354 hosts that start at
+// once read as many of them each. One that cannot be read names no host.
+func hostListings(all []objects.Object) []hostListing {
+	var out []hostListing
 	for _, obj := range all {
-		r, err := record.Parse(obj.Value)
-		if err != nil || obj.Name == c.cfg.Host {
+		if obj.Kind != record.KindHost || obj.Deleted {
 			continue
 		}
-		host, ok := r.Spec.(*record.Host)
-		if !ok {
+		r, err := record.Parse(obj.Value)
+		if err != nil {
 			continue
 		}
-		if !slices.Contains(c.seeds, host.Peer) {
-			c.seeds = append(c.seeds, host.Peer)
+		if h, ok := r.Spec.(*record.Host); ok {
+			out = append(out, hostListing{obj.Name, obj.Version, h})
 		}
-		if _, known := c.hosts[obj.Name]; !known {
-			c.strangers[obj.Name] = stranger{addr: host.Peer}
+	}
+	return out
+}
+
+// meet takes Host records: their addresses become seeds, and hosts not known
+// yet are called. The caller holds the lock.
+func (c *Control) meet(all []hostListing) {
+	for _, l := range all {
+		if l.name != c.cfg.Host {
+			c.contacts.Listed(l.name, l.DC, l.Peer, c.knows(l.name))
 		}
 	}
 }
--- a/internal/control/pulse_test.go
+++ b/internal/control/pulse_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/radishhoist/radishhoist/internal/core/pulse"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
 
@@ -47,17 +48,17 @@
 	return all, relayed
 }
 
-func pulse() *msg.Pulse {
+func aPulse() *msg.Pulse {
 	return &msg.Pulse{Loads: []msg.InstanceLoad{{Service: "s", Instance: "i"}}}
 }
 
 func TestASmallFleetIsToldEverythingWithOneCopyADataCentre(t *testing.T) {
 	c := withHosts(t, 7, 8, 8)
-	c.Tell(pulse(), false)
+	c.Tell(aPulse(), false)
 	all, relayed := told(c)
 	assert.Equal(t, all, 7)
 	assert.Equal(t, relayed, 0)
-	c.Tell(pulse(), true)
+	c.Tell(aPulse(), true)
 	all, relayed = told(c)
 	assert.Equal(t, all, 9)
 	assert.Equal(t, relayed, 2)
@@ -67,12 +68,12 @@
 	c := withHosts(t, 7, 8)
 	heard := 0
 	c.hooks.Pulse = func(*msg.Pulse) { heard++ }
-	c.HandleControl(&msg.Hello{Host: "f100"}, &msg.Pulse{Relay: true, Loads: pulse().Loads})
+	c.HandleControl(&msg.Hello{Host: "f100"}, &msg.Pulse{Relay: true, Loads: aPulse().Loads})
 	all, relayed := told(c)
 	assert.Equal(t, heard, 1)
 	assert.Equal(t, all, 7)
 	assert.Equal(t, relayed, 0)
-	c.HandleControl(&msg.Hello{Host: "n001"}, pulse())
+	c.HandleControl(&msg.Hello{Host: "n001"}, aPulse())
 	all, _ = told(c)
 	assert.Equal(t, all, 0)
 }
@@ -83,9 +84,9 @@
 func TestALargeFleetIsToldOfLoads(t *testing.T) {
 	for _, hosts := range []int{22, 60, 90} {
 		c := withHosts(t, hosts, 30)
-		c.Tell(pulse(), false)
+		c.Tell(aPulse(), false)
 		all, _ := told(c)
-		assert.Assert(t, all >= min(hosts, pulseBurst-turnReserve-1), "%d of %d", all, hosts)
+		assert.Assert(t, all >= min(hosts, pulse.Burst-pulse.TurnReserve-1), "%d of %d", all, hosts)
 	}
 }
 
@@ -96,18 +97,18 @@
 		c := withHosts(t, hosts, 20, 20)
 		begun := time.Now()
 		for range 200 {
-			c.Tell(pulse(), false)
+			c.Tell(aPulse(), false)
 		}
 		loads, _ := told(c)
-		assert.Assert(t, float64(loads) <= turnReserve+pulsesPerSecond*time.Since(begun).Seconds()+1)
-		c.Tell(pulse(), true)
+		assert.Assert(t, float64(loads) <= pulse.TurnReserve+pulse.PerSecond*time.Since(begun).Seconds()+1)
+		c.Tell(aPulse(), true)
 		turned, relayed := told(c)
-		assert.Assert(t, turned >= min(hosts+2, turnReserve-1))
+		assert.Assert(t, turned >= min(hosts+2, pulse.TurnReserve-1))
 		assert.Equal(t, relayed, 2)
 		for range 200 {
-			c.Tell(pulse(), true)
+			c.Tell(aPulse(), true)
 		}
 		more, _ := told(c)
-		assert.Assert(t, float64(loads+turned+more) <= pulseBurst+pulsesPerSecond*time.Since(begun).Seconds()+1)
+		assert.Assert(t, float64(loads+turned+more) <= pulse.Burst+pulse.PerSecond*time.Since(begun).Seconds()+1)
 	}
 }
--- a/internal/control/take.go
+++ b/internal/control/take.go
@@ -55,21 +55,13 @@
 // takePage does what every answer of the platform needs. The caller holds the lock.
 func (c *Control) takePage(page objects.Page) {
 	c.tellUnread(page)
-	c.noteHostRecords(page.Objects)
-	c.meet(only(page.Objects, record.KindHost))
+	hosts := hostListings(page.Objects)
+	c.dropHostRecords(page.Objects)
+	c.noteHostRecords(hosts)
+	c.meet(hosts)
 	c.flush(time.Now())
 }
 
-func only(all []objects.Object, kind record.Kind) []objects.Object {
-	var out []objects.Object
-	for _, obj := range all {
-		if obj.Kind == kind && !obj.Deleted {
-			out = append(out, obj)
-		}
-	}
-	return out
-}
-
 func toEntries(all []objects.Object) []msg.Entry {
 	var out []msg.Entry
 	for _, obj := range all {
--- a/internal/core/config/node.go
+++ b/internal/core/config/node.go
@@ -71,6 +71,7 @@
 	nextRepair time.Time
 	pullingAll [msg.Sets]time.Time
 	snapshot   [msg.Sets]snapshot
+	relays     relays
 	out        []Outbound
 	applied    []Applied
 }
@@ -162,6 +163,11 @@
 	if len(news) == 0 {
 		return
 	}
+	if from != "" && set == msg.SetHosts {
+		n.relays.wait(from, news)
+		n.relay(peers)
+		return
+	}
 	for _, to := range n.targets(peers, from) {
 		n.push(to, set, news)
 	}
@@ -252,6 +258,7 @@
 // Tick opens repairs and, until the record set is whole, asks peers for it.
 func (n *Node) Tick(now time.Time, peers Peers) {
 	n.now = now
+	n.relay(peers)
 	n.forgetPulls()
 	n.pullWhole(now, peers)
 	if now.Before(n.nextRepair) {
--- a/internal/core/config/step.go
+++ b/internal/core/config/step.go
@@ -19,7 +19,7 @@
 	case *msg.Pull:
 		n.stepPull(from, m)
 	case *msg.Snapshot:
-		n.stepSnapshot(peers, from, m)
+		n.stepSnapshot(from, m)
 	}
 }
 
@@ -132,10 +132,6 @@
 func (n *Node) sendSnapshot(to string, id msg.SetID) {
 	var entries []msg.Entry
 	n.sets[id].Each(func(e msg.Entry) { entries = append(entries, e) })
-	if id == msg.SetHosts {
-		n.pushWhole(to, id, entries)
-		return
-	}
 	if !n.whole[id] {
 		n.send(to, &msg.Snapshot{Set: id, Last: true})
 		return
@@ -148,17 +144,28 @@
 
 // stepSnapshot takes parts in order from the peer that was asked; a part that
 // is missing leaves the set not whole, and another peer is asked.
-func (n *Node) stepSnapshot(peers Peers, from string, m *msg.Snapshot) {
+func (n *Node) stepSnapshot(from string, m *msg.Snapshot) {
+	if m.Set == msg.SetHosts {
+		n.applyQuietly(from, m)
+		return
+	}
 	if m.Set >= msg.Sets || n.whole[m.Set] || from != n.snapshot[m.Set].from || m.Part != n.snapshot[m.Set].next || !m.Whole {
 		return
 	}
 	n.snapshot[m.Set].next++
+	n.applyQuietly(from, m)
+	if m.Last {
+		n.whole[m.Set] = true
+	}
+}
+
+// applyQuietly applies what this host has asked for, without passing it on: it is
+// news to nobody but this host. Passed on, the sets that 354 hosts asked for when
+// they started at once went to three more hosts each.
+func (n *Node) applyQuietly(from string, m *msg.Snapshot) {
 	for _, e := range m.Entries {
 		if n.sets[m.Set].Apply(e) {
 			n.applied = append(n.applied, Applied{Set: m.Set, Entry: e, From: from})
 		}
 	}
-	if m.Last {
-		n.whole[m.Set] = true
-	}
 }
--- /dev/null
+++ b/internal/core/pulse/pulse.go
@@ -0,0 +1,76 @@
+// Package pulse decides which hosts are told of the load and the estimate of an
+// instance, so that what a host sends for it stays the same in a fleet of any size.
+// The package does no I/O.
+package pulse
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// PerSecond bounds the pulses that a host sends, copies and those passed
+	// on counted each: with 110 bytes a pulse 7 KB a second, whatever the fleet's
+	// size, of the 19 KB a second that control may take. Beyond the bound fewer hosts
+	// hear of each change, and others each time.
+	//
+	// It guards against instances without work: while fleets of more than 64 hosts
+	// were told nothing of loads and of wishes for a trial, instances of 91 hosts that
+	// had failed once, or had had nothing to do, got nothing for 5 s and more.
+	PerSecond = 64
+	// Burst is how many may be sent at once: a turned estimate that is told
+	// and passed on in a fleet of 300 hosts.
+	Burst = 128
+	// TurnReserve is the part of the burst that is left for turned estimates.
+	TurnReserve = Burst / 2
+)
+
+// Spread is one host's rate of pulses. It is not safe for concurrent use.
+type Spread struct {
+	rng   *rand.Rand
+	limit *rate.Limiter
+}
+
+// New makes a Spread with its whole burst.
+func New(rng *rand.Rand) *Spread {
+	return &Spread{rng: rng, limit: rate.NewLimiter(PerSecond, Burst)}
+}
+
+// Far picks a host of each other data centre to pass a turned estimate on there:
+// bytes between data centres are dear.
+func (s *Spread) Far(now time.Time, dcs [][]string) []string {
+	var out []string
+	for _, hosts := range dcs {
+		if s.take(now, 1, true) == 1 {
+			out = append(out, hosts[s.rng.IntN(len(hosts))])
+		}
+	}
+	return out
+}
+
+// Near picks the hosts nearby that are told, from a random one on: as many as the
+// rate allows. turned says that an estimate has turned, which goes before loads.
+func (s *Spread) Near(now time.Time, hosts []string, turned bool) []string {
+	if len(hosts) == 0 {
+		return nil
+	}
+	first := s.rng.IntN(len(hosts))
+	out := make([]string, s.take(now, len(hosts), turned))
+	for i := range out {
+		out[i] = hosts[(first+i)%len(hosts)]
+	}
+	return out
+}
+
+// take gives how many of some pulses may be sent now, and takes them.
+func (s *Spread) take(now time.Time, count int, turned bool) int {
+	room := int(s.limit.TokensAt(now))
+	if !turned {
+		room -= TurnReserve
+	}
+	count = max(min(count, room), 0)
+	s.limit.AllowN(now, count)
+	return count
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/contact"
 	"github.com/radishhoist/radishhoist/internal/core/member"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
@@ -35,6 +36,8 @@
 	Instances int
 	// Watchers is how many hosts of a data centre watch the platform.
 	Watchers int
+	// Replica has the parameters of the replication; the zero value is the default.
+	Replica config.Config
 }
 
 // Mesh is a set of hosts at one virtual time.
@@ -62,10 +65,13 @@
 	Life    int
 	Members *member.Node
 	Replica *config.Node
+	// Contacts are the hosts that it knows by address only.
+	Contacts *contact.Book
 	// Skew is how far its wall clock is off at its next start.
 	Skew time.Duration
-	// Sent and Received count messages and bytes.
-	Sent, Received Traffic
+	// Sent and Received count messages and bytes, Far those of Sent that went to
+	// another data centre.
+	Sent, Received, Far Traffic
 	// Applied is called, where set, for every entry that comes into force.
 	Applied func(config.Applied)
 
@@ -134,6 +140,9 @@
 
 // New makes a mesh; Start brings its hosts up.
 func New(cfg Config) *Mesh {
+	if cfg.Replica == (config.Config{}) {
+		cfg.Replica = config.DefaultConfig()
+	}
 	m := &Mesh{
 		Now: time.Unix(1_000_000, 0), cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 3)),
 		byName: make(map[string]*Host), wire: make(map[int64][]delivery),
@@ -149,13 +158,7 @@
 
 // Start brings one host up, with a fresh memory; it knows a few seeds.
 func (m *Mesh) Start(h *Host) {
-	h.Life++
-	h.Up, h.watching = true, false
-	h.version = (m.Now.Add(h.Skew).UnixMilli() + int64(h.Life)) << versionShift
-	rng := rand.New(rand.NewPCG(m.rng.Uint64(), m.rng.Uint64()))
-	h.Members = member.New(member.DefaultConfig(h.Name), h.DC, h.Name, h.version, rng)
-	h.Replica = config.NewNode(config.DefaultConfig(), rng)
-	m.publish(h)
+	m.boot(h)
 	seed, ok := m.seed(h)
 	if !ok {
 		return
@@ -165,6 +168,28 @@
 	m.sendMessage(h, seed, &msg.Pull{Set: msg.SetHosts, All: true})
 }
 
+// boot brings a host up that knows nobody.
+func (m *Mesh) boot(h *Host) {
+	h.Life++
+	h.Up, h.watching = true, false
+	h.version = (m.Now.Add(h.Skew).UnixMilli() + int64(h.Life)) << versionShift
+	rng := rand.New(rand.NewPCG(m.rng.Uint64(), m.rng.Uint64()))
+	h.Members = member.New(member.DefaultConfig(h.Name), h.DC, h.Name, h.version, rng)
+	h.Replica = config.NewNode(m.cfg.Replica, rng)
+	h.Contacts = contact.New(h.DC, nil, rng)
+	m.publish(h)
+}
+
+// StartListed brings a host up that the platform has told of all others.
+func (m *Mesh) StartListed(h *Host) {
+	m.boot(h)
+	for _, other := range m.Hosts {
+		if other != h {
+			h.Contacts.Listed(other.Name, other.DC, other.Name, false)
+		}
+	}
+}
+
 // StartAll brings every host up as an established fleet: each already knows
 // all others, which is what is to be measured.
 func (m *Mesh) StartAll() {
@@ -251,12 +276,29 @@
 		m.publish(h)
 	}
 	h.Replica.Tick(m.Now, h.peers())
+	m.callContacts(h)
 	if m.step%4 == 0 {
 		m.watch(h)
 	}
 	m.flush(h)
 }
 
+// callContacts tells hosts that are known by address only of a host, and asks for
+// what they know.
+func (m *Mesh) callContacts(h *Host) {
+	hosts := h.Replica.Set(msg.SetHosts)
+	known := func(name string) bool {
+		_, ok := hosts.Get(config.Key{Kind: "Host", Name: name})
+		return ok
+	}
+	for _, call := range h.Contacts.Due(m.Now, known, h.Members.Alone()) {
+		self, _ := hosts.Get(config.Key{Kind: "Host", Name: h.Name})
+		to := m.byName[call.Addr]
+		m.sendMessage(h, to, &msg.Rumor{Set: msg.SetHosts, Entries: []msg.Entry{self}})
+		m.sendMessage(h, to, &msg.Pull{Set: msg.SetHosts, All: call.Whole, Items: []msg.VersionItem{{Kind: "Host", Name: call.Host}}})
+	}
+}
+
 // watch follows the platform where the host ranks as watcher.
 func (m *Mesh) watch(h *Host) {
 	if m.Platform.Away || m.rank(h) >= m.cfg.Watchers {
@@ -339,6 +381,9 @@
 		panic(err)
 	}
 	from.Sent.add(len(buf) + headerBytes)
+	if from.DC != to.DC {
+		from.Far.add(len(buf) + headerBytes)
+	}
 	m.send(delivery{from: from, to: to, message: message})
 }
 
