--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -82,8 +82,13 @@
 	lateWorth = 0.4
 	// jitter spreads the choices of fronts that know the same, as a share.
 	jitter = 0.1
-	// maxLooks bounds the candidates that one choice looks at.
-	maxLooks = 24
+	// maxLooks bounds the candidates that one choice looks at. More looks find an
+	// instance that is likelier well; but where many fronts know the same, all find the
+	// same few and crowd there. In a fleet of 354 hosts, a third of its instances sick
+	// by turns, 0.066 of the requests came late with 12 and 0.077 with 24, as many
+	// failed (0.081, 0.080; virtual time, four seeds); of 91 hosts 0.035 and 0.038 late,
+	// 0.046 and 0.048 failed.
+	maxLooks = 12
 )
 
 // Cost estimates what a request costs at a candidate, in seconds.
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -143,10 +143,16 @@
 	}
 }
 
-// In a large fleet each front hears little and a guard's pulses do not reach all fronts
-// nearby; instances that may be well get work all the same.
-func TestNoSoundInstanceOfALargeFleetIsLeftWithoutWork(t *testing.T) {
+// In a large fleet each front hears little, a guard's pulses do not reach all fronts
+// nearby, and those that hear the same must not all choose the same. Instances that may
+// be well get work all the same. A choice at random would fail a request for each that
+// meets a sick instance: at least a third of them are spared, and more come in time than
+// such a choice would serve at all.
+func TestALargeFleetServes(t *testing.T) {
 	const shortfall = 0.1
+	health := bureau(0).Health
+	sick := health.SickFor.Seconds() / (health.SickFor + health.WellFor).Seconds()
+	atRandom := sick * health.SickFails
 	site := bureau(1)
 	for _, r := range play(t, 1, bureau) {
 		for _, service := range site.Services {
@@ -155,6 +161,9 @@
 			assert.Assert(t, float64(bad) <= shortfall*float64(spans), "%s: %d of %d", service.Name, bad, spans)
 		}
 		t.Logf("served %.4f: %+v", r.All.Served(), r.All)
+		assert.Assert(t, r.All.Served() >= 1-atRandom*2/3)
+		assert.Assert(t, float64(r.All.InTime) >= (1-atRandom)*float64(r.All.Asked))
+		assert.Equal(t, len(r.Twice), 0, "%v", r.Twice)
 	}
 }
 
