--- a/internal/mesh/start_test.go
+++ b/internal/mesh/start_test.go
@@ -103,8 +103,8 @@
 //
 // A start of all fits what a host owns, and its messages do not grow with the fleet.
 // Messages, bytes, bytes between data centres a host, and the time until hosts knew
-// nine in ten of the others, as it was: 264, 62 KB, 23 KB, 0.35 s at 24 hosts; 2,499,
-// 1.2 MB, 485 KB, 0.6 s at 354. Now 186, 40 KB, 7 KB, 0.7 s; 333, 0.5 MB, 15 KB, 1.1 s.
+// nine in ten of the others, as it was: 264, 62 KB, 23 KB, 0.5 s at 24 hosts; 2,499,
+// 1.2 MB, 485 KB, 0.65 s at 354. Now 197, 42 KB, 9 KB, 0.7 s; 345, 0.5 MB, 17 KB, 1.1 s.
 func TestAStartOfAllFitsWhatAHostOwns(t *testing.T) {
 	small, large := startOfAll(24, 1), startOfAll(354, 1)
 	messageBound := startPart * smallestCore * startLength.Seconds() / messageCost.Seconds()
