Read again: one question of a call, names of a fleet worked out once

Cause: the change was read as a whole. The question that a call to a host asks stood twice, in control and in the model of a mesh, and had begun to differ there; the emulator listed and copied the names of all hosts of a data centre with each pulse; a wrapper of one line round the outboxes; two early returns for one condition in the directory's build.

Change: contact.Call.Ask serves both; near and far names are worked out when the emulator's fleet is built; the wrapper is gone; one condition.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -175,7 +175,7 @@
 			f(ctx)
 		}()
 	}
-	c.startSenders(ctx)
+	c.outboxes.start(ctx)
 	start(c.readPackets)
 	start(c.watch)
 	start(c.tickLoop)
@@ -355,9 +355,6 @@
 	c.traffic.BytesOut += uint64(m.(interface{ Msgsize() int }).Msgsize())
 }
 
-// startSenders starts what sends the queued messages, until the context ends.
-func (c *Control) startSenders(ctx context.Context) { c.outboxes.start(ctx) }
-
 // sendMessage sends a message of an outbox. Loads and reports are soon replaced by newer
 // ones; all else must not vanish in a connection that has fallen silent. A message that
 // cannot be sent is lost: repair finds it.
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/core/config"
-	"github.com/radishhoist/radishhoist/internal/core/contact"
 	"github.com/radishhoist/radishhoist/internal/core/detect"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/member"
@@ -93,10 +92,8 @@
 	whole := c.whole()
 	becameWhole := whole != c.dir.Whole
 	recordsChanged := c.records.dirty || becameWhole
-	if !c.dirty && !becameWhole {
-		return nil
-	}
-	if !recordsChanged && now.Sub(c.builtAt) < hostsPause {
+	hostsDue := c.dirty && now.Sub(c.builtAt) >= hostsPause
+	if !recordsChanged && !hostsDue {
 		return nil
 	}
 	c.dirty, c.builtAt = false, now
@@ -179,16 +176,8 @@
 			return
 		}
 		c.queueTo(call.Addr, &msg.Rumor{Set: msg.SetHosts, Entries: []msg.Entry{self}})
-		c.queueTo(call.Addr, ask(call))
-	}
-}
-
-// ask is the question of a call.
-func ask(call contact.Call) *msg.Pull {
-	if call.Whole {
-		return &msg.Pull{Set: msg.SetHosts, All: true}
+		c.queueTo(call.Addr, call.Ask(hostKind))
 	}
-	return &msg.Pull{Set: msg.SetHosts, Items: []msg.VersionItem{{Kind: hostKind, Name: call.Host}}}
 }
 
 // without leaves one address out of a list.
--- a/internal/control/send_test.go
+++ b/internal/control/send_test.go
@@ -53,7 +53,7 @@
 		c.SetPeers(peers)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		c.startSenders(ctx)
+		c.outboxes.start(ctx)
 		start := time.Now()
 		c.mu.Lock()
 		for i := range 100 {
--- a/internal/core/contact/contact.go
+++ b/internal/core/contact/contact.go
@@ -11,6 +11,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/radishhoist/radishhoist/internal/msg"
 )
 
 const (
@@ -45,6 +47,14 @@
 	Whole bool
 }
 
+// Ask is the question of the call, for what hosts of a kind of entry say.
+func (c Call) Ask(kind string) *msg.Pull {
+	if c.Whole {
+		return &msg.Pull{Set: msg.SetHosts, All: true}
+	}
+	return &msg.Pull{Set: msg.SetHosts, Items: []msg.VersionItem{{Kind: kind, Name: c.Host}}}
+}
+
 // stranger is a host that is known by its address only.
 type stranger struct {
 	name, addr string
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -40,6 +40,10 @@
 	front    *front.Front
 	guard    *guard.Guard
 	instance *instance
+	// near are the names of the other hosts of the data centre, far those of each
+	// other one.
+	near []string
+	far  [][]string
 
 	mu sync.Mutex
 	// pulses says who is told of the instance.
@@ -48,12 +52,9 @@
 
 // fleet is one run.
 type fleet struct {
-	site  *Site
-	hosts []*host
-	// byName and byDC find hosts and their names, dcs are the data centres in order.
+	site   *Site
+	hosts  []*host
 	byName map[string]*host
-	byDC   map[string][]string
-	dcs    []string
 	begun  time.Time
 	ctx    context.Context
 
@@ -71,7 +72,6 @@
 		site: &s, ctx: ctx, begun: time.Now().Add(s.Warm), rng: rand.New(rand.NewPCG(s.Seed, s.Seed+1)),
 		arrived: make(map[string]bool),
 		byName:  make(map[string]*host),
-		byDC:    make(map[string][]string),
 		result: Result{
 			ByKind: make(map[string]Outcome), Instances: make(map[string]*Seen),
 			Repeats: make(map[string][]time.Duration), Requests: make(map[string][]time.Duration),
@@ -96,6 +96,7 @@
 			f.hosts = append(f.hosts, f.newHost(len(f.hosts), s, fmt.Sprintf("%s-%d", s.Name, i)))
 		}
 	}
+	f.meet()
 	compiled := directory.Compile(f.records(), true)
 	all := make([]*directory.Host, 0, len(f.hosts))
 	for _, h := range f.hosts {
@@ -131,10 +132,6 @@
 func (f *fleet) newHost(n int, s Service, name string) *host {
 	h := &host{fleet: f, name: "h" + name, dc: fmt.Sprint("dc", n%f.site.DCs), pulses: pulse.New(f.newRand())}
 	f.byName[h.name] = h
-	if len(f.byDC[h.dc]) == 0 {
-		f.dcs = append(f.dcs, h.dc)
-	}
-	f.byDC[h.dc] = append(f.byDC[h.dc], h.name)
 	seen := &Seen{Service: s.Name}
 	f.result.Instances[name] = seen
 	h.instance = &instance{host: h, name: name, service: s, seen: seen, rng: f.newRand(), fate: f.newRand()}
@@ -199,13 +196,12 @@
 	p = h.known(p)
 	h.front.HearPulse(p)
 	now := time.Now()
-	near, dcs := h.fleet.namesBy(h)
+	var relays []string
 	h.mu.Lock()
-	relays := []string{}
 	if far {
-		relays = h.pulses.Far(now, dcs)
+		relays = h.pulses.Far(now, h.far)
 	}
-	told := h.pulses.Near(now, near, far)
+	told := h.pulses.Near(now, h.near, far)
 	h.mu.Unlock()
 	h.tellAll(told, func(other *host) { other.front.HearPulse(p) })
 	h.tellAll(relays, func(other *host) { other.passOn(p) })
@@ -214,9 +210,8 @@
 // passOn takes a pulse from another data centre and tells its own.
 func (h *host) passOn(p *msg.Pulse) {
 	h.front.HearPulse(p)
-	near, _ := h.fleet.namesBy(h)
 	h.mu.Lock()
-	told := h.pulses.Near(time.Now(), near, true)
+	told := h.pulses.Near(time.Now(), h.near, true)
 	h.mu.Unlock()
 	h.tellAll(told, func(other *host) { other.front.HearPulse(p) })
 }
@@ -228,19 +223,22 @@
 	}
 }
 
-// namesBy lists the other hosts as one of them sees them.
-func (f *fleet) namesBy(h *host) (near []string, far [][]string) {
-	for dc, names := range f.byDC {
-		if dc == h.dc {
-			near = slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == h.name })
-		}
-	}
-	for _, dc := range f.dcs {
-		if dc != h.dc {
-			far = append(far, f.byDC[dc])
+// meet tells every host which others are near it and far from it, in the order in
+// which they were made.
+func (f *fleet) meet() {
+	for _, h := range f.hosts {
+		far := make([][]string, f.site.DCs)
+		for n, other := range f.hosts {
+			switch {
+			case other == h:
+			case other.dc == h.dc:
+				h.near = append(h.near, other.name)
+			default:
+				far[n%f.site.DCs] = append(far[n%f.site.DCs], other.name)
+			}
 		}
+		h.far = slices.DeleteFunc(far, func(names []string) bool { return len(names) == 0 })
 	}
-	return near, far
 }
 
 // peers are the ways from one host to the others.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -307,7 +307,7 @@
 		self, _ := hosts.Get(config.Key{Kind: "Host", Name: h.Name})
 		to := m.byName[call.Addr]
 		m.sendMessage(h, to, &msg.Rumor{Set: msg.SetHosts, Entries: []msg.Entry{self}})
-		m.sendMessage(h, to, &msg.Pull{Set: msg.SetHosts, All: call.Whole, Items: []msg.VersionItem{{Kind: "Host", Name: call.Host}}})
+		m.sendMessage(h, to, call.Ask("Host"))
 	}
 }
 
