One piece of code waits for a time that a context can end

Change: internal/sleep, used by all four. The stand-in keeps its rule that no service time takes none, whatever the context.

--- a/internal/control/janitor.go
+++ b/internal/control/janitor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/internal/sleep"
 	"github.com/radishhoist/radishhoist/record"
 )
 
@@ -70,7 +71,7 @@
 // condition that nobody has written it since.
 func (c *Control) sweepHosts(ctx context.Context) {
 	for ctx.Err() == nil {
-		c.wait(ctx, janitorInterval)
+		sleep.For(ctx, janitorInterval)
 		c.mu.Lock()
 		gone := c.goneHosts(time.Now())
 		c.mu.Unlock()
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -12,6 +12,7 @@
 	"github.com/radishhoist/radishhoist/internal/core/member"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/internal/sleep"
 	"github.com/radishhoist/radishhoist/record"
 )
 
@@ -138,7 +139,7 @@
 	var last record.Status
 	var lastAt time.Time
 	for ctx.Err() == nil {
-		c.wait(ctx, c.cfg.StatusInterval)
+		sleep.For(ctx, c.cfg.StatusInterval)
 		now := time.Now()
 		s, mine := c.summary(now)
 		if !mine || (sameStatus(&last, s) && now.Sub(lastAt) < statusRefresh) {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/internal/sleep"
 	"github.com/radishhoist/radishhoist/record"
 )
 
@@ -44,16 +45,7 @@
 		if c.ranksAsWatcher() {
 			c.follow(ctx, positions)
 		}
-		c.wait(ctx, rankInterval)
-	}
-}
-
-func (c *Control) wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		sleep.For(ctx, rankInterval)
 	}
 }
 
@@ -123,7 +115,7 @@
 		pace.reset()
 		c.platformBack(feed)
 		if !p.fresh {
-			c.wait(ctx, watchPause)
+			sleep.For(ctx, watchPause)
 		}
 	}
 }
@@ -159,7 +151,7 @@
 	pause := max(pace.next()-time.Since(began), 0)
 	event.Log(c.log, event.PlatformPause, slog.String("feed", string(feed)),
 		slog.Int("failures", pace.failures), slog.Int64("pauseMS", pause.Milliseconds()))
-	c.wait(ctx, pause)
+	sleep.For(ctx, pause)
 }
 
 // platformAway notes that a feed's call failed.
--- a/internal/objects/write.go
+++ b/internal/objects/write.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/radishhoist/radishhoist/internal/sleep"
 	"github.com/radishhoist/radishhoist/record"
 )
 
@@ -42,7 +43,7 @@
 		case !errors.As(err, &lost):
 			return obj, err
 		}
-		if sleep(ctx, pause) != nil {
+		if !sleep.For(ctx, pause) {
 			break
 		}
 		pause *= 2
@@ -69,14 +70,3 @@
 		return Object{}, &ConflictError{Current: current, IfVersion: ifVersion}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -15,6 +15,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/lab"
 	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/internal/sleep"
 	"github.com/radishhoist/radishhoist/internal/standin/platformd"
 	"github.com/radishhoist/radishhoist/internal/standin/target"
 	"github.com/radishhoist/radishhoist/record"
@@ -157,21 +158,9 @@
 
 func (r *run) now() time.Duration { return time.Since(r.start) }
 
-// pause waits; false where the run has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // inject brings a fault about, and its end, and notes when both were.
 func (r *run) inject(ctx context.Context, f Fault) {
-	if !pause(ctx, f.At-r.now()) {
+	if !sleep.For(ctx, f.At-r.now()) {
 		return
 	}
 	f.At = r.now()
@@ -183,7 +172,7 @@
 	lasting.For = r.cfg.Length
 	r.record.Faults = append(r.record.Faults, lasting)
 	r.mu.Unlock()
-	pause(ctx, f.For)
+	sleep.For(ctx, f.For)
 	end()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -252,7 +241,7 @@
 // sample looks at what a host has in force, again and again. A look in which the
 // process was started again counts for nothing.
 func (r *run) sample(ctx context.Context, host int) {
-	for pause(ctx, samplePause) {
+	for sleep.For(ctx, samplePause) {
 		life, asked := r.life(host), r.now()
 		status, err := r.nodes[host].host.Status()
 		if err != nil || r.life(host) != life {
@@ -270,7 +259,7 @@
 	client := objects.NewClient(r.fleet.Platform, time.Second)
 	defer client.Close()
 	key := record.Key{Kind: record.KindTeam, Name: "soak"}
-	for n := 1; pause(ctx, changePause); n++ {
+	for n := 1; sleep.For(ctx, changePause); n++ {
 		value, err := record.Marshal(key, &record.Team{Office: "soak", RatePerSecond: 1000 + n})
 		if err != nil {
 			panic("soak: " + err.Error())
@@ -295,7 +284,7 @@
 func (r *run) call(ctx context.Context, host, caller int) {
 	client := &http.Client{Timeout: callerPatience, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
-	for n := 0; pause(ctx, callPause); n++ {
+	for n := 0; sleep.For(ctx, callPause); n++ {
 		req := Request{Mark: fmt.Sprintf("h%d-c%d-%d", host, caller, n), Host: host, Idempotent: n%2 == 0, Sent: r.now()}
 		r.send(client, &req)
 		req.Done = r.now()
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -21,6 +21,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/core/header"
 	"github.com/radishhoist/radishhoist/internal/guard"
+	"github.com/radishhoist/radishhoist/internal/sleep"
 )
 
 // Mode is how the stand-in behaves.
@@ -180,7 +181,7 @@
 		<-r.Context().Done()
 		return
 	}
-	if !sleep(r.Context(), s.serviceTime(b)) {
+	if !sleepFor(r.Context(), s.serviceTime(b)) {
 		return
 	}
 	s.answer(w, r, b, body)
@@ -208,18 +209,9 @@
 	s.running--
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+// sleepFor waits for a service time; none takes no time, whatever the context.
+func sleepFor(ctx context.Context, d time.Duration) bool {
+	return d <= 0 || sleep.For(ctx, d)
 }
 
 func (s *Server) serviceTime(b Behaviour) time.Duration {
