--- a/internal/fleetsim/callers.go
+++ b/internal/fleetsim/callers.go
@@ -23,6 +23,14 @@
 			}()
 		}
 	}
+	for _, c := range f.site.Crashers {
+		wg.Add(1)
+		rng := f.newRand()
+		go func() {
+			defer wg.Done()
+			f.crashersOf(c, rng)
+		}()
+	}
 	wg.Wait()
 	for _, o := range f.result.ByKind {
 		f.result.All.add(o)
@@ -58,7 +66,7 @@
 // call sends one caller's request and notes how it ended.
 func (f *fleet) call(h *host, k Kind, id string) {
 	begun := f.now()
-	status := f.request(h, k.Name, id)
+	status := f.request(h, k.Name, "/"+k.Name+"/"+id, id)
 	took := f.now() - begun
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -79,7 +87,7 @@
 }
 
 // request sends a request to a host's front and gives the status of its answer.
-func (f *fleet) request(h *host, kind, id string) int {
+func (f *fleet) request(h *host, kind, path, id string) int {
 	k, _ := f.kind("/" + kind + "/")
 	ctx, cancel := context.WithTimeout(f.ctx, k.Deadline)
 	defer cancel()
@@ -87,8 +95,8 @@
 	if !k.Idempotent {
 		method = http.MethodPost
 	}
-	r := httptest.NewRequest(method, "/"+kind+"/x", nil).WithContext(ctx)
-	r.RequestURI = "/" + kind + "/x"
+	r := httptest.NewRequest(method, path, nil).WithContext(ctx)
+	r.RequestURI = path
 	r.Header.Set("X-Request-Id", id)
 	w := httptest.NewRecorder()
 	h.front.ServeHTTP(w, r)
--- /dev/null
+++ b/internal/fleetsim/crash.go
@@ -0,0 +1,100 @@
+package fleetsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/radishhoist/radishhoist/internal/guard"
+)
+
+// directoryDelay is how long news of a start takes to the directories of all hosts.
+const directoryDelay = 200 * time.Millisecond
+
+// crasher finds the crasher of a path.
+func (f *fleet) crasher(path string) (Crasher, bool) {
+	for _, c := range f.site.Crashers {
+		if c.Path == path {
+			return c, true
+		}
+	}
+	return Crasher{}, false
+}
+
+// crashersOf sends one crasher at random times from random hosts.
+func (f *fleet) crashersOf(c Crasher, rng *rand.Rand) {
+	var wg sync.WaitGroup
+	for n := 0; ; n++ {
+		time.Sleep(time.Duration(rng.ExpFloat64() / c.PerSecond * float64(time.Second)))
+		if f.now() > f.site.For {
+			break
+		}
+		h := f.hosts[rng.IntN(len(f.hosts))]
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.request(h, c.Kind, c.Path, fmt.Sprintf("%s-%d", c.Path, n))
+		}()
+	}
+	wg.Wait()
+}
+
+// crash runs a crasher until the instance ends under it, or has ended already.
+func (i *instance) crash(c Crasher) {
+	f := i.host.fleet
+	seen := f.result.Crashes[c.Path]
+	f.mu.Lock()
+	seen.Arrivals = append(seen.Arrivals, f.now())
+	f.mu.Unlock()
+	i.mu.Lock()
+	start := i.starts
+	i.mu.Unlock()
+	time.Sleep(c.After)
+	if !i.end(start) {
+		return
+	}
+	f.mu.Lock()
+	seen.Ends = append(seen.Ends, f.now())
+	f.mu.Unlock()
+	time.AfterFunc(f.site.Down, i.restart)
+}
+
+// end ends a start of the instance with all that it runs; false where it has ended
+// before.
+func (i *instance) end(start int) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.down || i.starts != start {
+		return false
+	}
+	i.down = true
+	for nc := range i.conns {
+		_ = nc.Close()
+	}
+	return true
+}
+
+// restart brings the instance back.
+func (i *instance) restart() {
+	i.mu.Lock()
+	i.down = false
+	i.mu.Unlock()
+	i.announce()
+	time.AfterFunc(directoryDelay, i.host.fleet.tellDirectory)
+}
+
+// announce tells the guard of a new start.
+func (i *instance) announce() {
+	i.mu.Lock()
+	i.starts++
+	name := fmt.Sprintf("%s.%d", i.name, i.starts)
+	i.mu.Unlock()
+	warm := int64(0)
+	err := i.host.guard.Announce(time.Now(), name, guard.Announcement{
+		Service: i.service.Name, Address: "10.0.0.1:80", Slots: i.service.Slots, Version: "1", WarmupLeftMS: &warm,
+	})
+	if err != nil {
+		panic("fleetsim: " + err.Error())
+	}
+}
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -57,6 +57,8 @@
 	byName map[string]*host
 	begun  time.Time
 	ctx    context.Context
+	// compiled are the records in force.
+	compiled *directory.Records
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -75,8 +77,12 @@
 		result: Result{
 			ByKind: make(map[string]Outcome), Instances: make(map[string]*Seen),
 			Repeats: make(map[string][]time.Duration), Requests: make(map[string][]time.Duration),
+			Crashes: make(map[string]*Crash),
 		},
 	}
+	for _, c := range s.Crashers {
+		f.result.Crashes[c.Path] = &Crash{}
+	}
 	f.build()
 	for _, h := range f.hosts {
 		go h.tick()
@@ -97,13 +103,18 @@
 		}
 	}
 	f.meet()
-	compiled := directory.Compile(f.records(), true)
+	f.compiled = directory.Compile(f.records(), true)
+	f.tellDirectory()
+}
+
+// tellDirectory tells every host which instances there are.
+func (f *fleet) tellDirectory() {
 	all := make([]*directory.Host, 0, len(f.hosts))
 	for _, h := range f.hosts {
 		all = append(all, &directory.Host{Name: h.name, DC: h.dc, Peer: h.name, Incarnation: 1, Alive: true, Instances: h.guard.Instances()})
 	}
 	for _, h := range f.hosts {
-		d := directory.Build(compiled, all)
+		d := directory.Build(f.compiled, all)
 		h.front.SetView(d)
 		h.guard.Apply(d)
 	}
@@ -134,23 +145,18 @@
 	f.byName[h.name] = h
 	seen := &Seen{Service: s.Name}
 	f.result.Instances[name] = seen
-	h.instance = &instance{host: h, name: name, service: s, seen: seen, rng: f.newRand(), fate: f.newRand()}
+	h.instance = &instance{host: h, name: name, service: s, seen: seen, rng: f.newRand(), fate: f.newRand(), conns: make(map[net.Conn]struct{})}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	dialect := header.Default()
 	h.guard = guard.New(guard.Config{
 		Host: h.name, QueuePerSlot: queuePerSlot, GrantLife: grantLife, TargetIdle: targetIdle, Dialect: dialect,
-		Dial: func(context.Context, string) (net.Conn, error) { return h.instance.connect(), nil },
+		Dial: func(context.Context, string) (net.Conn, error) { return h.instance.connect() },
 	}, guard.Limits{AnnounceExpiry: time.Hour, RetryReserve: f.site.RetryReserve, RetryWindow: f.site.RetryWindow},
 		log, anyRun{}, guard.Hooks{Changed: func() {}, Pulse: h.tell})
 	h.front = front.New(front.Config{
 		Host: h.name, DC: h.dc, BufferBodyBytes: 1 << 10, MaxConns: 1 << 10, Service: s.Name, Dialect: dialect,
 	}, front.Limits{MaxBodyBytes: 1 << 20}, log, peers{h}, h.guard, nil)
-	warm := int64(0)
-	if err := h.guard.Announce(time.Now(), name, guard.Announcement{
-		Service: s.Name, Address: "10.0.0.1:80", Slots: s.Slots, WarmupLeftMS: &warm,
-	}); err != nil {
-		panic("fleetsim: " + err.Error())
-	}
+	h.instance.announce()
 	return h
 }
 
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/msg"
@@ -38,6 +39,11 @@
 	// told is what its guard told last, for a site in which the truth is known.
 	told    msg.InstanceLoad
 	running int
+	// starts counts its starts; down says that it has ended and is not back yet.
+	starts int
+	down   bool
+	// conns are the open connections, which end with it.
+	conns map[net.Conn]struct{}
 }
 
 // live turns the instance sick and well again.
@@ -79,15 +85,28 @@
 }
 
 // connect gives the guard's end of a new connection.
-func (i *instance) connect() net.Conn {
+func (i *instance) connect() (net.Conn, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.down {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
 	near, far := net.Pipe()
+	i.conns[far] = struct{}{}
 	go i.serve(far)
-	return near
+	return near, nil
+}
+
+func (i *instance) disconnect(nc net.Conn) {
+	_ = nc.Close()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.conns, nc)
 }
 
 // serve answers the requests of one connection, one at a time.
 func (i *instance) serve(nc net.Conn) {
-	defer func() { _ = nc.Close() }()
+	defer i.disconnect(nc)
 	go func() {
 		<-i.host.fleet.ctx.Done()
 		_ = nc.Close()
@@ -128,6 +147,10 @@
 	}
 	id := r.Header.Get("X-Request-Id")
 	f.arrival(i, id, kind)
+	if c, ok := f.crasher(r.URL.Path); ok {
+		i.crash(c)
+		return http.StatusInternalServerError
+	}
 	i.mu.Lock()
 	i.running++
 	health := f.site.Health
@@ -147,7 +170,7 @@
 		return http.StatusInternalServerError
 	}
 	time.Sleep(time.Duration(work * float64(time.Second)))
-	if calls && f.request(i.host, kind.Calls, id+".1") >= http.StatusInternalServerError {
+	if calls && f.request(i.host, kind.Calls, "/"+kind.Calls+"/"+id, id+".1") >= http.StatusInternalServerError {
 		return http.StatusInternalServerError
 	}
 	if failsLate {
--- a/internal/fleetsim/site.go
+++ b/internal/fleetsim/site.go
@@ -44,6 +44,17 @@
 	SickFails, WellFails float64
 }
 
+// Crasher is a request that ends every instance that begins to run it. Callers send it
+// again and again, with the same path.
+type Crasher struct {
+	// Kind is that of its route, and Path its path there.
+	Kind, Path string
+	// PerSecond is how many callers send it, from random hosts.
+	PerSecond float64
+	// After is how long it runs before the instance ends.
+	After time.Duration
+}
+
 // Site is what is played.
 type Site struct {
 	// DCs is the number of data centres that the hosts are spread over, and OneWay
@@ -53,6 +64,9 @@
 	Services     []Service
 	Kinds        []Kind
 	Health       Health
+	// Crashers end instances, each of which is back after Down under a new name.
+	Crashers []Crasher
+	Down     time.Duration
 	// RetryShare and RetryReserve are the budget of repeats in RetryWindow.
 	RetryShare   int
 	RetryReserve float64
@@ -87,6 +101,29 @@
 	Twice []string
 	// Requests are the times of the callers' requests to a service.
 	Requests map[string][]time.Duration
+	// Crashes are what came of each crasher, by its path.
+	Crashes map[string]*Crash
+}
+
+// Crash is what came of one crasher.
+type Crash struct {
+	// Arrivals are the times at which it reached instances, Ends those at which
+	// instances ended under it.
+	Arrivals, Ends []time.Duration
+}
+
+// SentAfter counts the arrivals later than a time after the nth end.
+func (c *Crash) SentAfter(n int, settle time.Duration) int {
+	if len(c.Ends) < n {
+		return 0
+	}
+	sent := 0
+	for _, at := range c.Arrivals {
+		if at > c.Ends[n-1]+settle {
+			sent++
+		}
+	}
+	return sent
 }
 
 // Seen is what one instance saw.
