--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,6 +15,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/core/config"
 	"github.com/radishhoist/radishhoist/internal/core/contact"
+	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/member"
 	"github.com/radishhoist/radishhoist/internal/core/pulse"
@@ -54,6 +55,10 @@
 	// Pulse is called with what other hosts' guards tell of their instances. It
 	// must not block.
 	Pulse func(*msg.Pulse)
+	// Ended is called with the ends of instances anywhere, and Cleared with what
+	// requests were cleared of. They must not block.
+	Ended   func(crash.End)
+	Cleared func(end string, p crash.Print)
 	// Synced is called once the shard maps were read from the platform.
 	Synced func()
 }
@@ -103,6 +108,8 @@
 	traffic Traffic
 	// pulses says who is told of instances.
 	pulses *pulse.Spread
+	// endsSwept is when old ends were dropped last.
+	endsSwept time.Time
 	// unreadLines bounds the lines about objects that cannot be read.
 	unreadLines event.Limiter
 }
@@ -212,6 +219,7 @@
 	c.replica.Tick(now, c.peers())
 	c.callContacts(now)
 	c.report(now)
+	c.sweepEnds(now)
 	c.flush(now)
 	c.mu.Unlock()
 	c.publish(now)
--- /dev/null
+++ b/internal/core/config/ends_test.go
@@ -0,0 +1,44 @@
+package config
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/msg"
+)
+
+// On a calm day no host says anything of ends. A host that starts gets those that there
+// are with the hosts that it asks for.
+func TestEndsCostNothingWhereThereAreNone(t *testing.T) {
+	peers := Peers{Near: []string{"other"}}
+	n := NewNode(DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+	now := time.Unix(1000, 0)
+	digests := func() map[msg.SetID]bool {
+		now = now.Add(time.Hour)
+		n.Tick(now, peers)
+		out, _ := n.Take()
+		sets := make(map[msg.SetID]bool)
+		for _, o := range out {
+			if d, ok := o.Msg.(*msg.Digest); ok {
+				sets[d.Set] = true
+			}
+		}
+		return sets
+	}
+	assert.Assert(t, !digests()[msg.SetEnds])
+	n.Step(peers, "starter", &msg.Pull{Set: msg.SetHosts, All: true})
+	out, _ := n.Take()
+	assert.Equal(t, len(out), 1)
+
+	n.Local(peers, msg.SetEnds, []msg.Entry{{Kind: "End", Name: "i", Version: 1}})
+	n.Take()
+	assert.Assert(t, digests()[msg.SetEnds])
+	n.Step(peers, "starter", &msg.Pull{Set: msg.SetHosts, All: true})
+	out, _ = n.Take()
+	assert.Equal(t, len(out), 2)
+	rumor, ok := out[1].Msg.(*msg.Rumor)
+	assert.Assert(t, ok && rumor.Set == msg.SetEnds && len(rumor.Entries) == 1)
+}
--- a/internal/core/config/node.go
+++ b/internal/core/config/node.go
@@ -107,8 +107,8 @@
 	for i := range n.sets {
 		n.sets[i] = NewSet()
 	}
-	// What hosts say of themselves needs no complete start: repair fills it.
-	n.whole[msg.SetHosts] = true
+	// What hosts say of themselves and of ends needs no complete start: repair fills it.
+	n.whole[msg.SetHosts], n.whole[msg.SetEnds] = true, true
 	return n
 }
 
@@ -283,6 +283,9 @@
 		return
 	}
 	for id, s := range n.sets {
+		if msg.SetID(id) == msg.SetEnds && len(s.entries) == 0 {
+			continue // there are none on most days, and a peer that has some opens a repair
+		}
 		n.send(to, &msg.Digest{Set: msg.SetID(id), Root: s.Root(), Whole: n.whole[id]})
 	}
 }
--- a/internal/core/config/step.go
+++ b/internal/core/config/step.go
@@ -113,6 +113,9 @@
 	}
 	if m.All {
 		n.sendSnapshot(from, m.Set)
+		if m.Set == msg.SetHosts {
+			n.pushEnds(from)
+		}
 		return
 	}
 	s := n.sets[m.Set]
@@ -127,6 +130,16 @@
 	}
 }
 
+// pushEnds sends all ends to a host that asks for the others: it has just started, and
+// must not run again what has ended instances before.
+func (n *Node) pushEnds(to string) {
+	var ends []msg.Entry
+	n.sets[msg.SetEnds].Each(func(e msg.Entry) { ends = append(ends, e) })
+	if len(ends) > 0 {
+		n.pushWhole(to, msg.SetEnds, ends)
+	}
+}
+
 // sendSnapshot sends the whole set in parts. A host that is not whole itself
 // says so at once, so that the asker goes on to another.
 func (n *Node) sendSnapshot(to string, id msg.SetID) {
--- /dev/null
+++ b/internal/core/crash/crash.go
@@ -0,0 +1,313 @@
+// Package crash finds requests that end the instances that run them.
+//
+// When an instance ends, each request that it ran is suspected. A request that
+// ends every instance stands out: it has part in one end after another, while
+// those that ran beside it complete elsewhere. A Book keeps the ends of the
+// whole fleet and says which requests must not reach another instance, and for
+// how long. It is the same on all hosts that know the same ends, whatever the
+// order in which they came. The package does no I/O.
+package crash
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Print identifies a request by what a target sees of it; 0 is none. Requests
+// with one Print are one request that comes again.
+type Print uint64
+
+// String gives the print as operators see it.
+func (p Print) String() string { return fmt.Sprintf("%016x", uint64(p)) }
+
+// Request is what a Print is made of: the caller's own words, not what differs
+// from one send of a request to the next or from host to host.
+type Request struct {
+	Method, Host, URI string
+	// Team is the caller's team, empty for none.
+	Team string
+	// Body is the body as far as it is kept, and Length its whole length in bytes,
+	// -1 where that is not known.
+	Body   []byte
+	Length int64
+}
+
+// Print gives the request's print. Bodies that are too large to keep differ by
+// what is kept and by their length.
+func (r *Request) Print() Print {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{r.Method, strings.ToLower(r.Host), r.URI, r.Team} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write([]byte{byte(r.Length), byte(r.Length >> 8), byte(r.Length >> 16), byte(r.Length >> 24)})
+	_, _ = d.Write(r.Body)
+	return Print(max(d.Sum64(), 1))
+}
+
+// Software is what an instance runs. A request that ends one may do no harm to
+// another.
+type Software struct {
+	Service, Version string
+}
+
+// End is the end of one start of an instance.
+type End struct {
+	// ID names the start in the fleet.
+	ID       string
+	Software Software
+	// At is when it was noticed, by the clock of the host that did.
+	At time.Time
+	// Prints are the requests that it ran, those that had begun last first.
+	Prints []Print
+}
+
+const (
+	// StopAfter is how many ends stop a request. Fewer would stop one that ran by
+	// chance on two instances that ended for another reason.
+	StopAfter = 3
+	// RepeatBelow is under how many ends a suspected request is still repeated:
+	// the second end may be chance, a third instance is not risked for it.
+	RepeatBelow = 2
+	// MaxPrints bounds the suspects of one end. A request that crashes its
+	// instance does so soon after it began.
+	MaxPrints = 32
+	// maxEnds bounds the ends that are remembered; the oldest go first.
+	maxEnds = 256
+	// Keep is how long an end is remembered, longer than any pause.
+	Keep = 2 * time.Hour
+)
+
+const (
+	// newSoftwarePause is how long after its last end a stopped request may be
+	// tried by instances whose software it has not ended.
+	newSoftwarePause = time.Minute
+	// firstPause is how long it is kept from the software that it has ended. Each
+	// further end doubles it, up to maxPause.
+	firstPause = 5 * time.Minute
+	maxPause   = 40 * time.Minute
+)
+
+// Verdict is what is known of one request. The zero value is a request that
+// nobody suspects.
+type Verdict struct {
+	// Ends is in how many ends it had part that no other request explains.
+	Ends int
+	// Until is when it may reach the software that it has ended again, and
+	// UntilOther when it may reach any other; zero where it is not stopped.
+	Until, UntilOther time.Time
+	// Ended is the software that it has ended.
+	Ended []Software
+}
+
+// Stopped says that the request must not reach an instance of some software.
+func (v *Verdict) Stopped(now time.Time, s Software) bool {
+	if slices.Contains(v.Ended, s) {
+		return now.Before(v.Until)
+	}
+	return now.Before(v.UntilOther)
+}
+
+// Everywhere says that the request must not reach any instance.
+func (v *Verdict) Everywhere(now time.Time) bool { return now.Before(v.UntilOther) }
+
+// Verdicts are the requests that are suspected. They do not change once given.
+type Verdicts map[Print]Verdict
+
+// Book holds the ends of the fleet. It is not safe for concurrent use.
+type Book struct {
+	ends map[string]*entry
+	// cleared are the suspects that an end's requests have been cleared of, also
+	// where the end is not known yet.
+	cleared map[clearing]time.Time
+}
+
+// entry is one end, with when it was heard of on this host's clock.
+type entry struct {
+	End
+	heard time.Time
+}
+
+// clearing says that a request had no part in an end.
+type clearing struct {
+	end   string
+	print Print
+}
+
+// NewBook makes an empty Book.
+func NewBook() *Book {
+	return &Book{ends: make(map[string]*entry), cleared: make(map[clearing]time.Time)}
+}
+
+// Add takes an end and reports whether it was news.
+func (b *Book) Add(now time.Time, e End) bool {
+	if _, known := b.ends[e.ID]; known || len(e.Prints) == 0 {
+		return false
+	}
+	if len(e.Prints) > MaxPrints {
+		e.Prints = e.Prints[:MaxPrints]
+	}
+	b.ends[e.ID] = &entry{End: e, heard: now}
+	b.forget(now)
+	return true
+}
+
+// Clear takes the word that a request had no part in an end, because it has
+// completed at the same software, and reports whether it was news.
+func (b *Book) Clear(now time.Time, end string, p Print) bool {
+	c := clearing{end, p}
+	if _, known := b.cleared[c]; known {
+		return false
+	}
+	b.cleared[c] = now
+	b.forget(now)
+	return true
+}
+
+// Suspected lists the ends of some software for which a request is suspected.
+func (b *Book) Suspected(p Print, s Software) []string {
+	var out []string
+	for id, e := range b.ends {
+		if e.Software == s && b.blames(e, p) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (b *Book) blames(e *entry, p Print) bool {
+	if !slices.Contains(e.Prints, p) {
+		return false
+	}
+	_, cleared := b.cleared[clearing{e.ID, p}]
+	return !cleared
+}
+
+// forget drops what is older than Keep, and the oldest ends beyond the bound.
+func (b *Book) forget(now time.Time) {
+	for id, e := range b.ends {
+		if now.Sub(e.heard) > Keep {
+			delete(b.ends, id)
+		}
+	}
+	for c, at := range b.cleared {
+		if now.Sub(at) > Keep {
+			delete(b.cleared, c)
+		}
+	}
+	for len(b.ends) > maxEnds {
+		delete(b.ends, b.oldest())
+	}
+	for len(b.cleared) > maxEnds*MaxPrints {
+		clear(b.cleared)
+	}
+}
+
+func (b *Book) oldest() string {
+	var first *entry
+	for _, e := range b.ends {
+		if first == nil || e.heard.Before(first.heard) || e.heard.Equal(first.heard) && e.ID < first.ID {
+			first = e
+		}
+	}
+	return first.ID
+}
+
+// Verdicts gives what is known of each suspected request. The request with part
+// in the most ends explains them, which clears all that ran beside it; then the
+// next, as long as there are StopAfter ends. What is left suspects without
+// stopping.
+func (b *Book) Verdicts(now time.Time) Verdicts {
+	b.forget(now)
+	left := b.byPrint()
+	out := make(Verdicts)
+	for len(left) > 0 {
+		worst, ends := most(left)
+		if len(ends) < StopAfter {
+			break
+		}
+		out[worst] = stopped(ends)
+		explain(left, ends)
+	}
+	for p, ends := range left {
+		if _, found := out[p]; !found && len(ends) > 0 {
+			out[p] = Verdict{Ends: len(ends)}
+		}
+	}
+	return out
+}
+
+// byPrint lists the ends that each request is suspected of.
+func (b *Book) byPrint() map[Print][]*entry {
+	out := make(map[Print][]*entry)
+	for _, e := range b.ends {
+		for _, p := range e.Prints {
+			if b.blames(e, p) {
+				out[p] = append(out[p], e)
+			}
+		}
+	}
+	return out
+}
+
+// most finds the request with the most ends; of equals the one whose print is
+// least, which is the same on every host.
+func most(left map[Print][]*entry) (Print, []*entry) {
+	var worst Print
+	var ends []*entry
+	for p, list := range left {
+		if len(list) > len(ends) || len(list) == len(ends) && p < worst {
+			worst, ends = p, list
+		}
+	}
+	return worst, ends
+}
+
+// explain takes ends off every request that was suspected of them.
+func explain(left map[Print][]*entry, ends []*entry) {
+	explained := make(map[string]bool, len(ends))
+	for _, e := range ends {
+		explained[e.ID] = true
+	}
+	for p, list := range left {
+		rest := slices.DeleteFunc(slices.Clone(list), func(e *entry) bool { return explained[e.ID] })
+		if len(rest) == 0 {
+			delete(left, p)
+		} else {
+			left[p] = rest
+		}
+	}
+}
+
+// stopped is the verdict on a request that explains some ends.
+func stopped(ends []*entry) Verdict {
+	v := Verdict{Ends: len(ends)}
+	last := slices.MaxFunc(ends, func(x, y *entry) int { return x.heard.Compare(y.heard) }).heard
+	v.UntilOther = last.Add(newSoftwarePause)
+	v.Until = last.Add(pause(len(ends)))
+	for _, e := range ends {
+		if !slices.Contains(v.Ended, e.Software) {
+			v.Ended = append(v.Ended, e.Software)
+		}
+	}
+	slices.SortFunc(v.Ended, func(x, y Software) int {
+		return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Version, y.Version))
+	})
+	return v
+}
+
+// pause is how long a request with some ends is kept from what it has ended.
+func pause(ends int) time.Duration {
+	p := firstPause
+	for range ends - StopAfter {
+		p = min(2*p, maxPause)
+	}
+	return p
+}
--- /dev/null
+++ b/internal/core/crash/crash_test.go
@@ -0,0 +1,199 @@
+package crash
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	v1, v2 = Software{"desk", "1"}, Software{"desk", "2"}
+)
+
+// add tells a book of an end at a second.
+func add(b *Book, second int, s Software, prints ...Print) {
+	at := start.Add(time.Duration(second) * time.Second)
+	b.Add(at, End{ID: fmt.Sprint(second), Software: s, At: at, Prints: prints})
+}
+
+func verdictAt(b *Book, second int, p Print) Verdict {
+	return b.Verdicts(start.Add(time.Duration(second) * time.Second))[p]
+}
+
+// A request that has part in one end after another is stopped at the third; those that
+// ran beside it, each time others, are not, nor is one that ran beside it twice.
+func TestTheRequestCommonToTheEndsIsStopped(t *testing.T) {
+	b := NewBook()
+	add(b, 1, v1, 7, 10, 11, 12)
+	add(b, 2, v1, 7, 10, 13)
+	assert.Equal(t, verdictAt(b, 2, 7).Ends, 2)
+	suspect := verdictAt(b, 2, 7)
+	assert.Assert(t, !suspect.Stopped(start.Add(2*time.Second), v1))
+	add(b, 3, v1, 14, 7)
+	v := verdictAt(b, 3, 7)
+	now := start.Add(3 * time.Second)
+	assert.Equal(t, v.Ends, 3)
+	assert.Assert(t, v.Stopped(now, v1) && v.Stopped(now, v2) && v.Everywhere(now))
+	for _, innocent := range []Print{10, 11, 12, 13, 14} {
+		assert.Equal(t, verdictAt(b, 3, innocent).Ends, 0, "%d: the ends are explained", innocent)
+	}
+}
+
+// Two such requests at once are both found, also where they shared an end.
+func TestTwoRequestsAtOnceAreBothStopped(t *testing.T) {
+	b := NewBook()
+	for second := range 3 {
+		add(b, 10+second, v1, 7, Print(100+second))
+		add(b, 20+second, v1, 8, Print(200+second))
+	}
+	add(b, 30, v1, 7, 8)
+	verdicts := b.Verdicts(start.Add(30 * time.Second))
+	assert.Equal(t, verdicts[7].Ends+verdicts[8].Ends, 7)
+	assert.Equal(t, len(verdicts), 2)
+}
+
+// A path that ran on every instance that ended, and completes elsewhere, is cleared:
+// before it is stopped, and also after.
+func TestACompletedRequestIsCleared(t *testing.T) {
+	b := NewBook()
+	for second := range 3 {
+		add(b, second, v1, 7, Print(100+second))
+	}
+	now := start.Add(3 * time.Second)
+	v := verdictAt(b, 3, 7)
+	assert.Assert(t, v.Stopped(now, v1))
+	for _, end := range b.Suspected(7, v1) {
+		assert.Assert(t, b.Clear(now, end, 7))
+		assert.Assert(t, !b.Clear(now, end, 7), "once is news")
+	}
+	assert.Equal(t, verdictAt(b, 3, 7).Ends, 0)
+	assert.Equal(t, len(b.Suspected(7, v1)), 0)
+}
+
+// What completes at one version says nothing of another that it ends.
+func TestOneVersionIsNotClearedByAnother(t *testing.T) {
+	b := NewBook()
+	for second := range 3 {
+		add(b, second, v2, 7)
+	}
+	assert.Equal(t, len(b.Suspected(7, v1)), 0)
+	assert.Equal(t, len(b.Suspected(7, v2)), 3)
+}
+
+// Software that it has not ended is tried after a while, that which it has ended later,
+// and each further end makes that longer.
+func TestAStoppedRequestIsTriedAgain(t *testing.T) {
+	b := NewBook()
+	for second := range 3 {
+		add(b, second, v1, 7)
+	}
+	v := verdictAt(b, 2, 7)
+	last := start.Add(2 * time.Second)
+	assert.Assert(t, v.Stopped(last.Add(newSoftwarePause-1), v2))
+	assert.Assert(t, !v.Stopped(last.Add(newSoftwarePause), v2), "a new version may do better")
+	assert.Assert(t, v.Stopped(last.Add(firstPause-1), v1))
+	assert.Assert(t, !v.Stopped(last.Add(firstPause), v1))
+	add(b, 400, v1, 7)
+	v = verdictAt(b, 400, 7)
+	assert.Assert(t, v.Stopped(start.Add(400*time.Second+2*firstPause-1), v1), "one more end, twice the pause")
+	add(b, 500, v2, 7)
+	v = verdictAt(b, 500, 7)
+	assert.Assert(t, v.Stopped(start.Add(500*time.Second+newSoftwarePause), v2), "the new version is no better")
+}
+
+func TestABookForgets(t *testing.T) {
+	b := NewBook()
+	for second := range 3 {
+		add(b, second, v1, 7)
+	}
+	assert.Equal(t, len(b.Verdicts(start.Add(Keep+3*time.Second))), 0)
+	for n := range 3 * maxEnds {
+		add(b, 10000+n, v1, Print(n+1))
+	}
+	assert.Equal(t, len(b.ends), maxEnds)
+	_, newest := b.ends[fmt.Sprint(10000+3*maxEnds-1)]
+	assert.Assert(t, newest, "the oldest go first")
+}
+
+// Hosts that know the same say the same, in whatever order they have heard it; a
+// request that was cleared of every end is not stopped, and one is stopped only for as
+// many ends as stop one.
+func TestHostsAgreeWhateverTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		software := rapid.SampledFrom([]Software{v1, v2})
+		var ends []End
+		for n := range rapid.IntRange(0, 12).Draw(t, "ends") {
+			prints := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) Print { return Print(rapid.IntRange(1, 6).Draw(t, "print")) }), 0, 4, rapid.ID).Draw(t, "prints")
+			ends = append(ends, End{ID: fmt.Sprint(n), Software: software.Draw(t, "software"), Prints: prints})
+		}
+		completes := Print(rapid.IntRange(0, 6).Draw(t, "completes"))
+		one, other := NewBook(), NewBook()
+		rng := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "order")))
+		order := rng.Perm(len(ends))
+		for i := range ends {
+			one.Add(start, ends[i])
+			one.Clear(start, ends[i].ID, completes)
+		}
+		for _, i := range order {
+			other.Clear(start, ends[i].ID, completes)
+			other.Add(start, ends[i])
+			other.Add(start, ends[i])
+		}
+		verdicts := one.Verdicts(start)
+		assert.DeepEqual(t, verdicts, other.Verdicts(start))
+		assert.Equal(t, verdicts[completes].Ends, 0)
+		parts := make(map[Print]int)
+		for _, e := range ends {
+			for _, p := range e.Prints {
+				parts[p]++
+			}
+		}
+		explained := 0
+		for p, v := range verdicts {
+			if v.Until.IsZero() {
+				assert.Assert(t, v.Ends < StopAfter)
+				continue
+			}
+			explained += v.Ends
+			assert.Assert(t, v.Ends >= StopAfter && v.Ends <= parts[p])
+		}
+		assert.Assert(t, explained <= len(ends), "no end is held against two")
+	})
+}
+
+func TestAPrintIsOfWhatTheCallerSends(t *testing.T) {
+	base := Request{Method: "POST", Host: "Desk.example", URI: "/a/b?c", Team: "x", Body: []byte("body"), Length: 4}
+	same := base
+	same.Host = "desk.example"
+	assert.Equal(t, base.Print(), same.Print())
+	for _, change := range []func(*Request){
+		func(r *Request) { r.Method = "GET" },
+		func(r *Request) { r.Host = "other.example" },
+		func(r *Request) { r.URI = "/a/b?d" },
+		func(r *Request) { r.Team = "y" },
+		func(r *Request) { r.Body = []byte("bodY") },
+		func(r *Request) { r.Length = 5 },
+		func(r *Request) { r.URI, r.Team = "/a/b?cx", "" },
+	} {
+		other := base
+		change(&other)
+		assert.Assert(t, other.Print() != base.Print(), "%+v", other)
+	}
+}
+
+func BenchmarkPrint(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 1 << 20} {
+		r := Request{Method: "GET", Host: "desk.example", URI: "/status/4711", Body: make([]byte, size), Length: int64(size)}
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Print()
+			}
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/control"
 	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/header"
 	"github.com/radishhoist/radishhoist/internal/core/member"
@@ -104,11 +105,15 @@
 	}, guardLimits(cfg), log, d.keys, guard.Hooks{
 		Changed: func() { d.control.InstancesChanged() },
 		Pulse:   d.pulse,
+		Ended:   func(e crash.End) { d.control.TellEnd(e) },
+		Cleared: func(end string, p crash.Print) { d.control.TellCleared(end, p) },
 	})
 	d.control = control.New(controlConfig(cfg, ports.Needs, d.started), control.Hooks{
 		Directory: d.setDirectory,
 		Instances: d.guard.Instances,
 		Pulse:     func(p *msg.Pulse) { d.front.HearPulse(p) },
+		Ended:     d.guard.HearEnd,
+		Cleared:   d.guard.HearCleared,
 		Synced:    d.keys.Synced,
 	}, store, log)
 	d.front = front.New(front.Config{
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -41,6 +41,8 @@
 	RequestEnded      = Event{306, "request ended at the instance", slog.LevelInfo}
 	RequestRefused    = Event{307, "request refused at the instance", slog.LevelInfo}
 	InstanceTurned    = Event{308, "instance estimate turned", slog.LevelInfo}
+	InstanceEnded     = Event{309, "instance ended", slog.LevelWarn}
+	RequestStopped    = Event{310, "request stopped", slog.LevelWarn}
 	AnnounceRefused   = Event{305, "announce refused", slog.LevelWarn}
 	RecordApplied     = Event{400, "record applied", slog.LevelInfo}
 	RecordRefused     = Event{401, "record refused", slog.LevelError}
@@ -66,7 +68,7 @@
 		Started, Ready, Draining, Drained, DrainTimeout, StartFailed, Reloaded, ReloadRefused, SettingsStrained,
 		RequestFailed, RequestAnswered, AnswerAborted, LinkLost, PathLeftOut, PathBack, PeerRefused,
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
-		RequestEnded, RequestRefused, InstanceTurned,
+		RequestEnded, RequestRefused, InstanceTurned, InstanceEnded, RequestStopped,
 		RecordApplied, RecordRefused, PlatformAway, PlatformBack, WatchStarted, WatchStopped, SetLoaded,
 		PlatformLate, PlatformCallEnded, PlatformPause,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
--- a/internal/fleetsim/crash_test.go
+++ b/internal/fleetsim/crash_test.go
@@ -42,6 +42,14 @@
 // began. It is repeated at another instance, which ends too. Its caller comes again at
 // another host, with the same path and body and a new id, for as long as the day lasts,
 // and each time it is taken for a request like any other.
+//
+// Cause: the end of an instance was held against the instance alone. Nothing remembered
+// the request that ran there beyond its own attempts, so that no host could know it
+// again.
+//
+// Evidence: twelve instances ended in ten seconds; one of two requests was under way on
+// each of them, and no other request on more than one. Ten of the twelve had just had
+// the first arrival of a new call, so that no budget of repeats could have saved them.
 func TestCrashingRequestIsStopped(t *testing.T) {
 	site := func(seed uint64) Site {
 		s := registry(seed)
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/header"
 	"github.com/radishhoist/radishhoist/internal/core/pulse"
@@ -152,7 +153,11 @@
 		Host: h.name, QueuePerSlot: queuePerSlot, GrantLife: grantLife, TargetIdle: targetIdle, Dialect: dialect,
 		Dial: func(context.Context, string) (net.Conn, error) { return h.instance.connect() },
 	}, guard.Limits{AnnounceExpiry: time.Hour, RetryReserve: f.site.RetryReserve, RetryWindow: f.site.RetryWindow},
-		log, anyRun{}, guard.Hooks{Changed: func() {}, Pulse: h.tell})
+		log, anyRun{}, guard.Hooks{
+			Changed: func() {}, Pulse: h.tell,
+			Ended:   func(e crash.End) { h.tellOthers(func(other *host) { other.guard.HearEnd(e) }) },
+			Cleared: func(end string, p crash.Print) { h.tellOthers(func(other *host) { other.guard.HearCleared(end, p) }) },
+		})
 	h.front = front.New(front.Config{
 		Host: h.name, DC: h.dc, BufferBodyBytes: 1 << 10, MaxConns: 1 << 10, Service: s.Name, Dialect: dialect,
 	}, front.Limits{MaxBodyBytes: 1 << 20}, log, peers{h}, h.guard, nil)
@@ -222,6 +227,15 @@
 	h.tellAll(told, func(other *host) { other.front.HearPulse(p) })
 }
 
+// tellOthers tells all other hosts, each over one other host.
+func (h *host) tellOthers(hear func(*host)) {
+	for _, other := range h.fleet.hosts {
+		if other != h {
+			time.AfterFunc(h.fleet.delay(h, other)+h.fleet.site.Near, func() { hear(other) })
+		}
+	}
+}
+
 func (h *host) tellAll(names []string, hear func(*host)) {
 	for _, name := range names {
 		other := h.fleet.byName[name]
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -268,7 +268,7 @@
 	fail.RetryAfterMS = int64(m.RetryAfterMS)
 	o := &outcome{fail: fail, load: m.Load}
 	switch m.Reason {
-	case verdict.ReasonTargetDown, verdict.ReasonTargetBroke, verdict.ReasonAnswerMismatch:
+	case verdict.ReasonTargetDown, verdict.ReasonTargetBroke, verdict.ReasonTargetEnded, verdict.ReasonAnswerMismatch:
 		o.judged, o.failed = true, true
 	}
 	return o
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/radishhoist/radishhoist/internal/core/admit"
+	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/header"
 	"github.com/radishhoist/radishhoist/internal/core/route"
@@ -48,6 +49,8 @@
 	// see msg.Aim.
 	callPart uint16
 	idle     bool
+	// print is what the request is known by when it comes again.
+	print crash.Print
 	// account is what came of the attempts, once the request is over.
 	account account
 }
@@ -127,7 +130,13 @@
 	if fail := f.limitTeam(req, r); fail != nil {
 		return nil, fail
 	}
-	return req, f.readBody(w, req, view.Limits)
+	if fail := f.readBody(w, req, view.Limits); fail != nil {
+		return req, fail
+	}
+	req.print = (&crash.Request{
+		Method: r.Method, Host: host, URI: rawTarget(r), Team: r.Header.Get(header.Team), Body: req.body, Length: req.length,
+	}).Print()
+	return req, nil
 }
 
 // pickPart draws one service of a route by weight.
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/core/crash"
+	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/verdict"
 )
 
@@ -61,6 +63,13 @@
 		c.failed(retryLater(verdict.ReasonDraining, "this host is stopping and the request is expected to take too long; another takes it", defaultRetryAfter))
 		return pick{}, false
 	}
+	if hedge && c.suspected() || c.sent && c.ends() >= crash.RepeatBelow {
+		return pick{}, false
+	}
+	if v := c.front.guard.Suspect(c.req.print); v.Everywhere(time.Now()) {
+		c.failed(guard.StopRefusal(time.Now(), v.Until))
+		return pick{}, false
+	}
 	as := sending{repeat: c.sent || hedge, hedge: hedge, insist: len(c.failures) >= politeTries}
 	p, ok := c.front.choose(c.req, c.tried, as.repeat, c.rng)
 	if !ok {
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -42,6 +42,7 @@
 		Insist:      y.as.insist,
 		Repeat:      y.as.repeat, Hedge: y.as.hedge,
 		CallPart: y.req.callPart, Idle: y.req.idle, Route: uint32(xxhash.Sum64String(y.req.route.Name)),
+		Print: uint64(y.req.print),
 	}
 }
 
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -20,6 +20,11 @@
 // call runs the request at the instance and sends the answer. The slot is
 // held; call gives it back.
 func (x *exchange) call(m *msg.Run) {
+	if e := x.stopped(); e != nil {
+		x.inst.finish(time.Now(), x.id, result{shed: true})
+		x.refuse(e)
+		return
+	}
 	ctx, cancel := context.WithDeadlineCause(x.ctx, x.deadline, errDeadline)
 	defer cancel()
 	defer context.AfterFunc(x.inst.life, cancel)()
@@ -57,6 +62,12 @@
 	case x.inst.life.Err() != nil:
 		failure = verdict.New(failure.Verdict, verdict.ReasonTargetBroke, "the target has started again; what ran there is lost")
 	}
+	if broke(failure) && x.inst.ended() {
+		failure = verdict.New(failure.Verdict, verdict.ReasonTargetEnded, "the target ended before it answered")
+	}
+	if failure == nil && !res.failed && !res.shed {
+		x.completed()
+	}
 	x.logEnd(started, res, failure)
 	x.guard.counts.ended(started.Sub(x.arrived), res)
 	x.inst.finish(time.Now(), x.id, res)
@@ -65,6 +76,11 @@
 	}
 }
 
+// broke says that the target broke off a request that it may have begun to run.
+func broke(failure *verdict.Error) bool {
+	return failure != nil && failure.Reason == verdict.ReasonTargetBroke && failure.Verdict != verdict.NotRun
+}
+
 var errDeadline = errors.New("deadline")
 
 // exchangeHTTP calls the target and relays its answer; the End message is
--- a/internal/guard/estimate_test.go
+++ b/internal/guard/estimate_test.go
@@ -13,7 +13,7 @@
 // start seats requests at the test guard's instance, which has two slots.
 func start(i *instance, now time.Time, n int) {
 	for range n {
-		i.offer(now, admit.Request{Deadline: now.Add(time.Minute)}, 0)
+		i.offer(now, admit.Request{Deadline: now.Add(time.Minute)}, &waiter{})
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -14,6 +14,7 @@
 	"github.com/radishhoist/radishhoist/internal/core/admit"
 	"github.com/radishhoist/radishhoist/internal/core/announce"
 	"github.com/radishhoist/radishhoist/internal/core/chance"
+	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/detect"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/header"
@@ -62,6 +63,11 @@
 	// Pulse is called with what the fronts should know at once; far says that
 	// those of other data centres should too.
 	Pulse func(p *msg.Pulse, far bool)
+	// Ended is called with the end of an instance of this host, and Cleared where a
+	// request that was suspected of one has completed: all hosts are to know. Nil
+	// tells nobody.
+	Ended   func(e crash.End)
+	Cleared func(end string, p crash.Print)
 }
 
 // Guard holds the instances of one host. It is safe for concurrent use.
@@ -84,6 +90,10 @@
 	// pulse is called, without locks, with what the fronts should know at once.
 	pulse   func(p *msg.Pulse, far bool)
 	changed func()
+	ended   func(crash.End)
+	cleared func(string, crash.Print)
+	// suspects are the requests that may end the instances that run them.
+	suspects *suspects
 
 	mu        sync.Mutex
 	book      *announce.Book
@@ -103,11 +113,18 @@
 func New(cfg Config, limits Limits, log *slog.Logger, fence Fence, hooks Hooks) *Guard {
 	g := &Guard{
 		cfg: cfg, log: log, fence: fence, changed: hooks.Changed, pulse: hooks.Pulse, model: chance.Default(), counts: newCounters(),
+		ended: hooks.Ended, cleared: hooks.Cleared, suspects: newSuspects(),
 		repeats:   newRepeats(),
 		book:      announce.NewBook(),
 		instances: make(map[string]*instance),
 		presets:   make(map[string]detect.Params),
 	}
+	if g.ended == nil {
+		g.ended = func(crash.End) {}
+	}
+	if g.cleared == nil {
+		g.cleared = func(string, crash.Print) {}
+	}
 	g.limits.Store(&limits)
 	return g
 }
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -10,6 +10,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/core/admit"
 	"github.com/radishhoist/radishhoist/internal/core/chance"
+	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/detect"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/event"
@@ -31,6 +32,10 @@
 	// there is lost.
 	life context.Context
 	end  context.CancelFunc
+	// probing is held while the instance's port is looked at; over says that the
+	// instance has ended.
+	probing sync.Mutex
+	over    bool
 
 	mu        sync.Mutex
 	queue     *admit.Queue
@@ -65,6 +70,9 @@
 // waiter is the goroutine that serves one request.
 type waiter struct {
 	decisions chan admit.Decision
+	// request is the request's id, and print what it is known by when it comes again.
+	request string
+	print   crash.Print
 	// started is when the target was called, zero before.
 	started time.Time
 	// reported is the age last reported to the detector.
@@ -215,16 +223,16 @@
 const waiterDepth = 2
 
 // offer admits a request; its decisions come on the waiter's channel.
-func (i *instance) offer(now time.Time, r admit.Request, patience time.Duration) (admit.ID, *waiter) {
+func (i *instance) offer(now time.Time, r admit.Request, w *waiter) admit.ID {
 	defer i.tell(now)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.nextID++
 	r.ID = i.nextID
-	w := &waiter{decisions: make(chan admit.Decision, waiterDepth), patience: patience, expect: r.Expect}
+	w.decisions, w.expect = make(chan admit.Decision, waiterDepth), r.Expect
 	i.waiters[r.ID] = w
 	i.deliver(i.queue.Offer(now, r))
-	return r.ID, w
+	return r.ID
 }
 
 // run uses up a grant.
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/radishhoist/radishhoist/internal/core/admit"
+	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/wire"
 	"github.com/radishhoist/radishhoist/verdict"
@@ -43,6 +44,8 @@
 	// aside for it and is not sent yet.
 	aim  msg.Aim
 	held bool
+	// print is what the request is known by when it comes again, 0 for nothing.
+	print crash.Print
 	// callPart is the chance that the run is a call of a repeated run.
 	callPart uint16
 }
@@ -87,13 +90,19 @@
 		x.refuse(refusal(verdict.ReasonDraining, "this host is stopping and the request is expected to take too long"))
 		return false
 	}
+	x.print = crash.Print(aim.Print)
+	if e := x.stopped(); e != nil {
+		x.refuse(e)
+		return false
+	}
 	if !x.holdRepeat(aim) {
 		x.refuse(refusal(verdict.ReasonRetryBudget, "this host's part of the retry budget is spent"))
 		return false
 	}
 	r.Expect, r.Insist = time.Duration(aim.ExpectMS)*time.Millisecond, aim.Insist
 	inst.observe(x.arrived, sample)
-	x.id, x.waiter = inst.offer(x.arrived, r, patience(aim))
+	x.waiter = &waiter{request: x.request, print: x.print, patience: patience(aim)}
+	x.id = inst.offer(x.arrived, r, x.waiter)
 	x.inbox = make(chan msg.Message, 1)
 	x.lost = make(chan struct{})
 	go x.read()
--- /dev/null
+++ b/internal/guard/suspects.go
@@ -0,0 +1,199 @@
+package guard
+
+import (
+	"context"
+	"log/slog"
+	"math/bits"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/core/crash"
+	"github.com/radishhoist/radishhoist/internal/event"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+const (
+	// probeTimeout bounds the look whether an instance still takes connections: it
+	// runs on this host, and the request waits for its verdict.
+	probeTimeout = 50 * time.Millisecond
+	// completedSlots is how many completed requests a host remembers, one in each
+	// slot: 32 KB, and a path that comes a few times a minute stays known.
+	completedSlots = 4096
+	// maxNamed bounds the requests that the line about an end names.
+	maxNamed = 8
+)
+
+// suspects is what this host knows of requests that end instances: its share of
+// the fleet's crash.Book.
+type suspects struct {
+	mu   sync.Mutex
+	book *crash.Book
+	// verdicts are read by every request, without the lock.
+	verdicts atomic.Pointer[crash.Verdicts]
+	// completed holds requests that have completed here, by hash: they do not end
+	// instances of that software.
+	completed [completedSlots]atomic.Uint64
+}
+
+func newSuspects() *suspects {
+	s := &suspects{book: crash.NewBook()}
+	s.verdicts.Store(&crash.Verdicts{})
+	return s
+}
+
+// verdict gives what is known of a request.
+func (s *suspects) verdict(p crash.Print) crash.Verdict { return (*s.verdicts.Load())[p] }
+
+// change changes the book and gives the requests that are stopped by it. f reports
+// whether it has changed anything.
+func (s *suspects) change(now time.Time, f func(*crash.Book) bool) []crash.Print {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !f(s.book) {
+		return nil
+	}
+	was, is := *s.verdicts.Load(), s.book.Verdicts(now)
+	s.verdicts.Store(&is)
+	var stopped []crash.Print
+	for p, v := range is {
+		if before := was[p]; !v.Until.IsZero() && before.Until.IsZero() {
+			stopped = append(stopped, p)
+		}
+	}
+	slices.Sort(stopped)
+	return stopped
+}
+
+// suspected lists the ends of some software for which a request is suspected.
+func (s *suspects) suspected(p crash.Print, software crash.Software) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Suspected(p, software)
+}
+
+// slot is where a completed request is remembered, and the mark that it has there.
+// The mark holds the software: what completes at one version may end another.
+func (s *suspects) slot(p crash.Print, software crash.Software) (*atomic.Uint64, uint64) {
+	mark := uint64(p) ^ InstanceHash(software.Service) ^ bits.RotateLeft64(InstanceHash(software.Version), 1)
+	return &s.completed[mark%completedSlots], mark
+}
+
+// HearEnd takes the end of an instance of any host.
+func (g *Guard) HearEnd(e crash.End) {
+	now := time.Now()
+	g.logStopped(g.suspects.change(now, func(b *crash.Book) bool { return b.Add(now, e) }))
+}
+
+// HearCleared takes the word that a request had no part in an end.
+func (g *Guard) HearCleared(end string, p crash.Print) {
+	now := time.Now()
+	g.logStopped(g.suspects.change(now, func(b *crash.Book) bool { return b.Clear(now, end, p) }))
+}
+
+// Suspect gives what is known of a request that may end the instances that run it.
+func (g *Guard) Suspect(p crash.Print) crash.Verdict { return g.suspects.verdict(p) }
+
+// StopRefusal is the refusal of a request that is kept from instances until a time.
+func StopRefusal(now, until time.Time) *verdict.Error {
+	e := refusal(verdict.ReasonCrashesTargets, "the instances that ran this request have ended under it")
+	e.RetryAfterMS = until.Sub(now).Milliseconds()
+	return e
+}
+
+// software is what the instance runs.
+func (i *instance) software() crash.Software {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return crash.Software{Service: i.service, Version: i.version}
+}
+
+// stopped says that the request must not reach the instance. It is asked when the
+// request comes and again when it has waited for its slot.
+func (x *exchange) stopped() *verdict.Error {
+	v := x.guard.Suspect(x.print)
+	now := time.Now()
+	if v.Until.IsZero() || !v.Stopped(now, x.inst.software()) {
+		return nil
+	}
+	return StopRefusal(now, v.Until)
+}
+
+// completed notes that a request has completed at the instance: it is cleared of the
+// ends for which it is suspected.
+func (x *exchange) completed() {
+	if x.print == 0 {
+		return
+	}
+	s, software := x.guard.suspects, x.inst.software()
+	slot, mark := s.slot(x.print, software)
+	slot.Store(mark)
+	if s.verdict(x.print).Ends == 0 {
+		return
+	}
+	for _, end := range s.suspected(x.print, software) {
+		x.guard.HearCleared(end, x.print)
+		x.guard.cleared(end, x.print)
+	}
+}
+
+// ended says whether the instance has ended, seen by its port, which takes no
+// connections. The first to see it tells the fleet what ran there.
+func (i *instance) ended() bool {
+	i.probing.Lock()
+	defer i.probing.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	was := i.over
+	i.over = errors.Is(i.client.Probe(ctx), syscall.ECONNREFUSED)
+	if i.over && !was {
+		i.tellEnd(time.Now())
+	}
+	return i.over
+}
+
+// tellEnd tells the fleet that the instance has ended and what it ran.
+func (i *instance) tellEnd(now time.Time) {
+	software := i.software()
+	e := crash.End{ID: endID(i.name, i.started), Software: software, At: now}
+	var requests []string
+	for _, w := range i.underWay() {
+		if slot, mark := i.guard.suspects.slot(w.print, software); slot.Load() == mark {
+			continue
+		}
+		e.Prints = append(e.Prints, w.print)
+		requests = append(requests, w.request)
+	}
+	event.Log(i.guard.log, event.InstanceEnded, slog.String("instance", i.name), slog.String("service", software.Service),
+		slog.String("version", software.Version), slog.Int("suspects", len(e.Prints)), slog.Any("requests", requests[:min(len(requests), maxNamed)]))
+	if len(e.Prints) == 0 {
+		return
+	}
+	e.Prints = e.Prints[:min(len(e.Prints), crash.MaxPrints)]
+	i.guard.HearEnd(e)
+	i.guard.ended(e)
+}
+
+// underWay lists the requests that were sent to the instance and have no answer,
+// those that began last first.
+func (i *instance) underWay() []*waiter {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var out []*waiter
+	for _, w := range i.waiters {
+		if !w.started.IsZero() && w.print != 0 {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b *waiter) int { return b.started.Compare(a.started) })
+	return out
+}
+
+// endID names one start of an instance in the fleet.
+func endID(name string, started time.Time) string {
+	return name + "@" + started.UTC().Format("20060102T150405.000")
+}
--- /dev/null
+++ b/internal/guard/suspects_test.go
@@ -0,0 +1,194 @@
+package guard
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/core/crash"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/wire"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+// fragile is a target that ends, or only breaks a connection, on some paths.
+type fragile struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+func newFragile(t *testing.T) *fragile {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &fragile{listener: l}
+	t.Cleanup(f.end)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			f.conns = append(f.conns, c)
+			f.mu.Unlock()
+			go f.serve(c)
+		}
+	}()
+	return f
+}
+
+func (f *fragile) serve(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		switch r.URL.Path {
+		case "/end":
+			f.end()
+		case "/break":
+			_ = c.Close()
+		case "/wait":
+			time.Sleep(time.Hour)
+		default:
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+}
+
+// end closes everything at once, as a process that ends does.
+func (f *fragile) end() {
+	_ = f.listener.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns {
+		_ = c.Close()
+	}
+}
+
+// news is what a guard told the fleet.
+type news struct {
+	ends    chan crash.End
+	cleared chan string
+}
+
+func suspectGuard(t *testing.T, address string) (*Guard, news) {
+	t.Helper()
+	n := news{ends: make(chan crash.End, 4), cleared: make(chan string, 4)}
+	g := New(Config{Host: "h", QueuePerSlot: 2, GrantLife: time.Minute, TargetIdle: time.Minute}, Limits{AnnounceExpiry: time.Hour},
+		slog.New(slog.NewTextHandler(io.Discard, nil)), openFence{}, Hooks{
+			Changed: func() {}, Pulse: func(*msg.Pulse, bool) {},
+			Ended: func(e crash.End) { n.ends <- e }, Cleared: func(end string, _ crash.Print) { n.cleared <- end },
+		})
+	a := Announcement{Service: "s", Address: address, Slots: 4, Connections: 8, Version: "1"}
+	assert.NilError(t, g.Announce(time.Now(), "i", a))
+	return g, n
+}
+
+// send runs one request to its end and gives the guard's last message.
+func send(t *testing.T, g *Guard, path string, print crash.Print) msg.Message {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	near, far := wire.Pipe()
+	defer near.Close()
+	go g.Serve(far, &msg.Run{
+		RequestID: path, Service: "s", Instance: "i", TimeoutMS: 20000, Idempotent: true, Method: "GET", URI: path, Host: "s.example",
+		Aim: msg.Aim{Print: uint64(print)},
+	})
+	for {
+		m, err := near.Recv(ctx)
+		assert.NilError(t, err)
+		switch m.(type) {
+		case *msg.End, *msg.Fail:
+			return m
+		}
+	}
+}
+
+// All that an instance ran when it ended is told to the fleet once, and each caller hears
+// that the instance ended.
+func TestAnEndNamesWhatTheInstanceRan(t *testing.T) {
+	f := newFragile(t)
+	g, n := suspectGuard(t, f.listener.Addr().String())
+	waits := make(chan msg.Message, 1)
+	go func() { waits <- send(t, g, "/wait", 5) }()
+	for len(g.all()[0].underWay()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	fail, ok := send(t, g, "/end", 7).(*msg.Fail)
+	assert.Assert(t, ok)
+	assert.Equal(t, fail.Reason, verdict.ReasonTargetEnded)
+	assert.Equal(t, fail.Verdict, verdict.MayHaveRun)
+	e := <-n.ends
+	assert.DeepEqual(t, e.Prints, []crash.Print{7, 5})
+	assert.Equal(t, e.Software, crash.Software{Service: "s", Version: "1"})
+	assert.Equal(t, (<-waits).(*msg.Fail).Reason, verdict.ReasonTargetEnded)
+	assert.Equal(t, len(n.ends), 0, "one end is told once")
+}
+
+// A broken connection is no end where the instance goes on taking others.
+func TestABrokenConnectionIsNoEnd(t *testing.T) {
+	f := newFragile(t)
+	g, n := suspectGuard(t, f.listener.Addr().String())
+	fail, ok := send(t, g, "/break", 7).(*msg.Fail)
+	assert.Assert(t, ok)
+	assert.Equal(t, fail.Reason, verdict.ReasonTargetBroke)
+	assert.Equal(t, len(n.ends), 0)
+}
+
+// What has completed at the instance before did not end it.
+func TestAPathThatCompletesIsNotSuspected(t *testing.T) {
+	f := newFragile(t)
+	g, n := suspectGuard(t, f.listener.Addr().String())
+	_, whole := send(t, g, "/", 5).(*msg.End)
+	assert.Assert(t, whole)
+	go send(t, g, "/wait", 5)
+	for len(g.all()[0].underWay()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	send(t, g, "/end", 7)
+	assert.DeepEqual(t, (<-n.ends).Prints, []crash.Print{7})
+}
+
+// A request that has ended three instances anywhere reaches none here, whatever its
+// guard's queue; one that completes here is cleared of what it was suspected of.
+func TestAStoppedRequestReachesNoInstance(t *testing.T) {
+	f := newFragile(t)
+	g, n := suspectGuard(t, f.listener.Addr().String())
+	software := crash.Software{Service: "s", Version: "1"}
+	for _, id := range []string{"a", "b", "c"} {
+		g.HearEnd(crash.End{ID: id, Software: software, Prints: []crash.Print{7}})
+	}
+	g.HearEnd(crash.End{ID: "d", Software: software, Prints: []crash.Print{5}})
+	fail, ok := send(t, g, "/end", 7).(*msg.Fail)
+	assert.Assert(t, ok)
+	assert.Equal(t, fail.Reason, verdict.ReasonCrashesTargets)
+	assert.Equal(t, fail.Verdict, verdict.NotRun)
+	assert.Assert(t, fail.RetryAfterMS > 60_000)
+	_, whole := send(t, g, "/", 5).(*msg.End)
+	assert.Assert(t, whole, "one end stops nothing")
+	assert.Equal(t, <-n.cleared, "d")
+	assert.Equal(t, g.Suspect(5).Ends, 0)
+}
+
+func BenchmarkNobodySuspected(b *testing.B) {
+	g := New(Config{}, Limits{}, slog.New(slog.NewTextHandler(io.Discard, nil)), openFence{}, Hooks{})
+	b.ReportAllocs()
+	for b.Loop() {
+		if v := g.Suspect(7); v.Everywhere(time.Time{}) {
+			b.Fatal("stopped")
+		}
+	}
+}
--- a/internal/guard/trail.go
+++ b/internal/guard/trail.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/verdict"
@@ -57,3 +58,12 @@
 	event.Log(i.guard.log, event.InstanceTurned, slog.String("instance", i.name), slog.String("service", i.service),
 		slog.Float64("was", was/msg.Thousandths), slog.Float64("sick", now.SickChance()))
 }
+
+// logStopped tells of requests that are kept from instances from now on.
+func (g *Guard) logStopped(prints []crash.Print) {
+	for _, p := range prints {
+		v := g.Suspect(p)
+		event.Log(g.log, event.RequestStopped, slog.String("print", p.String()), slog.Int("ends", v.Ends),
+			slog.String("service", v.Ended[0].Service), slog.Time("until", v.Until))
+	}
+}
--- a/internal/msg/control.go
+++ b/internal/msg/control.go
@@ -4,6 +4,7 @@
 
 //msgp:limit arrays:1200000 maps:64
 //msgp:tuple Rumor Digest Buckets Versions VersionItem Pull Snapshot Entry
+//msgp:tuple InstanceEnd
 //msgp:tuple Report ReportRejected Note Packet HostInstance HostState
 
 // Entry is one versioned entry of a replicated set.
@@ -23,6 +24,9 @@
 	SetRecords SetID = iota
 	// SetHosts holds what each host says of itself.
 	SetHosts
+	// SetEnds holds the ends of instances with what they ran, and what requests were
+	// cleared of.
+	SetEnds
 	// Sets is the number of replicated sets.
 	Sets
 )
@@ -145,6 +149,17 @@
 	Instances   []HostInstance `msg:"instances,limit=256"`
 }
 
+// InstanceEnd is the end of one start of an instance.
+type InstanceEnd struct {
+	Service string
+	// SoftwareVersion is that of the instance's software.
+	SoftwareVersion string
+	// AtMS is when it was noticed, in Unix milliseconds of the host that did.
+	AtMS int64
+	// Prints are the requests that it ran, see crash.Print.
+	Prints []uint64 `msg:"prints,limit=256"`
+}
+
 // Report tells the host that sums up a data centre what the sender has in
 // force.
 type Report struct {
--- a/internal/msg/control_gen.go
+++ b/internal/msg/control_gen.go
@@ -415,6 +415,80 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *InstanceEnd) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendString(o, z.Service)
+	o = msgp.AppendString(o, z.SoftwareVersion)
+	o = msgp.AppendInt64(o, z.AtMS)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Prints)))
+	for za0001 := range z.Prints {
+		o = msgp.AppendUint64(o, z.Prints[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *InstanceEnd) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Service, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Service")
+		return
+	}
+	z.SoftwareVersion, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "SoftwareVersion")
+		return
+	}
+	z.AtMS, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AtMS")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Prints")
+		return
+	}
+	if zb0002 > 256 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Prints) >= int(zb0002) {
+		z.Prints = (z.Prints)[:zb0002]
+	} else {
+		z.Prints = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Prints {
+		z.Prints[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Prints", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *InstanceEnd) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.SoftwareVersion) + msgp.Int64Size + msgp.ArrayHeaderSize + (len(z.Prints) * (msgp.Uint64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Note) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/msg/requests.go
+++ b/internal/msg/requests.go
@@ -104,6 +104,9 @@
 	// is a hash of its route's name: together they tell which routes are calls.
 	Idle  bool
 	Route uint32
+	// Print is what the request is known by when it comes again, see crash.Print; 0 is
+	// nothing.
+	Print uint64
 }
 
 // Reserve asks a guard for a slot before a request that is not idempotent.
--- a/internal/msg/requests_gen.go
+++ b/internal/msg/requests_gen.go
@@ -16,8 +16,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Aim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint32(o, z.ObjectiveMS)
 	o = msgp.AppendUint32(o, z.UsedMS)
 	o = msgp.AppendUint32(o, z.ExpectMS)
@@ -27,6 +27,7 @@
 	o = msgp.AppendUint16(o, z.CallPart)
 	o = msgp.AppendBool(o, z.Idle)
 	o = msgp.AppendUint32(o, z.Route)
+	o = msgp.AppendUint64(o, z.Print)
 	return
 }
 
@@ -38,8 +39,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.ObjectiveMS, bts, err = msgp.ReadUint32Bytes(bts)
@@ -87,13 +88,18 @@
 		err = msgp.WrapError(err, "Route")
 		return
 	}
+	z.Print, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Print")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Aim) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.Uint16Size + msgp.BoolSize + msgp.Uint32Size
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.Uint16Size + msgp.BoolSize + msgp.Uint32Size + msgp.Uint64Size
 	return
 }
 
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -133,6 +133,27 @@
 	return newConn(nc), nil
 }
 
+// Probe makes one new connection, to see whether the target takes any, and keeps it
+// for the next request. A pool at its bound cannot tell, which is no error.
+func (p *Pool) Probe(ctx context.Context) error {
+	p.mu.Lock()
+	full := p.held >= p.cfg.MaxConns
+	if !full {
+		p.held++
+	}
+	p.mu.Unlock()
+	if full {
+		return nil
+	}
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	c.idleUntil = time.Now().Add(p.cfg.Idle)
+	p.put(c)
+	return nil
+}
+
 // put keeps a connection for the next request.
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -67,6 +67,8 @@
 	ReasonTargetShed     Reason = "target-shed"
 	ReasonRetryBudget    Reason = "retry-budget"
 	ReasonTargetBroke    Reason = "target-broke"
+	ReasonTargetEnded    Reason = "target-ended"
+	ReasonCrashesTargets Reason = "crashes-targets"
 	ReasonAnswerMismatch Reason = "answer-mismatch"
 	ReasonLinkLost       Reason = "link-lost"
 	ReasonCancelled      Reason = "cancelled"
