--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -35,7 +35,9 @@
 	target      *target.Server
 }
 
-func startPair(tb testing.TB) *pair {
+// startPlatform starts a stand-in of the platform with one service "s" that all
+// requests go to, and gives its address.
+func startPlatform(tb testing.TB) string {
 	tb.Helper()
 	server := platformd.NewServer()
 	web := httptest.NewServer(server.Handler())
@@ -50,17 +52,29 @@
 	}
 	put(record.Key{Kind: record.KindService, Name: "s"}, &record.Service{Office: "o", Preset: record.PresetCareful, Floor: record.Floor{Percent: 50}})
 	put(record.Key{Kind: record.KindRoute, Name: "r"}, &record.Route{PathPrefix: "/", Service: "s"})
+	return web.URL
+}
+
+// startDaemons starts two daemons on a platform.
+func startDaemons(tb testing.TB, platform string) []*Daemon {
+	tb.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	var daemons []*Daemon
 	for i := range 2 {
 		cfg := settings.Default()
-		cfg.Host, cfg.DC, cfg.Platform = fmt.Sprintf("h%d", i), "dc", web.URL
+		cfg.Host, cfg.DC, cfg.Platform = fmt.Sprintf("h%d", i), "dc", platform
 		cfg.Callers, cfg.Peer, cfg.Announce, cfg.Admin = freeAddr(tb), freeAddr(tb), freeAddr(tb), freeAddr(tb)
 		cfg.DrainTimeout = 10 * time.Second
 		d, err := Start(cfg, OwnPorts(cfg), log)
 		assert.NilError(tb, err)
 		daemons = append(daemons, d)
 	}
+	return daemons
+}
+
+func startPair(tb testing.TB) *pair {
+	tb.Helper()
+	daemons := startDaemons(tb, startPlatform(tb))
 	t, err := target.Start(target.Config{Name: "t", Service: "s", Address: "127.0.0.1:0", Announce: daemons[1].cfg.Load().Announce, Slots: 256})
 	assert.NilError(tb, err)
 	tb.Cleanup(func() {
