Requests that are stopped outlive the loss of all processes

What callers would see: after such a loss a request that was stopped ends instances again, until three more are gone.

Cause: what the fleet knew of ends lived in its processes alone. Class: state that must last kept where nothing lasts.

Change: one host, that of the last end by name, writes a Crasher record to the platform, named by the print, with what the request looked like and the ends that it explains; it tries until the platform takes it. Each host reads it with the whole list that it reads at its start, so that no call is added, and peers spread it like any record. Deleting it lifts the stop everywhere. The first host of a data centre removes records older than ends are remembered.

Why it holds: a host serves nobody before it has the whole list; a record in that list stops the request before the first caller.

Ruled out: writing each end (a write a crash, in a storm the budget of calls); verdicts instead of ends (hosts would disagree on what a later end adds).

Before and after: TestAStoppedRequestStaysStoppedOverALossOfAllProcesses failed (the request ended one more instance), passes.

--- a/internal/cli/records.go
+++ b/internal/cli/records.go
@@ -104,6 +104,8 @@
 		return fmt.Sprintf("data centre %s, peers at %s, admin at %s", s.DC, s.Peer, s.Admin)
 	case *record.Status:
 		return fmt.Sprintf("%d hosts, summed by %s", s.Hosts, s.Writer)
+	case *record.Crasher:
+		return fmt.Sprintf("%s, ended %d instances of %s", s.Request, len(s.Ends), s.Ends[0].Service)
 	case *record.ShardMap:
 		return fmt.Sprintf("%d shards, %d guards", len(s.Shards), len(s.Guards))
 	default:
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -59,6 +59,9 @@
 	// requests were cleared of. They must not block.
 	Ended   func(crash.End)
 	Cleared func(end string, p crash.Print)
+	// Lifted is called with a request that may run again by an operator's word. It must
+	// not block.
+	Lifted func(p crash.Print)
 	// Synced is called once the shard maps were read from the platform.
 	Synced func()
 }
@@ -108,6 +111,8 @@
 	traffic Traffic
 	// pulses says who is told of instances.
 	pulses *pulse.Spread
+	// unkept are the requests that are stopped and do not stand in the platform yet.
+	unkept unkept
 	// endsSwept is when old ends were dropped last.
 	endsSwept time.Time
 	// unreadLines bounds the lines about objects that cannot be read.
@@ -188,6 +193,7 @@
 	start(c.tickLoop)
 	start(c.writeStatus)
 	start(c.sweepHosts)
+	start(c.keepCrashers)
 	<-ctx.Done()
 	_ = c.udp.Close()
 	wg.Wait()
--- /dev/null
+++ b/internal/control/crashers.go
@@ -0,0 +1,166 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/crash"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/internal/sleep"
+	"github.com/radishhoist/radishhoist/record"
+)
+
+// keepInterval is how often it is looked for stopped requests that are to be kept, and
+// the pause after the platform has failed to take one.
+const keepInterval = 500 * time.Millisecond
+
+// unkept holds stopped requests until they stand in the platform.
+type unkept struct {
+	mu      sync.Mutex
+	byPrint map[crash.Print]*record.Crasher
+}
+
+// Keep has a stopped request kept in the platform, so that a loss of all processes does
+// not forget it. It does not wait for that.
+func (c *Control) Keep(p crash.Print, request string, ends []crash.End) {
+	r := &record.Crasher{Request: request}
+	for _, e := range ends {
+		r.Ends = append(r.Ends, record.InstanceEnd{ID: e.ID, Service: e.Software.Service, Version: e.Software.Version, AtMS: e.At.UnixMilli()})
+	}
+	c.unkept.mu.Lock()
+	defer c.unkept.mu.Unlock()
+	if c.unkept.byPrint == nil {
+		c.unkept.byPrint = make(map[crash.Print]*record.Crasher)
+	}
+	c.unkept.byPrint[p] = r
+}
+
+// next gives one request that is to be kept; false for none.
+func (u *unkept) next() (crash.Print, *record.Crasher, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for p, r := range u.byPrint {
+		return p, r, true
+	}
+	return 0, nil, false
+}
+
+func (u *unkept) done(p crash.Print) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.byPrint, p)
+}
+
+// keepCrashers writes stopped requests to the platform, however often it fails.
+func (c *Control) keepCrashers(ctx context.Context) {
+	for sleep.For(ctx, keepInterval) {
+		for p, r, ok := c.unkept.next(); ok; p, r, ok = c.unkept.next() {
+			if c.keepCrasher(ctx, p, r) != nil {
+				break
+			}
+			c.unkept.done(p)
+		}
+	}
+}
+
+// keepCrasher writes one record. One that stands there already says the same.
+func (c *Control) keepCrasher(ctx context.Context, p crash.Print, r *record.Crasher) error {
+	key := record.Key{Kind: record.KindCrasher, Name: p.String()}
+	value, err := record.Marshal(key, r)
+	if err != nil {
+		return err
+	}
+	_, err = c.store.Put(ctx, key, value, 0)
+	var conflict *objects.ConflictError
+	if errors.As(err, &conflict) {
+		return nil
+	}
+	return err
+}
+
+// applyCrasher takes a stopped request from the platform, or that it may run again. The
+// caller holds the lock.
+func (c *Control) applyCrasher(e msg.Entry) {
+	if e.Kind != string(record.KindCrasher) {
+		return
+	}
+	print, err := strconv.ParseUint(e.Name, 16, 64)
+	if err != nil {
+		c.refuseEnd(time.Now(), e, err)
+		return
+	}
+	p := crash.Print(print)
+	if e.Deleted {
+		c.hooks.Lifted(p)
+		c.clearEnds(p)
+		return
+	}
+	r, ok := c.records.inForce[record.Key{Kind: record.KindCrasher, Name: e.Name}]
+	if !ok {
+		return // refused, with a line of its own
+	}
+	for _, end := range r.Spec.(*record.Crasher).Ends {
+		if time.Since(time.UnixMilli(end.AtMS)) > crash.Keep {
+			continue
+		}
+		c.hooks.Ended(crash.End{
+			ID: end.ID, Software: crash.Software{Service: end.Service, Version: end.Version},
+			At: time.UnixMilli(end.AtMS), Prints: []crash.Print{p},
+		})
+	}
+}
+
+// clearEnds clears a request of all ends, for hosts that hear of them later. All hosts
+// that do so write the same, so that it spreads once. The caller holds the lock.
+func (c *Control) clearEnds(p crash.Print) {
+	var cleared []msg.Entry
+	c.replica.Set(msg.SetEnds).Each(func(e msg.Entry) {
+		if e.Kind != endKind {
+			return
+		}
+		if end, err := readEnd(e); err == nil && slices.Contains(end.Prints, p) {
+			cleared = append(cleared, clearedEntry(e.Name, p, e.Version))
+		}
+	})
+	c.replica.Local(c.peers(), msg.SetEnds, cleared)
+}
+
+func clearedEntry(end string, p crash.Print, version int64) msg.Entry {
+	return msg.Entry{Kind: clearedKind, Name: end + printStart + p.String(), Version: version}
+}
+
+// endVersion is the version of an end, now for one that is not known here. The caller
+// holds the lock.
+func (c *Control) endVersion(end string, now time.Time) int64 {
+	if e, ok := c.replica.Set(msg.SetEnds).Get(config.Key{Kind: endKind, Name: end}); ok {
+		return e.Version
+	}
+	return now.UnixMilli()
+}
+
+// forgottenCrashers lists the records of requests whose ends are no longer remembered,
+// where this host is the first of its data centre. The caller holds the lock.
+func (c *Control) forgottenCrashers(now time.Time) map[record.Key]int64 {
+	out := make(map[record.Key]int64)
+	if c.rank() != 0 {
+		return out
+	}
+	for key, r := range c.records.inForce {
+		s, ok := r.Spec.(*record.Crasher)
+		if !ok {
+			continue
+		}
+		last := slices.MaxFunc(s.Ends, func(x, y record.InstanceEnd) int { return int(x.AtMS - y.AtMS) })
+		if now.Sub(time.UnixMilli(last.AtMS)) > crash.Keep {
+			out[key] = r.Version
+		}
+	}
+	return out
+}
--- a/internal/control/ends.go
+++ b/internal/control/ends.go
@@ -39,7 +39,10 @@
 
 // TellCleared tells all hosts that a request had no part in an end.
 func (c *Control) TellCleared(end string, p crash.Print) {
-	c.tellEnds(msg.Entry{Kind: clearedKind, Name: end + printStart + p.String(), Version: time.Now().UnixMilli()})
+	c.mu.Lock()
+	version := c.endVersion(end, time.Now())
+	c.mu.Unlock()
+	c.tellEnds(clearedEntry(end, p, version))
 }
 
 func (c *Control) tellEnds(e msg.Entry) {
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -31,6 +31,7 @@
 			c.applyHost(now, a.Entry)
 		case msg.SetRecords:
 			c.records.apply(c.log, a.Entry, a.From)
+			c.applyCrasher(a.Entry)
 		case msg.SetEnds:
 			c.applyEnd(now, a.Entry)
 			continue
--- a/internal/control/janitor.go
+++ b/internal/control/janitor.go
@@ -67,14 +67,19 @@
 	return out
 }
 
-// sweepHosts removes the records of hosts that are gone for good, each on the
-// condition that nobody has written it since.
+// sweepHosts removes the records of hosts that are gone for good and of requests that
+// are forgotten, each on the condition that nobody has written it since.
 func (c *Control) sweepHosts(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep.For(ctx, janitorInterval)
 		c.mu.Lock()
 		gone := c.goneHosts(time.Now())
+		forgotten := c.forgottenCrashers(time.Now())
 		c.mu.Unlock()
+		for key, version := range forgotten {
+			// A conflict means that another data centre's first host was sooner.
+			_, _ = c.store.Delete(ctx, key, version)
+		}
 		for name, version := range gone {
 			// A conflict means that the host is back.
 			_, _ = c.store.Delete(ctx, record.Key{Kind: record.KindHost, Name: name}, version)
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -27,6 +27,7 @@
 var replicated = map[record.Kind]bool{
 	record.KindService: true, record.KindRoute: true, record.KindTeam: true,
 	record.KindStop: true, record.KindShardMap: true, record.KindConfiguration: true,
+	record.KindCrasher: true,
 }
 
 // watch joins the fleet and then, while this host ranks among its data
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -170,15 +170,15 @@
 	return true
 }
 
-// Suspected lists the ends of some software for which a request is suspected.
-func (b *Book) Suspected(p Print, s Software) []string {
-	var out []string
-	for id, e := range b.ends {
-		if e.Software == s && b.blames(e, p) {
-			out = append(out, id)
+// EndsOf lists the ends that a request is suspected of, in order of their names.
+func (b *Book) EndsOf(p Print) []End {
+	var out []End
+	for _, e := range b.ends {
+		if b.blames(e, p) {
+			out = append(out, e.End)
 		}
 	}
-	slices.Sort(out)
+	slices.SortFunc(out, func(x, y End) int { return cmp.Compare(x.ID, y.ID) })
 	return out
 }
 
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -67,22 +67,12 @@
 	now := start.Add(3 * time.Second)
 	v := verdictAt(b, 3, 7)
 	assert.Assert(t, v.Stopped(now, v1))
-	for _, end := range b.Suspected(7, v1) {
-		assert.Assert(t, b.Clear(now, end, 7))
-		assert.Assert(t, !b.Clear(now, end, 7), "once is news")
+	for _, e := range b.EndsOf(7) {
+		assert.Assert(t, b.Clear(now, e.ID, 7))
+		assert.Assert(t, !b.Clear(now, e.ID, 7), "once is news")
 	}
 	assert.Equal(t, verdictAt(b, 3, 7).Ends, 0)
-	assert.Equal(t, len(b.Suspected(7, v1)), 0)
-}
-
-// What completes at one version says nothing of another that it ends.
-func TestOneVersionIsNotClearedByAnother(t *testing.T) {
-	b := NewBook()
-	for second := range 3 {
-		add(b, second, v2, 7)
-	}
-	assert.Equal(t, len(b.Suspected(7, v1)), 0)
-	assert.Equal(t, len(b.Suspected(7, v2)), 3)
+	assert.Equal(t, len(b.EndsOf(7)), 0)
 }
 
 // Software that it has not ended is tried after a while, that which it has ended later,
--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -118,6 +118,11 @@
 //
 // Order of events: a request ends three instances and is stopped. All processes end and
 // start again. The request comes once more.
+//
+// Cause: hosts keep nothing, and what the fleet knew of ends lived in its processes alone.
+//
+// Evidence: before the platform kept it, the request ended the instance that it met
+// after the loss.
 func TestAStoppedRequestStaysStoppedOverALossOfAllProcesses(t *testing.T) {
 	platform := startPlatform(t)
 	var ran atomic.Int64
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,6 +107,7 @@
 		Pulse:   d.pulse,
 		Ended:   func(e crash.End) { d.control.TellEnd(e) },
 		Cleared: func(end string, p crash.Print) { d.control.TellCleared(end, p) },
+		Stopped: func(s guard.Stopped) { d.control.Keep(s.Print, s.Request, s.Ends) },
 	})
 	d.control = control.New(controlConfig(cfg, ports.Needs, d.started), control.Hooks{
 		Directory: d.setDirectory,
@@ -114,6 +115,7 @@
 		Pulse:     func(p *msg.Pulse) { d.front.HearPulse(p) },
 		Ended:     d.guard.HearEnd,
 		Cleared:   d.guard.HearCleared,
+		Lifted:    d.guard.Lift,
 		Synced:    d.keys.Synced,
 	}, store, log)
 	d.front = front.New(front.Config{
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,7 +41,8 @@
 		}
 	}()
 	started := time.Now()
-	x.inst.start(started, x.waiter)
+	path, _, _ := strings.Cut(m.URI, "?")
+	x.inst.start(started, x.waiter, m.Method+" "+m.Host+path)
 	run := x.guard.repeats.begin(started, x.inst.service, x.held, m.Idempotent, x.aim)
 	if !x.held {
 		x.callPart = run.part
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -68,6 +68,9 @@
 	// tells nobody.
 	Ended   func(e crash.End)
 	Cleared func(end string, p crash.Print)
+	// Stopped is called on one host of the fleet with a request that is kept from
+	// instances, which must outlive all processes. It must not block. Nil tells nobody.
+	Stopped func(Stopped)
 }
 
 // Guard holds the instances of one host. It is safe for concurrent use.
@@ -92,6 +95,7 @@
 	changed func()
 	ended   func(crash.End)
 	cleared func(string, crash.Print)
+	stopped func(Stopped)
 	// suspects are the requests that may end the instances that run them.
 	suspects *suspects
 
@@ -113,7 +117,7 @@
 func New(cfg Config, limits Limits, log *slog.Logger, fence Fence, hooks Hooks) *Guard {
 	g := &Guard{
 		cfg: cfg, log: log, fence: fence, changed: hooks.Changed, pulse: hooks.Pulse, model: chance.Default(), counts: newCounters(),
-		ended: hooks.Ended, cleared: hooks.Cleared, suspects: newSuspects(),
+		ended: hooks.Ended, cleared: hooks.Cleared, stopped: hooks.Stopped, suspects: newSuspects(),
 		repeats:   newRepeats(),
 		book:      announce.NewBook(),
 		instances: make(map[string]*instance),
@@ -125,6 +129,9 @@
 	if g.cleared == nil {
 		g.cleared = func(string, crash.Print) {}
 	}
+	if g.stopped == nil {
+		g.stopped = func(Stopped) {}
+	}
 	g.limits.Store(&limits)
 	return g
 }
--- a/internal/guard/suspects.go
+++ b/internal/guard/suspects.go
@@ -35,13 +35,16 @@
 	book *crash.Book
 	// verdicts are read by every request, without the lock.
 	verdicts atomic.Pointer[crash.Verdicts]
+	// own are the ends of this host's instances: what each request looked like that ran
+	// there.
+	own map[string]map[crash.Print]string
 	// completed holds requests that have completed here, by hash: they do not end
 	// instances of that software.
 	completed [completedSlots]atomic.Uint64
 }
 
 func newSuspects() *suspects {
-	s := &suspects{book: crash.NewBook()}
+	s := &suspects{book: crash.NewBook(), own: make(map[string]map[crash.Print]string)}
 	s.verdicts.Store(&crash.Verdicts{})
 	return s
 }
@@ -69,11 +72,33 @@
 	return stopped
 }
 
-// suspected lists the ends of some software for which a request is suspected.
-func (s *suspects) suspected(p crash.Print, software crash.Software) []string {
+// endsOf lists the ends for which a request is suspected.
+func (s *suspects) endsOf(p crash.Print) []crash.End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.Suspected(p, software)
+	return s.book.EndsOf(p)
+}
+
+// maxOwn bounds the own ends whose requests are remembered.
+const maxOwn = 64
+
+// remember keeps what the requests of an own end looked like.
+func (s *suspects) remember(end string, looks map[crash.Print]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.own) >= maxOwn {
+		clear(s.own)
+	}
+	s.own[end] = looks
+}
+
+// look gives what a request looked like at an own end; false where the end is not one
+// of this host's.
+func (s *suspects) look(end string, p crash.Print) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	looks, ok := s.own[end]
+	return looks[p], ok
 }
 
 // slot is where a completed request is remembered, and the mark that it has there.
@@ -86,13 +111,49 @@
 // HearEnd takes the end of an instance of any host.
 func (g *Guard) HearEnd(e crash.End) {
 	now := time.Now()
-	g.logStopped(g.suspects.change(now, func(b *crash.Book) bool { return b.Add(now, e) }))
+	g.stop(g.suspects.change(now, func(b *crash.Book) bool { return b.Add(now, e) }))
 }
 
 // HearCleared takes the word that a request had no part in an end.
 func (g *Guard) HearCleared(end string, p crash.Print) {
 	now := time.Now()
-	g.logStopped(g.suspects.change(now, func(b *crash.Book) bool { return b.Clear(now, end, p) }))
+	g.stop(g.suspects.change(now, func(b *crash.Book) bool { return b.Clear(now, end, p) }))
+}
+
+// Lift clears a request of all ends that are known here: it may run again.
+func (g *Guard) Lift(p crash.Print) {
+	for _, e := range g.suspects.endsOf(p) {
+		g.HearCleared(e.ID, p)
+	}
+}
+
+// stop tells of requests that are stopped from now on.
+func (g *Guard) stop(prints []crash.Print) {
+	for _, p := range prints {
+		g.logStopped(p)
+		g.keep(p)
+	}
+}
+
+// keep has a stopped request kept where this host is that of its end which is the last
+// by name, so that one host does.
+func (g *Guard) keep(p crash.Print) {
+	ends := g.suspects.endsOf(p)
+	if len(ends) == 0 {
+		return // cleared meanwhile
+	}
+	if look, own := g.suspects.look(ends[len(ends)-1].ID, p); own {
+		g.stopped(Stopped{Print: p, Request: look, Ends: ends})
+	}
+}
+
+// Stopped is a request that is kept from instances.
+type Stopped struct {
+	Print crash.Print
+	// Request is the request as this host saw it: method, host and path.
+	Request string
+	// Ends are those that it explains.
+	Ends []crash.End
 }
 
 // Suspect gives what is known of a request that may end the instances that run it.
@@ -135,9 +196,11 @@
 	if s.verdict(x.print).Ends == 0 {
 		return
 	}
-	for _, end := range s.suspected(x.print, software) {
-		x.guard.HearCleared(end, x.print)
-		x.guard.cleared(end, x.print)
+	for _, e := range s.endsOf(x.print) {
+		if e.Software == software {
+			x.guard.HearCleared(e.ID, x.print)
+			x.guard.cleared(e.ID, x.print)
+		}
 	}
 }
 
@@ -176,12 +239,14 @@
 	software := i.software()
 	e := crash.End{ID: endID(i.name, i.started), Software: software, At: now}
 	var requests []string
+	looks := make(map[crash.Print]string)
 	for _, w := range i.underWay() {
 		if slot, mark := i.guard.suspects.slot(w.print, software); slot.Load() == mark {
 			continue
 		}
 		e.Prints = append(e.Prints, w.print)
 		requests = append(requests, w.request)
+		looks[w.print] = w.look
 	}
 	event.Log(i.guard.log, event.InstanceEnded, slog.String("instance", i.name), slog.String("service", software.Service),
 		slog.String("version", software.Version), slog.Int("suspects", len(e.Prints)), slog.Any("requests", requests[:min(len(requests), maxNamed)]))
@@ -189,8 +254,16 @@
 		return
 	}
 	e.Prints = e.Prints[:min(len(e.Prints), crash.MaxPrints)]
+	i.guard.suspects.remember(e.ID, looks)
 	i.guard.HearEnd(e)
 	i.guard.ended(e)
+	for _, p := range e.Prints {
+		// One that was stopped while it ran here: the hosts of the earlier ends may
+		// each have left it to this one to keep.
+		if v := i.guard.Suspect(p); !v.Until.IsZero() {
+			i.guard.keep(p)
+		}
+	}
 }
 
 // unsent marks a request that was proved not to have run: it had no part in an end.
--- a/internal/guard/trail.go
+++ b/internal/guard/trail.go
@@ -59,11 +59,8 @@
 		slog.Float64("was", was/msg.Thousandths), slog.Float64("sick", now.SickChance()))
 }
 
-// logStopped tells of requests that are kept from instances from now on.
-func (g *Guard) logStopped(prints []crash.Print) {
-	for _, p := range prints {
-		v := g.Suspect(p)
-		event.Log(g.log, event.RequestStopped, slog.String("print", p.String()), slog.Int("ends", v.Ends),
-			slog.String("service", v.Ended[0].Service), slog.Time("until", v.Until))
-	}
+// logStopped tells of a request that is kept from instances from now on.
+func (g *Guard) logStopped(p crash.Print) {
+	v := g.Suspect(p)
+	event.Log(g.log, event.RequestStopped, slog.String("print", p.String()), slog.Int("ends", v.Ends), slog.Time("until", v.Until))
 }
--- a/record/record.go
+++ b/record/record.go
@@ -30,6 +30,8 @@
 	KindHost          Kind = "Host"
 	KindShardMap      Kind = "ShardMap"
 	KindStatus        Kind = "Status"
+	// KindCrasher is a request that ends the instances that run it.
+	KindCrasher Kind = "Crasher"
 )
 
 // OperatorKinds are the kinds that operators write, in display order.
@@ -66,12 +68,12 @@
 // ParseKind accepts a kind in any case, singular or plural.
 func ParseKind(s string) (Kind, error) {
 	want := strings.TrimSuffix(strings.ToLower(s), "s")
-	for _, k := range append(OperatorKinds, KindHost, KindShardMap, KindStatus) {
+	for _, k := range append(OperatorKinds, KindHost, KindShardMap, KindStatus, KindCrasher) {
 		if strings.TrimSuffix(strings.ToLower(string(k)), "s") == want {
 			return k, nil
 		}
 	}
-	return "", errors.Errorf("unknown kind %q: want service, route, team, stop, configuration, host, shardmap or status", s)
+	return "", errors.Errorf("unknown kind %q: want service, route, team, stop, configuration, host, shardmap, status or crasher", s)
 }
 
 // Spec is the typed content of a record.
--- a/record/schema.go
+++ b/record/schema.go
@@ -53,6 +53,8 @@
 		return &Host{}
 	case KindShardMap:
 		return &ShardMap{}
+	case KindCrasher:
+		return &Crasher{}
 	default:
 		return &Status{}
 	}
--- a/record/system.go
+++ b/record/system.go
@@ -57,6 +57,39 @@
 	}
 }
 
+// Crasher is a request that has ended the instances that ran it, named by its print. The
+// system writes it once the request is stopped, so that a loss of all processes does
+// not forget it, and removes it when it is forgotten. An operator who deletes it lets
+// the request run again.
+type Crasher struct {
+	// Request is the request as it last ended an instance: method, host and path.
+	Request string `json:"request"`
+	// Ends are the ends of instances that it explains.
+	Ends []InstanceEnd `json:"ends"`
+}
+
+// InstanceEnd is the end of one start of an instance.
+type InstanceEnd struct {
+	// ID names the start in the fleet.
+	ID string `json:"id"`
+	// Service and Version are those of the instance.
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// AtMS is when it was noticed, in Unix milliseconds.
+	AtMS int64 `json:"atMS"`
+}
+
+func (c *Crasher) validate(f *faults) {
+	if len(c.Ends) == 0 {
+		f.add("ends", "is empty", "the system writes this record itself; delete it")
+	}
+	for _, e := range c.Ends {
+		if e.ID == "" {
+			f.add("ends", "has one without id", "the system writes this record itself; delete it")
+		}
+	}
+}
+
 // Status is one data centre's summary of what is in force, written by one of
 // its hosts.
 type Status struct {
