Requests that crash their targets together are all stopped

What callers would see: ten such requests at once on one service; of 200, four reached instances 4 or 5 times more than 3 s after their third end.

Cause: an end was held against one request alone, the one with the most ends. Where several run beside each other, each end of the second was explained by the first.

Change: a request with part in three ends is stopped as soon as one of them is explained by nothing else that is stopped; the loop is one greedy cover of the ends now.

Also: the emulator plays losses for other reasons and paths that all requests of a kind share, and counts innocent requests that were stopped. Scenarios at 24, 91 and 354 hosts.

Ruled out: counting all ends for all requests (innocent ones that ran beside).

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -220,26 +220,25 @@
 	return first.ID
 }
 
-// Verdicts gives what is known of each suspected request. The request with part
-// in the most ends explains them, which clears all that ran beside it; then the
-// next, as long as there are StopAfter ends. What is left suspects without
-// stopping.
+// Verdicts gives what is known of each suspected request. Of those with part in
+// StopAfter ends the one that explains the most is stopped, which clears all that
+// ran beside it; then the one that explains most of the rest, and so on. One end
+// that nothing else explains is enough: where several such requests come at once,
+// each runs beside others. What is left suspects without stopping.
 func (b *Book) Verdicts(now time.Time) Verdicts {
 	b.forget(now)
-	left := b.byPrint()
+	all, left := b.byPrint(), b.byPrint()
 	out := make(Verdicts)
-	for len(left) > 0 {
-		worst, ends := most(left)
-		if len(ends) < StopAfter {
+	for {
+		worst, found := most(all, left)
+		if !found {
 			break
 		}
-		out[worst] = stopped(ends)
-		explain(left, ends)
+		out[worst] = stopped(all[worst])
+		explain(left, all[worst])
 	}
 	for p, ends := range left {
-		if _, found := out[p]; !found && len(ends) > 0 {
-			out[p] = Verdict{Ends: len(ends)}
-		}
+		out[p] = Verdict{Ends: len(ends)}
 	}
 	return out
 }
@@ -257,17 +256,19 @@
 	return out
 }
 
-// most finds the request with the most ends; of equals the one whose print is
-// least, which is the same on every host.
-func most(left map[Print][]*entry) (Print, []*entry) {
-	var worst Print
-	var ends []*entry
-	for p, list := range left {
-		if len(list) > len(ends) || len(list) == len(ends) && p < worst {
-			worst, ends = p, list
+// most finds the request that explains the most ends of those left, among the ones
+// with part in StopAfter ends; of equals the one whose print is least, which is the
+// same on every host.
+func most(all, left map[Print][]*entry) (worst Print, found bool) {
+	for p, ends := range left {
+		if len(all[p]) < StopAfter {
+			continue
+		}
+		if !found || len(ends) > len(left[worst]) || len(ends) == len(left[worst]) && p < worst {
+			worst, found = p, true
 		}
 	}
-	return worst, ends
+	return worst, found
 }
 
 // explain takes ends off every request that was suspected of them.
@@ -286,7 +287,7 @@
 	}
 }
 
-// stopped is the verdict on a request that explains some ends.
+// stopped is the verdict on a request that has part in some ends.
 func stopped(ends []*entry) Verdict {
 	v := Verdict{Ends: len(ends)}
 	last := slices.MaxFunc(ends, func(x, y *entry) int { return x.heard.Compare(y.heard) }).heard
--- a/internal/fleetsim/callers.go
+++ b/internal/fleetsim/callers.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sync"
 	"time"
+
+	"github.com/radishhoist/radishhoist/verdict"
 )
 
 // callers sends the requests of every kind and waits for their ends.
@@ -23,6 +26,9 @@
 			}()
 		}
 	}
+	for _, l := range f.site.Losses {
+		time.AfterFunc(l.At, func() { f.lose(l) })
+	}
 	for _, c := range f.site.Crashers {
 		wg.Add(1)
 		rng := f.newRand()
@@ -43,6 +49,7 @@
 	o.Late += other.Late
 	o.Refused += other.Refused
 	o.Failed += other.Failed
+	o.Stopped += other.Stopped
 }
 
 // callersOf sends requests of one kind at random times from random hosts.
@@ -66,13 +73,20 @@
 // call sends one caller's request and notes how it ended.
 func (f *fleet) call(h *host, k Kind, id string) {
 	begun := f.now()
-	status := f.request(h, k.Name, "/"+k.Name+"/"+id, id)
+	path := "/" + k.Name + "/" + id
+	if k.Popular {
+		path = "/" + k.Name + "/popular"
+	}
+	status, reason := f.ask(h, k.Name, path, id)
 	took := f.now() - begun
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.result.Requests[k.Service] = append(f.result.Requests[k.Service], begun)
 	o := f.result.ByKind[k.Name]
 	o.Asked++
+	if reason == string(verdict.ReasonCrashesTargets) {
+		o.Stopped++
+	}
 	switch {
 	case status < http.StatusInternalServerError && took <= k.Objective:
 		o.InTime++
@@ -86,8 +100,15 @@
 	f.result.ByKind[k.Name] = o
 }
 
-// request sends a request to a host's front and gives the status of its answer.
+// request is ask for whom the status says enough.
 func (f *fleet) request(h *host, kind, path, id string) int {
+	status, _ := f.ask(h, kind, path, id)
+	return status
+}
+
+// ask sends a request to a host's front and gives the status of its answer, with the
+// reason where the front failed it.
+func (f *fleet) ask(h *host, kind, path, id string) (status int, reason string) {
 	k, _ := f.kind("/" + kind + "/")
 	ctx, cancel := context.WithTimeout(f.ctx, k.Deadline)
 	defer cancel()
@@ -100,5 +121,11 @@
 	r.Header.Set("X-Request-Id", id)
 	w := httptest.NewRecorder()
 	h.front.ServeHTTP(w, r)
-	return w.Code
+	var p verdict.Problem
+	if w.Header().Get("Content-Type") == verdict.ProblemType {
+		if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil {
+			panic("fleetsim: " + err.Error())
+		}
+	}
+	return w.Code, p.Title
 }
--- a/internal/fleetsim/crash.go
+++ b/internal/fleetsim/crash.go
@@ -75,6 +75,23 @@
 	return true
 }
 
+// lose ends instances of a service, whatever they run.
+func (f *fleet) lose(l Loss) {
+	left := l.Instances
+	for _, h := range f.hosts {
+		if left == 0 || h.instance.service.Name != l.Service {
+			continue
+		}
+		left--
+		h.instance.mu.Lock()
+		start := h.instance.starts
+		h.instance.mu.Unlock()
+		if h.instance.end(start) {
+			time.AfterFunc(f.site.Down, h.instance.restart)
+		}
+	}
+}
+
 // restart brings the instance back.
 func (i *instance) restart() {
 	i.mu.Lock()
--- a/internal/fleetsim/crash_test.go
+++ b/internal/fleetsim/crash_test.go
@@ -1,6 +1,7 @@
 package fleetsim
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -63,3 +64,91 @@
 		assert.Check(t, sent <= sendsAfter, "seed %d: %d sends", seed, sent)
 	}
 }
+
+// crasher is the request that the scenarios send.
+func crasher(kind string, n int) Crasher {
+	return Crasher{Kind: kind, Path: fmt.Sprintf("/%s/fatal%d", kind, n), PerSecond: 2, After: 85 * time.Millisecond}
+}
+
+// bureauWithCrasher is the large site with one crasher, long enough to stop it.
+func bureauWithCrasher(seed uint64) Site {
+	s := bureau(seed)
+	s.Crashers, s.Down, s.For = []Crasher{crasher("view", 0)}, 3*time.Second, 10*time.Second
+	return s
+}
+
+// bookingsWithCrasher is a site of 91 hosts with one crasher.
+func bookingsWithCrasher(seed uint64) Site {
+	s := idleLarge(seed)
+	s.Services = []Service{{"browser", 30, 11}, {"desk", 40, 11}, {"shelf", 21, 11}}
+	s.Crashers, s.Down = []Crasher{crasher("browse", 0)}, 3*time.Second
+	return s
+}
+
+// Whatever the size of the fleet, and whether the request may be repeated or not, it ends
+// few instances, and nobody else's request is stopped for it.
+func TestWhatCrashingRequestsCost(t *testing.T) {
+	const mostEnds = 6
+	cases := map[string]func(uint64) Site{
+		"24 hosts, repeatable": func(seed uint64) Site {
+			s := registry(seed)
+			s.Crashers = []Crasher{crasher("status", 0)}
+			return s
+		},
+		"24 hosts, not repeatable": func(seed uint64) Site {
+			s := registry(seed)
+			s.Crashers = []Crasher{crasher("admit", 0)}
+			return s
+		},
+		"24 hosts, ten at once": func(seed uint64) Site {
+			s := registry(seed)
+			for n := range 10 {
+				s.Crashers = append(s.Crashers, crasher("admit", n))
+			}
+			return s
+		},
+		"24 hosts, beside a popular path": func(seed uint64) Site {
+			s := registry(seed)
+			s.Kinds[0].Popular, s.Kinds[1].Popular = true, true
+			s.Crashers = []Crasher{crasher("status", 0), crasher("admit", 1)}
+			return s
+		},
+		"91 hosts":  bookingsWithCrasher,
+		"354 hosts": bureauWithCrasher,
+	}
+	for name, site := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed, r := range play(t, *seeds, site) {
+				for path, c := range r.Crashes {
+					sent := c.SentAfter(endsKnown, settle)
+					t.Logf("seed %d, %s: %d ends, %d sends after the third was known, served %.3f", seed, path, len(c.Ends), sent, r.All.Served())
+					assert.Check(t, len(c.Ends) <= mostEnds, "seed %d, %s: %d ends", seed, path, len(c.Ends))
+					assert.Check(t, sent <= sendsAfter, "seed %d, %s: %d sends", seed, path, sent)
+				}
+				assert.Check(t, r.All.Stopped == 0, "seed %d: %d innocent requests stopped", seed, r.All.Stopped)
+			}
+		})
+	}
+}
+
+// Instances that end for another reason, at once and one after the other, stop no
+// request: neither a path that runs on each of them nor any other.
+func TestLossesStopNoRequest(t *testing.T) {
+	for _, popular := range []bool{false, true} {
+		site := func(seed uint64) Site {
+			s := registry(seed)
+			for n := range s.Kinds {
+				s.Kinds[n].Popular = popular
+			}
+			for n := range 8 {
+				at := time.Duration(4*n+4) * time.Second
+				s.Losses = append(s.Losses, Loss{At: at, Service: s.Services[n%3].Name, Instances: 1 + n%4*2})
+			}
+			return s
+		}
+		for seed, r := range play(t, 2**seeds, site) {
+			t.Logf("popular %t, seed %d: served %.3f", popular, seed, r.All.Served())
+			assert.Check(t, r.All.Stopped == 0, "popular %t, seed %d: %d requests stopped", popular, seed, r.All.Stopped)
+		}
+	}
+}
--- a/internal/fleetsim/site.go
+++ b/internal/fleetsim/site.go
@@ -28,6 +28,8 @@
 	Idempotent          bool
 	Priority            int
 	MaxAttempts         int
+	// Popular says that all requests of the kind have one path.
+	Popular bool
 	// Calls is the kind that an instance calls while it runs this one, with the
 	// chance CallChance.
 	Calls      string
@@ -55,6 +57,14 @@
 	After time.Duration
 }
 
+// Loss ends some instances of a service at once.
+type Loss struct {
+	At      time.Duration
+	Service string
+	// Instances is how many end.
+	Instances int
+}
+
 // Site is what is played.
 type Site struct {
 	// DCs is the number of data centres that the hosts are spread over, and OneWay
@@ -67,6 +77,8 @@
 	// Crashers end instances, each of which is back after Down under a new name.
 	Crashers []Crasher
 	Down     time.Duration
+	// Losses end instances for no fault of a request.
+	Losses []Loss
 	// RetryShare and RetryReserve are the budget of repeats in RetryWindow.
 	RetryShare   int
 	RetryReserve float64
@@ -79,9 +91,10 @@
 	Seed      uint64
 }
 
-// Outcome sums up the requests of one kind.
+// Outcome sums up the requests of one kind. Stopped are those refused as requests that
+// crash their targets.
 type Outcome struct {
-	Asked, InTime, Late, Refused, Failed int
+	Asked, InTime, Late, Refused, Failed, Stopped int
 }
 
 // Served is the share of the requests that had a whole answer.
