A success clears a request, and an announced end suspects none

Cause, found by reading what may mislead the evidence: an answer at the time limit or one that refuses may come before the request was run, and would have cleared one that crashes its targets; an instance that leaves ends with what it still runs, which would have blamed long requests during a release.

Change: only an answer below 400 clears; an end that its instance had announced is told to nobody. Test for the second. Ruled out: counting 4xx as completed (they also come from checks before the run).

--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -70,7 +70,7 @@
 	if mayHaveEnded(failure) && x.inst.ended() && failure.Verdict != verdict.NotRun {
 		failure = verdict.New(failure.Verdict, verdict.ReasonTargetEnded, "the target ended before it answered")
 	}
-	if failure == nil && !res.failed && !res.shed {
+	if failure == nil && res.status < http.StatusBadRequest {
 		x.completed()
 	}
 	x.logEnd(started, res, failure)
--- a/internal/guard/suspects.go
+++ b/internal/guard/suspects.go
@@ -185,7 +185,8 @@
 }
 
 // completed notes that a request has completed at the instance: it is cleared of the
-// ends for which it is suspected.
+// ends for which it is suspected. An answer that is no success may have come before the
+// request was run.
 func (x *exchange) completed() {
 	if x.print == 0 {
 		return
@@ -215,23 +216,28 @@
 	if !errors.Is(i.client.Probe(ctx), syscall.ECONNREFUSED) {
 		return false
 	}
-	if i.takeOut() {
+	announced, first := i.takeOut()
+	if first && !announced {
 		i.tellEnd(time.Now())
+	}
+	if first {
 		i.guard.changed()
 	}
 	return true
 }
 
-// takeOut takes the instance out of service, and reports whether it was in it.
-func (i *instance) takeOut() bool {
+// takeOut takes the instance out of service, and reports whether it is the first to do
+// so. announced says that the instance had said that it would end: then nothing that it
+// ran is to blame.
+func (i *instance) takeOut() (announced, first bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.over {
-		return false
+		return i.leaving, false
 	}
 	i.over = true
 	i.settle()
-	return true
+	return i.leaving, true
 }
 
 // tellEnd tells the fleet that the instance has ended and what it ran.
--- a/internal/guard/suspects_test.go
+++ b/internal/guard/suspects_test.go
@@ -163,6 +163,23 @@
 	assert.DeepEqual(t, (<-n.ends).Prints, []crash.Print{7})
 }
 
+// An instance that had said that it would end has not been ended by what it ran.
+func TestAnAnnouncedEndSuspectsNothing(t *testing.T) {
+	f := newFragile(t)
+	g, n := suspectGuard(t, f.listener.Addr().String())
+	waits := make(chan msg.Message, 1)
+	go func() { waits <- send(t, g, "/wait", 5) }()
+	for len(g.all()[0].underWay()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, g.Announce(time.Now(), "i", Announcement{
+		Service: "s", Address: f.listener.Addr().String(), Slots: 4, Connections: 8, Version: "1", Leaving: true,
+	}))
+	f.end()
+	assert.Equal(t, (<-waits).(*msg.Fail).Reason, verdict.ReasonTargetEnded)
+	assert.Equal(t, len(n.ends), 0)
+}
+
 // A request that has ended three instances anywhere reaches none here, whatever its
 // guard's queue; one that completes here is cleared of what it was suspected of.
 func TestAStoppedRequestReachesNoInstance(t *testing.T) {
