--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -23,6 +23,7 @@
 	})
 	set.NewGauge("radishhoist_running", d.countInstances(func(i guard.InstanceState) int { return i.Running }))
 	set.NewGauge("radishhoist_queued", d.countInstances(func(i guard.InstanceState) int { return i.Queued }))
+	set.NewGauge("radishhoist_requests_stopped", func() float64 { return float64(d.guard.Stops()) })
 	set.NewGauge("radishhoist_records", d.fromControl(func(s control.State) float64 { return float64(s.Records) }))
 	set.NewGauge("radishhoist_records_newest", d.fromControl(func(s control.State) float64 { return float64(s.Newest) }))
 	set.NewGauge("radishhoist_records_confirmed_age_seconds", func() float64 { return d.control.ConfirmedAge().Seconds() })
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -67,7 +67,7 @@
 		return pick{}, false
 	}
 	if v := c.front.guard.Suspect(c.req.print); v.Everywhere(time.Now()) {
-		c.failed(guard.StopRefusal(time.Now(), v.Until))
+		c.failed(guard.StopRefusal(time.Now(), c.req.print, &v))
 		return pick{}, false
 	}
 	as := sending{repeat: c.sent || hedge, hedge: hedge, insist: len(c.failures) >= politeTries}
--- a/internal/guard/counters.go
+++ b/internal/guard/counters.go
@@ -14,6 +14,8 @@
 	set     *metrics.Set
 	queue   *metrics.Histogram
 	service *metrics.Histogram
+	// ends counts the instances that have ended, seen by their port.
+	ends *metrics.Counter
 }
 
 func newCounters() counters {
@@ -22,6 +24,7 @@
 		set:     set,
 		queue:   set.NewHistogram("radishhoist_queue_seconds"),
 		service: set.NewHistogram("radishhoist_service_seconds"),
+		ends:    set.NewCounter("radishhoist_instances_ended_total"),
 	}
 }
 
--- a/internal/guard/suspects.go
+++ b/internal/guard/suspects.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/bits"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -159,13 +161,54 @@
 // Suspect gives what is known of a request that may end the instances that run it.
 func (g *Guard) Suspect(p crash.Print) crash.Verdict { return g.suspects.verdict(p) }
 
-// StopRefusal is the refusal of a request that is kept from instances until a time.
-func StopRefusal(now, until time.Time) *verdict.Error {
-	e := refusal(verdict.ReasonCrashesTargets, "the instances that ran this request have ended under it")
-	e.RetryAfterMS = until.Sub(now).Milliseconds()
+// StopRefusal is the refusal of a request that is kept from instances.
+func StopRefusal(now time.Time, p crash.Print, v *crash.Verdict) *verdict.Error {
+	e := refusal(verdict.ReasonCrashesTargets, fmt.Sprintf("%d instances that ran this request have ended; it is known as %s", v.Ends, p))
+	e.RetryAfterMS = v.Until.Sub(now).Milliseconds()
 	return e
 }
 
+// SuspectState is one suspected request in the state dump.
+type SuspectState struct {
+	Print string `json:"print"`
+	// Ends is in how many ends it had part that no other request explains, or in how many
+	// at all where it is stopped.
+	Ends int `json:"ends"`
+	// Until is when it may reach the software that it has ended again, empty where it
+	// is not stopped.
+	Until string `json:"until,omitempty"`
+	// Instances are the starts that ended.
+	Instances []string `json:"instances"`
+}
+
+// Suspects lists the requests that are suspected, for the state dump.
+func (g *Guard) Suspects() []SuspectState {
+	out := []SuspectState{}
+	for p, v := range *g.suspects.verdicts.Load() {
+		s := SuspectState{Print: p.String(), Ends: v.Ends}
+		if !v.Until.IsZero() {
+			s.Until = v.Until.UTC().Format(time.RFC3339)
+		}
+		for _, e := range g.suspects.endsOf(p) {
+			s.Instances = append(s.Instances, e.ID)
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b SuspectState) int { return strings.Compare(a.Print, b.Print) })
+	return out
+}
+
+// Stops counts the requests that are kept from instances.
+func (g *Guard) Stops() int {
+	n := 0
+	for _, v := range *g.suspects.verdicts.Load() {
+		if !v.Until.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
 // software is what the instance runs.
 func (i *instance) software() crash.Software {
 	i.mu.Lock()
@@ -181,7 +224,7 @@
 	if v.Until.IsZero() || !v.Stopped(now, x.inst.software()) {
 		return nil
 	}
-	return StopRefusal(now, v.Until)
+	return StopRefusal(now, x.print, &v)
 }
 
 // completed notes that a request has completed at the instance: it is cleared of the
@@ -217,6 +260,9 @@
 		return false
 	}
 	announced, first := i.takeOut()
+	if first {
+		i.guard.counts.ends.Inc()
+	}
 	if first && !announced {
 		i.tellEnd(time.Now())
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -27,11 +27,13 @@
 	Phase     string                `json:"phase"`
 	Waiting   []string              `json:"waitingFor"`
 	Instances []guard.InstanceState `json:"instances"`
-	Services  []front.ServiceStatus `json:"services"`
-	Paths     []front.PathState     `json:"paths"`
-	Control   control.State         `json:"control"`
-	Peers     peer.Stats            `json:"peers"`
-	Shards    []once.OwnedState     `json:"shards"`
+	// Suspects are the requests that may end the instances that run them.
+	Suspects []guard.SuspectState  `json:"suspects"`
+	Services []front.ServiceStatus `json:"services"`
+	Paths    []front.PathState     `json:"paths"`
+	Control  control.State         `json:"control"`
+	Peers    peer.Stats            `json:"peers"`
+	Shards   []once.OwnedState     `json:"shards"`
 }
 
 // Status is what is in force and why, as one host sees it.
