News of an end is told twice, so that all hosts have it within seconds

Change: each host tells news of ends once more 0.4 s later, to others by chance. Nothing is sent where there are no ends.

Ruled out: a wider first round (the same bytes, all at once, to hosts that the first round is about to reach).

--- a/internal/core/config/node.go
+++ b/internal/core/config/node.go
@@ -72,6 +72,7 @@
 	pullingAll [msg.Sets]time.Time
 	snapshot   [msg.Sets]snapshot
 	relays     relays
+	retellings []retelling
 	out        []Outbound
 	applied    []Applied
 }
@@ -180,6 +181,9 @@
 		n.relay(peers)
 		return
 	}
+	if set == msg.SetEnds {
+		n.retellLater(from, news)
+	}
 	for _, to := range n.targets(peers, from) {
 		n.push(to, set, news)
 	}
@@ -271,6 +275,7 @@
 func (n *Node) Tick(now time.Time, peers Peers) {
 	n.now = now
 	n.relay(peers)
+	n.retell(peers)
 	n.forgetPulls()
 	n.pullWhole(now, peers)
 	if now.Before(n.nextRepair) {
