Work that is not idempotent is stopped truthfully: shown with daemons

Cause: the emulator has no keys and no bodies; what callers are told was shown for repeatable requests alone. Change: a test with two daemons and instances that end. Plain work, keyed work and a body of 1 MB, too large to keep: three sends that reached an instance are "may have run", the next is refused as not run, another body is not stopped. Ruled out: nothing failed; two faults were in the test (announcements that lapsed, keys without time).

--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -8,11 +8,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/guard"
@@ -26,7 +28,10 @@
 type fragile struct {
 	listener net.Listener
 	// ran counts the requests for fatalPath.
-	ran   *atomic.Int64
+	ran *atomic.Int64
+	// over is closed when the instance ends.
+	over  chan struct{}
+	once  sync.Once
 	mu    sync.Mutex
 	conns []net.Conn
 }
@@ -36,18 +41,26 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	f := &fragile{listener: l, ran: ran}
+	f := &fragile{listener: l, ran: ran, over: make(chan struct{})}
 	t.Cleanup(f.end)
 	go f.accept()
 	body, err := json.Marshal(guard.Announcement{Service: "s", Address: l.Addr().String(), Slots: 4, Version: "1", State: "ready"})
 	assert.NilError(t, err)
-	req, err := http.NewRequest(http.MethodPut, "http://"+host.cfg.Load().Announce+"/v1/instances/"+name, bytes.NewReader(body))
-	assert.NilError(t, err)
+	url := "http://" + host.cfg.Load().Announce + "/v1/instances/" + name
+	assert.NilError(t, announce(url, body))
+	go func() {
+		for {
+			select {
+			case <-f.over:
+				return
+			case <-time.After(announceInterval):
+				if announce(url, body) != nil {
+					return // the daemon is gone
+				}
+			}
+		}
+	}()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		req.Body = io.NopCloser(bytes.NewReader(body))
-		resp, err := http.DefaultClient.Do(req)
-		assert.NilError(t, err)
-		_ = resp.Body.Close()
 		if get(http.DefaultClient, "http://"+front.cfg.Load().Callers+"/") == nil {
 			return f
 		}
@@ -56,6 +69,21 @@
 	return nil
 }
 
+// announceInterval is how often an instance announces itself.
+const announceInterval = 500 * time.Millisecond
+
+func announce(url string, body []byte) error {
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
 func (f *fragile) accept() {
 	for {
 		c, err := f.listener.Accept()
@@ -87,6 +115,7 @@
 
 // end closes everything at once, as a process that ends does.
 func (f *fragile) end() {
+	f.once.Do(func() { close(f.over) })
 	_ = f.listener.Close()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -98,7 +127,15 @@
 // reasonOf sends a request and gives the reason and the verdict of its failure.
 func reasonOf(t *testing.T, front *Daemon, path string) (reason, ran string) {
 	t.Helper()
-	resp, err := http.DefaultClient.Get("http://" + front.cfg.Load().Callers + path)
+	req, err := http.NewRequest(http.MethodGet, "http://"+front.cfg.Load().Callers+path, nil)
+	assert.NilError(t, err)
+	return failureOf(t, req)
+}
+
+// failureOf sends a request and gives the reason and the verdict of its failure.
+func failureOf(t *testing.T, req *http.Request) (reason, ran string) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(req)
 	assert.NilError(t, err)
 	defer func() { _ = resp.Body.Close() }()
 	var p verdict.Problem
@@ -149,3 +186,64 @@
 	assert.Equal(t, promise, verdict.NotRun.String())
 	assert.Equal(t, ran.Load(), int64(3), "no instance ended for it")
 }
+
+// newKey makes a key as callers should: with the time in it.
+func newKey(t *testing.T) string {
+	t.Helper()
+	key, err := uuid.NewV7()
+	assert.NilError(t, err)
+	return key.String()
+}
+
+// awaitKeys waits until keyed requests have owners.
+func awaitKeys(t *testing.T, front *Daemon) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+front.cfg.Load().Callers+"/", nil)
+		assert.NilError(t, err)
+		req.Header.Set("Idempotency-Key", newKey(t))
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Fatal("keys have no owner")
+}
+
+// Work that cannot be repeated, with a key and without, and with a body too large to keep:
+// each send that reached an instance is told as one that may have run, and what comes
+// after the third end as one that has not. Neither another body nor another path is
+// stopped with it.
+func TestWorkThatIsNotIdempotentIsStoppedTruthfully(t *testing.T) {
+	daemons := startDaemons(t, startPlatform(t))
+	defer shutdown(daemons)
+	var ran atomic.Int64
+	for name, body := range map[string]string{"plain": "x", "keyed": "y", "large": strings.Repeat("z", 1<<20)} {
+		ran.Store(0)
+		post := func(n int, body string) *http.Request {
+			req, err := http.NewRequest(http.MethodPost, "http://"+daemons[0].cfg.Load().Callers+fatalPath, strings.NewReader(body))
+			assert.NilError(t, err)
+			if name == "keyed" {
+				req.Header.Set("Idempotency-Key", newKey(t))
+			}
+			return req
+		}
+		for n := range 3 {
+			startFragile(t, daemons[1], daemons[0], fmt.Sprint(name, n), &ran)
+			awaitKeys(t, daemons[0])
+			reason, promise := failureOf(t, post(n, body))
+			assert.Check(t, reason == string(verdict.ReasonTargetEnded), "%s: %s", name, reason)
+			assert.Check(t, promise == verdict.MayHaveRun.String(), "%s: %s", name, promise)
+		}
+		f := startFragile(t, daemons[1], daemons[0], name+"-last", &ran)
+		reason, promise := failureOf(t, post(3, body))
+		assert.Check(t, reason == string(verdict.ReasonCrashesTargets), "%s: %s", name, reason)
+		assert.Check(t, promise == verdict.NotRun.String(), "%s: %s", name, promise)
+		assert.Check(t, ran.Load() == 3, "%s: %d", name, ran.Load())
+		reason, _ = failureOf(t, post(4, body+"other"))
+		assert.Check(t, reason == string(verdict.ReasonTargetEnded), "%s, another body: %s", name, reason)
+		f.end()
+	}
+}
