--- a/internal/mesh/ends_test.go
+++ b/internal/mesh/ends_test.go
@@ -140,3 +140,26 @@
 		assert.Check(t, float64(ignorant) <= ignorantAllowed*float64(cutOff), "%d of %d", ignorant, cutOff)
 	}
 }
+
+// controlBytes is what control may cost a host in a second at the target size.
+const controlBytes = 19 << 10
+
+// Ends cost a host bytes with their number, not with the fleet's size, and ten at once stay
+// within what control may take in the time that their news has.
+func TestWhatNewsOfEndsCosts(t *testing.T) {
+	for _, size := range []struct{ hosts, dcs int }{{24, 4}, {354, 5}, {1600, 11}} {
+		for _, ends := range []int{0, 1, 10} {
+			m := New(Config{Hosts: size.hosts, DCs: size.dcs, Seed: 1, Watchers: 2, Replica: quick()})
+			m.StartAll()
+			m.Run(2 * time.Second)
+			before, value := m.bytesSent(), endValue(t)
+			for n := range ends {
+				m.tellEnd(m.Hosts[n], fmt.Sprint("end", n), value)
+			}
+			m.Run(settle)
+			bytes := (m.bytesSent() - before) / size.hosts
+			t.Logf("%d hosts, %d ends: %d bytes a host in %v", size.hosts, ends, bytes, settle)
+			assert.Check(t, bytes <= controlBytes*int(settle/time.Second))
+		}
+	}
+}
