The address of a front is no part of a request

Cause: callers that address each host by its own address differ in the Host header, which was part of the print though the route holds for every host.

Change: the print has the host of the route, empty where it holds for all. On routes with a host it is the same as before. Why it holds: what callers may vary without changing the request is out of the print: id, host of origin, address of the front.

Ruled out: leaving Host out everywhere (two sites behind one route each may have the same paths).

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -28,6 +28,7 @@
 // Request is what a Print is made of: the caller's own words, not what differs
 // from one send of a request to the next or from host to host.
 type Request struct {
+	// Host is that of the route, empty where it holds for every host.
 	Method, Host, URI string
 	// Team is the caller's team, empty for none.
 	Team string
--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -212,6 +212,42 @@
 	t.Fatal("keys have no owner")
 }
 
+// addressedTo makes the fatal request for a front, with another address in its Host header.
+func addressedTo(t *testing.T, front *Daemon, host string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+front.cfg.Load().Callers+fatalPath, nil)
+	assert.NilError(t, err)
+	req.Host = host
+	return req
+}
+
+// What users saw in a soak: a request that had ended three instances went on ending others,
+// once at each front more.
+//
+// Order of events: the request ends an instance through one front, and comes again at
+// another; callers address each front by its own address.
+//
+// Cause: the address stood in the Host header, which was taken for a part of the request,
+// though its route holds for every host.
+//
+// Evidence: eighteen instances ended under one path, of which each front stopped its own
+// print after three.
+func TestTheFrontsAddressIsNoPartOfARequest(t *testing.T) {
+	daemons := startDaemons(t, startPlatform(t))
+	defer shutdown(daemons)
+	var ran atomic.Int64
+	for n := range 3 {
+		startFragile(t, daemons[1], daemons[0], fmt.Sprint("i", n), &ran)
+		reason, _ := failureOf(t, addressedTo(t, daemons[0], fmt.Sprintf("10.0.0.%d", n)))
+		assert.Equal(t, reason, string(verdict.ReasonTargetEnded))
+	}
+	startFragile(t, daemons[1], daemons[0], "last", &ran)
+	reason, promise := failureOf(t, addressedTo(t, daemons[0], "10.0.0.9"))
+	assert.Equal(t, reason, string(verdict.ReasonCrashesTargets))
+	assert.Equal(t, promise, verdict.NotRun.String())
+	assert.Equal(t, ran.Load(), int64(3))
+}
+
 // Work that cannot be repeated, with a key and without, and with a body too large to keep:
 // each send that reached an instance is told as one that may have run, and what comes
 // after the third end as one that has not. Neither another body nor another path is
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -133,8 +133,10 @@
 	if fail := f.readBody(w, req, view.Limits); fail != nil {
 		return req, fail
 	}
+	// The route's host, not the caller's: where a route holds for every host, callers name
+	// the front that they happen to use.
 	req.print = (&crash.Request{
-		Method: r.Method, Host: host, URI: rawTarget(r), Team: r.Header.Get(header.Team), Body: req.body, Length: req.length,
+		Method: r.Method, Host: req.route.Host, URI: rawTarget(r), Team: r.Header.Get(header.Team), Body: req.body, Length: req.length,
 	}).Print()
 	return req, nil
 }
