The soak has a request that ends the instances that run it

Change: the stand-in target ends on a path of its own (connections break, the port refuses, back after 2 s under another name); callers of all hosts send it throughout a run; two promises are checked, each with a planted record. Ruled out: ending the process (its counts of runs would be lost).

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/radishhoist/radishhoist/verdict"
@@ -14,6 +15,10 @@
 	Host int
 	// Idempotent requests may run more than once.
 	Idempotent bool
+	// Fatal is the request that ends the instances that run it.
+	Fatal bool
+	// Stopped says that it was refused as one that does.
+	Stopped    bool
 	Sent, Done time.Duration
 	// Status is 0 where the connection broke.
 	Status int
@@ -42,7 +47,9 @@
 	Faults   []Fault
 	Requests []Request
 	// Runs counts the runs of each request at the instances.
-	Runs    map[string]int
+	Runs map[string]int
+	// Ends are the times at which an instance ended under the fatal request.
+	Ends    []time.Duration
 	Acked   []Acked
 	Samples []Sample
 	Length  time.Duration
@@ -71,6 +78,8 @@
 	InForce  = "a change is in force in time"
 	Forward  = "a process never goes back to an older version"
 	Recovers = "callers are served once the faults are over"
+	Stops    = "a request that has ended three instances reaches three more at most"
+	Innocent = "no other request is stopped for it"
 )
 
 const (
@@ -93,6 +102,7 @@
 		out = append(out, r.checkRequest(req)...)
 	}
 	out = append(out, r.checkVersions()...)
+	out = append(out, r.checkEnds()...)
 	return append(out, r.checkRecovery()...)
 }
 
@@ -102,6 +112,9 @@
 	broken := func(promise, detail string) {
 		out = append(out, Violation{promise, req.Sent, fmt.Sprintf("%s at host %d: %s; it ran %d times", req.Mark, req.Host, detail, runs)})
 	}
+	if req.Stopped && !req.Fatal {
+		broken(Innocent, fmt.Sprintf("status %d", req.Status))
+	}
 	success := req.Status >= http.StatusOK && req.Status < http.StatusMultipleChoices
 	refused := req.Status == http.StatusServiceUnavailable || req.Status == http.StatusTooManyRequests
 	if !req.Idempotent && runs > 1 {
@@ -149,6 +162,27 @@
 	return false
 }
 
+const (
+	// endsKnown is how many ends tell on a request, and endsAfter how many more may
+	// follow once hosts in touch have had stable to learn.
+	endsKnown, endsAfter = 3, 3
+)
+
+// checkEnds counts the instances that ended under the fatal request after the fleet had
+// had time to know it.
+func (r *Record) checkEnds() []Violation {
+	ends := slices.Sorted(slices.Values(r.Ends))
+	if len(ends) < endsKnown {
+		return nil
+	}
+	known := ends[endsKnown-1] + stable
+	after := slices.DeleteFunc(ends, func(at time.Duration) bool { return at <= known })
+	if len(after) <= endsAfter {
+		return nil
+	}
+	return []Violation{{Stops, after[endsAfter], fmt.Sprintf("%d instances ended later than %.3f s, %d in all", len(after), known.Seconds(), len(r.Ends))}}
+}
+
 func (r *Record) checkVersions() []Violation {
 	var out []Violation
 	type life struct{ host, life int }
@@ -187,7 +221,7 @@
 	}
 	sent, served := 0, 0
 	for _, req := range r.Requests {
-		if req.Sent < last+recovery {
+		if req.Sent < last+recovery || req.Fatal {
 			continue
 		}
 		sent++
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -27,6 +27,7 @@
 			{Mark: "d", Sent: 30 * second, Done: 30 * second, Status: 200, Own: true},
 		},
 		Runs:  map[string]int{"a": 1, "b": 1, "d": 1},
+		Ends:  []time.Duration{15 * second, 16 * second, 17 * second, 19 * second, 22 * second},
 		Acked: []Acked{{Version: 3, At: 2 * second}, {Version: 4, At: 20 * second}},
 		Samples: []Sample{
 			{Host: 0, Asked: 3 * second, Version: 2}, {Host: 0, Asked: 5 * second, Version: 3},
@@ -57,6 +58,8 @@
 		{Forward, func(r *Record) { r.Samples[2].Version = 2 }},
 		{Recovers, func(r *Record) { r.Requests[3].Own, r.Requests[3].Status = false, 502 }},
 		{Recovers, func(r *Record) { r.Requests = r.Requests[:3] }},
+		{Innocent, func(r *Record) { r.Requests[2].Stopped = true }},
+		{Stops, func(r *Record) { r.Ends = append(r.Ends, 25*second, 26*second, 27*second, 28*second) }},
 	} {
 		r := calm()
 		c.plant(r)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -24,8 +24,8 @@
 			served++
 		}
 	}
-	fmt.Fprintf(out, "seed %d: %d faults, %d of %d requests served, %d changes acknowledged, %d looks at hosts: %d promises broken\n",
-		seed, len(r.Faults), served, len(r.Requests), len(r.Acked), len(r.Samples), len(broken))
+	fmt.Fprintf(out, "seed %d: %d faults, %d of %d requests served, %d changes acknowledged, %d looks at hosts, %d instances ended: %d promises broken\n",
+		seed, len(r.Faults), served, len(r.Requests), len(r.Acked), len(r.Samples), len(r.Ends), len(broken))
 	if len(broken) == 0 {
 		return nil
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
@@ -150,6 +151,7 @@
 		wg.Go(func() { r.sample(ctx, i) })
 	}
 	wg.Go(func() { r.change(ctx) })
+	wg.Go(func() { r.callFatal(ctx) })
 	for _, f := range Schedule(r.cfg.Seed, r.cfg.Hosts, r.cfg.Length) {
 		wg.Go(func() { r.inject(ctx, f) })
 	}
@@ -286,7 +288,7 @@
 	defer client.CloseIdleConnections()
 	for n := 0; sleep.For(ctx, callPause); n++ {
 		req := Request{Mark: fmt.Sprintf("h%d-c%d-%d", host, caller, n), Host: host, Idempotent: n%2 == 0, Sent: r.now()}
-		r.send(client, &req)
+		r.send(client, &req, "/plans/7")
 		req.Done = r.now()
 		r.mu.Lock()
 		r.record.Requests = append(r.record.Requests, req)
@@ -294,14 +296,43 @@
 	}
 }
 
+const (
+	// fatalPause is the mean pause between two sends of the request that ends its
+	// instances, and fatalPart the part of the run at whose begin it comes first.
+	fatalPause = 300 * time.Millisecond
+	fatalPart  = 0.15
+)
+
+// callFatal sends the request that ends the instances that run it, again and again, from
+// one host after the other.
+func (r *run) callFatal(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.cfg.Seed, 2))
+	client := &http.Client{Timeout: callerPatience, Transport: &http.Transport{DisableKeepAlives: true}}
+	if !sleep.For(ctx, time.Duration(fatalPart*float64(r.cfg.Length))) {
+		return
+	}
+	var wg sync.WaitGroup
+	for n := 0; sleep.For(ctx, time.Duration(rng.ExpFloat64()*float64(fatalPause))); n++ {
+		req := Request{Mark: fmt.Sprintf("fatal-%d", n), Host: rng.IntN(r.cfg.Hosts), Fatal: true, Idempotent: true, Sent: r.now()}
+		wg.Go(func() {
+			r.send(client, &req, "/plans"+target.FatalPath)
+			req.Done = r.now()
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.record.Requests = append(r.record.Requests, req)
+		})
+	}
+	wg.Wait()
+}
+
 // send makes one request and notes its answer. It is not cut short by the end of the
 // run.
-func (r *run) send(client *http.Client, req *Request) {
+func (r *run) send(client *http.Client, req *Request, path string) {
 	method := http.MethodPost
 	if req.Idempotent {
 		method = http.MethodGet
 	}
-	out, err := http.NewRequest(method, "http://"+r.nodes[req.Host].host.Callers()+"/plans/7", nil)
+	out, err := http.NewRequest(method, "http://"+r.nodes[req.Host].host.Callers()+path, nil)
 	if err != nil {
 		panic("soak: " + err.Error())
 	}
@@ -316,6 +347,7 @@
 		return
 	}
 	req.Status, req.Verdict = resp.StatusCode, resp.Header.Get(verdict.Header)
+	req.Stopped = strings.Contains(string(body), string(verdict.ReasonCrashesTargets))
 	req.Own = resp.StatusCode == http.StatusOK && strings.Contains(string(body), "mark="+req.Mark+" ")
 }
 
@@ -329,6 +361,9 @@
 		for mark, count := range runs.ByMark {
 			r.record.Runs[mark] += count
 		}
+		for _, ms := range runs.Ends {
+			r.record.Ends = append(r.record.Ends, time.UnixMilli(ms).Sub(r.start))
+		}
 	}
 	return nil
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -69,12 +70,19 @@
 
 // Server is one running stand-in.
 type Server struct {
-	cfg    Config
-	server *http.Server
-	stop   context.CancelFunc
-	done   chan struct{}
+	cfg  Config
+	mux  *http.ServeMux
+	stop context.CancelFunc
+	done chan struct{}
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// server is nil while the stand-in is down.
+	server *http.Server
+	closed bool
+	// starts counts its starts, of which each has a name of its own.
+	starts int
+	// ends are the times at which it ended under a request, in Unix milliseconds.
+	ends      []int64
 	behaviour Behaviour
 	since     time.Time
 	leaving   bool
@@ -96,12 +104,11 @@
 	cfg.Address = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{cfg: cfg, stop: cancel, done: make(chan struct{}), behaviour: Behaviour{Mode: Good}, since: time.Now(), runs: make(map[string]int)}
-	mux := http.NewServeMux()
-	mux.HandleFunc("PUT /standin/behaviour", s.putBehaviour)
-	mux.HandleFunc("GET /standin/runs", s.getRuns)
-	mux.HandleFunc("/", s.serve)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = s.server.Serve(l) }()
+	s.mux = http.NewServeMux()
+	s.mux.HandleFunc("PUT /standin/behaviour", s.putBehaviour)
+	s.mux.HandleFunc("GET /standin/runs", s.getRuns)
+	s.mux.HandleFunc("/", s.serve)
+	s.open(l)
 	go s.announceLoop(ctx)
 	return s, nil
 }
@@ -113,7 +120,10 @@
 func (s *Server) Stop() {
 	s.stop()
 	<-s.done
-	_ = s.server.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.close()
 }
 
 // Leave announces that the stand-in wants no new work.
@@ -137,13 +147,16 @@
 	ByMark     map[string]int `json:"byMark"`
 	Total      int            `json:"total"`
 	MaxRunning int            `json:"maxRunning"`
+	// Ends are the times at which a request for a FatalPath came and ended the
+	// stand-in, in Unix milliseconds.
+	Ends []int64 `json:"ends,omitempty"`
 }
 
 // Runs reads the counters.
 func (s *Server) Runs() Runs {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Runs{ByMark: make(map[string]int, len(s.runs)), Total: s.total, MaxRunning: s.maxSeen}
+	out := Runs{ByMark: make(map[string]int, len(s.runs)), Total: s.total, MaxRunning: s.maxSeen, Ends: s.ends}
 	for k, v := range s.runs {
 		out.ByMark[k] = v
 	}
@@ -170,6 +183,10 @@
 // serve does the work: it waits the service time and answers with what the
 // request asked for.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, FatalPath) {
+		s.fatal(r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -263,12 +280,12 @@
 }
 
 func (s *Server) announce(ctx context.Context) {
-	if s.cfg.Announce == "" {
-		return
-	}
 	s.mu.Lock()
-	leaving := s.leaving
+	leaving, name, down := s.leaving, s.name(), s.server == nil
 	s.mu.Unlock()
+	if s.cfg.Announce == "" || down {
+		return
+	}
 	body, err := json.Marshal(guard.Announcement{
 		Service: s.cfg.Service, Address: s.cfg.Address, Slots: s.cfg.Slots,
 		Connections: connections, Version: "1", Leaving: leaving,
@@ -276,7 +293,7 @@
 	if err != nil {
 		return
 	}
-	url := "http://" + s.cfg.Announce + "/v1/instances/" + s.cfg.Name
+	url := "http://" + s.cfg.Announce + "/v1/instances/" + name
 	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
 	if err != nil {
 		return
