--- /dev/null
+++ b/internal/fleetsim/starve_test.go
@@ -0,0 +1,74 @@
+package fleetsim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// evenFleet is a site of one service whose instances are all well and equal, with a part of
+// their slots in use.
+func evenFleet(hosts int, work time.Duration, part float64) func(uint64) Site {
+	const slots = 7
+	return func(seed uint64) Site {
+		return Site{
+			DCs: 3, OneWay: time.Millisecond, Near: 200 * time.Microsecond, Seed: seed,
+			Services: []Service{{"plans", hosts, slots}},
+			Kinds: []Kind{{
+				Name: "view", Service: "plans", PerSecond: part * float64(hosts*slots) / work.Seconds(), Work: work,
+				Objective: 10 * work, Deadline: 2 * time.Second, Idempotent: true, Priority: 1, MaxAttempts: 2,
+			}},
+			RetryShare: 20, RetryReserve: 60, RetryWindow: 10 * time.Second,
+			Warm: 2 * time.Second, For: 20 * time.Second,
+		}
+	}
+}
+
+// short counts the spans in which an instance got less than a part of its even share, and
+// all that were looked at.
+func short(r Result, span, length time.Duration, part float64) (bad, all int, least float64) {
+	least = 1
+	for from := time.Duration(0); from+span <= length; from += span / 2 {
+		sum, n := 0, 0
+		for _, seen := range r.Instances {
+			sum += seen.ArrivalsIn(from, from+span)
+			n++
+		}
+		for _, seen := range r.Instances {
+			got := float64(seen.ArrivalsIn(from, from+span)*n) / float64(max(sum, 1))
+			all++
+			least = min(least, got)
+			if got < part {
+				bad++
+			}
+		}
+	}
+	return bad, all, least
+}
+
+// What users saw: two of six equal instances, all well, lived on trials alone at a tenth of
+// the load, 47 of 7,300 requests in half a minute each; which ones was chance.
+//
+// Likely cause, by ablation: an estimate of which nothing is heard drifts to the usual
+// share of sickness, and one that has just started begins there. Such an instance costs
+// more than any load makes up for, so that nothing is ever heard of it.
+func TestEqualInstancesShareTheWork(t *testing.T) {
+	const span, half = 5 * time.Second, 0.5
+	for _, size := range []struct {
+		hosts int
+		work  time.Duration
+	}{{6, 17 * time.Millisecond}, {91, 200 * time.Millisecond}, {354, 400 * time.Millisecond}} {
+		for _, part := range []float64{0.1, 0.3, 0.6} {
+			t.Run(fmt.Sprintf("%d hosts, %.1f of the slots", size.hosts, part), func(t *testing.T) {
+				site := evenFleet(size.hosts, size.work, part)
+				for seed, r := range play(t, *seeds, site) {
+					bad, all, least := short(r, span, site(0).For, half)
+					t.Logf("seed %d: %d of %d spans short, the least %.2f of its share; served %.4f", seed, bad, all, least, r.All.Served())
+					assert.Check(t, bad == 0, "seed %d: %d of %d", seed, bad, all)
+				}
+			})
+		}
+	}
+}
