What ran at an instance that ended is copied under its lock

The list of requests under way handed out the waiters themselves, whose print a refused connection clears under the lock: a data race that no run has shown. And the request's look was put together for each request though only an end needs it. Change: the list holds copies; the look is made from the run at an end. A deleted record lets its request run again: now in the test of the daemons. Ruled out: nothing else moves.

--- a/internal/control/crashers.go
+++ b/internal/control/crashers.go
@@ -91,12 +91,12 @@
 	if e.Kind != string(record.KindCrasher) {
 		return
 	}
-	print, err := strconv.ParseUint(e.Name, 16, 64)
+	name, err := strconv.ParseUint(e.Name, 16, 64)
 	if err != nil {
 		c.refuseEnd(time.Now(), e, err)
 		return
 	}
-	p := crash.Print(print)
+	p := crash.Print(name)
 	if e.Deleted {
 		c.hooks.Lifted(p)
 		c.clearEnds(p)
--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,6 +19,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/guard"
+	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/record"
 	"github.com/radishhoist/radishhoist/verdict"
 )
 
@@ -185,6 +188,24 @@
 	assert.Equal(t, reason, string(verdict.ReasonCrashesTargets))
 	assert.Equal(t, promise, verdict.NotRun.String())
 	assert.Equal(t, ran.Load(), int64(3), "no instance ended for it")
+
+	liftAll(t, platform)
+	for end := time.Now().Add(20 * time.Second); ran.Load() == 3 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		reason, _ = reasonOf(t, after[0], fatalPath)
+	}
+	assert.Equal(t, reason, string(verdict.ReasonTargetEnded), "it runs again by an operator's word")
+}
+
+// liftAll deletes every record of a stopped request, as an operator would.
+func liftAll(t *testing.T, platform string) {
+	t.Helper()
+	client := objects.NewClient(platform, time.Second)
+	defer client.Close()
+	page, err := client.List(context.Background(), record.KindCrasher)
+	assert.NilError(t, err)
+	assert.Equal(t, len(page.Objects), 1)
+	_, err = client.Delete(context.Background(), page.Objects[0].Key(), page.Objects[0].Version)
+	assert.NilError(t, err)
 }
 
 // newKey makes a key as callers should: with the time in it.
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,7 +20,7 @@
 // call runs the request at the instance and sends the answer. The slot is
 // held; call gives it back.
 func (x *exchange) call(m *msg.Run) {
-	if e := x.stopped(); e != nil {
+	if e := x.stopRefusal(); e != nil {
 		x.inst.finish(time.Now(), x.id, result{shed: true})
 		x.refuse(e)
 		return
@@ -41,8 +40,7 @@
 		}
 	}()
 	started := time.Now()
-	path, _, _ := strings.Cut(m.URI, "?")
-	x.inst.start(started, x.waiter, m.Method+" "+m.Host+path)
+	x.inst.start(started, x.waiter, m)
 	run := x.guard.repeats.begin(started, x.inst.service, x.held, m.Idempotent, x.aim)
 	if !x.held {
 		x.callPart = run.part
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -71,10 +71,10 @@
 // waiter is the goroutine that serves one request.
 type waiter struct {
 	decisions chan admit.Decision
-	// request is the request's id, look its method, host and path, and print what it is
+	// run is what was sent to the target, nil before, and print what the request is
 	// known by when it comes again.
-	request, look string
-	print         crash.Print
+	run   *msg.Run
+	print crash.Print
 	// started is when the target was called, zero before.
 	started time.Time
 	// reported is the age last reported to the detector.
@@ -263,10 +263,10 @@
 }
 
 // start marks the moment the target is called.
-func (i *instance) start(now time.Time, w *waiter, look string) {
+func (i *instance) start(now time.Time, w *waiter, m *msg.Run) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	w.started, w.look = now, look
+	w.started, w.run = now, m
 	i.counts.Ran++
 }
 
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -91,7 +91,7 @@
 		return false
 	}
 	x.print = crash.Print(aim.Print)
-	if e := x.stopped(); e != nil {
+	if e := x.stopRefusal(); e != nil {
 		x.refuse(e)
 		return false
 	}
@@ -101,7 +101,7 @@
 	}
 	r.Expect, r.Insist = time.Duration(aim.ExpectMS)*time.Millisecond, aim.Insist
 	inst.observe(x.arrived, sample)
-	x.waiter = &waiter{request: x.request, print: x.print, patience: patience(aim)}
+	x.waiter = &waiter{print: x.print, patience: patience(aim)}
 	x.id = inst.offer(x.arrived, r, x.waiter)
 	x.inbox = make(chan msg.Message, 1)
 	x.lost = make(chan struct{})
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -1,6 +1,8 @@
 package guard
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/core/detect"
@@ -47,3 +49,44 @@
 		References: i.reference.At(time.Now()).Count, Counts: i.counts,
 	}
 }
+
+// SuspectState is one suspected request in the state dump.
+type SuspectState struct {
+	Print string `json:"print"`
+	// Ends is in how many ends it had part that no other request explains, or in how many
+	// at all where it is stopped.
+	Ends int `json:"ends"`
+	// Until is when it may reach the software that it has ended again, empty where it
+	// is not stopped.
+	Until string `json:"until,omitempty"`
+	// Instances are the starts that ended.
+	Instances []string `json:"instances"`
+}
+
+// Suspects lists the requests that are suspected, for the state dump.
+func (g *Guard) Suspects() []SuspectState {
+	out := []SuspectState{}
+	for p, v := range *g.suspects.verdicts.Load() {
+		s := SuspectState{Print: p.String(), Ends: v.Ends}
+		if !v.Until.IsZero() {
+			s.Until = v.Until.UTC().Format(time.RFC3339)
+		}
+		for _, e := range g.suspects.endsOf(p) {
+			s.Instances = append(s.Instances, e.ID)
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b SuspectState) int { return strings.Compare(a.Print, b.Print) })
+	return out
+}
+
+// Stops counts the requests that are kept from instances.
+func (g *Guard) Stops() int {
+	n := 0
+	for _, v := range *g.suspects.verdicts.Load() {
+		if !v.Until.IsZero() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/guard/suspects.go
+++ b/internal/guard/suspects.go
@@ -1,33 +1,23 @@
 package guard
 
 import (
-	"context"
 	"fmt"
-	"log/slog"
 	"math/bits"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/radishhoist/radishhoist/internal/core/crash"
-	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/verdict"
 )
 
 const (
-	// probeTimeout bounds the look whether an instance still takes connections: it
-	// runs on this host, and the request waits for its verdict.
-	probeTimeout = 50 * time.Millisecond
 	// completedSlots is how many completed requests a host remembers, one in each
 	// slot: 32 KB, and a path that comes a few times a minute stays known.
 	completedSlots = 4096
-	// maxNamed bounds the requests that the line about an end names.
-	maxNamed = 8
+	// maxOwn bounds the own ends whose requests are remembered.
+	maxOwn = 64
 )
 
 // suspects is what this host knows of requests that end instances: its share of
@@ -81,9 +71,6 @@
 	return s.book.EndsOf(p)
 }
 
-// maxOwn bounds the own ends whose requests are remembered.
-const maxOwn = 64
-
 // remember keeps what the requests of an own end looked like.
 func (s *suspects) remember(end string, looks map[crash.Print]string) {
 	s.mu.Lock()
@@ -168,57 +155,9 @@
 	return e
 }
 
-// SuspectState is one suspected request in the state dump.
-type SuspectState struct {
-	Print string `json:"print"`
-	// Ends is in how many ends it had part that no other request explains, or in how many
-	// at all where it is stopped.
-	Ends int `json:"ends"`
-	// Until is when it may reach the software that it has ended again, empty where it
-	// is not stopped.
-	Until string `json:"until,omitempty"`
-	// Instances are the starts that ended.
-	Instances []string `json:"instances"`
-}
-
-// Suspects lists the requests that are suspected, for the state dump.
-func (g *Guard) Suspects() []SuspectState {
-	out := []SuspectState{}
-	for p, v := range *g.suspects.verdicts.Load() {
-		s := SuspectState{Print: p.String(), Ends: v.Ends}
-		if !v.Until.IsZero() {
-			s.Until = v.Until.UTC().Format(time.RFC3339)
-		}
-		for _, e := range g.suspects.endsOf(p) {
-			s.Instances = append(s.Instances, e.ID)
-		}
-		out = append(out, s)
-	}
-	slices.SortFunc(out, func(a, b SuspectState) int { return strings.Compare(a.Print, b.Print) })
-	return out
-}
-
-// Stops counts the requests that are kept from instances.
-func (g *Guard) Stops() int {
-	n := 0
-	for _, v := range *g.suspects.verdicts.Load() {
-		if !v.Until.IsZero() {
-			n++
-		}
-	}
-	return n
-}
-
-// software is what the instance runs.
-func (i *instance) software() crash.Software {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return crash.Software{Service: i.service, Version: i.version}
-}
-
-// stopped says that the request must not reach the instance. It is asked when the
-// request comes and again when it has waited for its slot.
-func (x *exchange) stopped() *verdict.Error {
+// stopRefusal refuses a request that must not reach the instance, nil for any other. It
+// is asked when the request comes and again when it has waited for its slot.
+func (x *exchange) stopRefusal() *verdict.Error {
 	v := x.guard.Suspect(x.print)
 	now := time.Now()
 	if v.Until.IsZero() || !v.Stopped(now, x.inst.software()) {
@@ -247,100 +186,3 @@
 		}
 	}
 }
-
-// ended says whether the instance has ended, seen by its port, which takes no
-// connections. The first to see it takes the instance out of service and tells the
-// fleet what ran there.
-func (i *instance) ended() bool {
-	i.probing.Lock()
-	defer i.probing.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	if !errors.Is(i.client.Probe(ctx), syscall.ECONNREFUSED) {
-		return false
-	}
-	announced, first := i.takeOut()
-	if first {
-		i.guard.counts.ends.Inc()
-	}
-	if first && !announced {
-		i.tellEnd(time.Now())
-	}
-	if first {
-		i.guard.changed()
-	}
-	return true
-}
-
-// takeOut takes the instance out of service, and reports whether it is the first to do
-// so. announced says that the instance had said that it would end: then nothing that it
-// ran is to blame.
-func (i *instance) takeOut() (announced, first bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.over {
-		return i.leaving, false
-	}
-	i.over = true
-	i.settle()
-	return i.leaving, true
-}
-
-// tellEnd tells the fleet that the instance has ended and what it ran.
-func (i *instance) tellEnd(now time.Time) {
-	software := i.software()
-	e := crash.End{ID: endID(i.name, i.started), Software: software, At: now}
-	var requests []string
-	looks := make(map[crash.Print]string)
-	for _, w := range i.underWay() {
-		if slot, mark := i.guard.suspects.slot(w.print, software); slot.Load() == mark {
-			continue
-		}
-		e.Prints = append(e.Prints, w.print)
-		requests = append(requests, w.request)
-		looks[w.print] = w.look
-	}
-	event.Log(i.guard.log, event.InstanceEnded, slog.String("instance", i.name), slog.String("service", software.Service),
-		slog.String("version", software.Version), slog.Int("suspects", len(e.Prints)), slog.Any("requests", requests[:min(len(requests), maxNamed)]))
-	if len(e.Prints) == 0 {
-		return
-	}
-	e.Prints = e.Prints[:min(len(e.Prints), crash.MaxPrints)]
-	i.guard.suspects.remember(e.ID, looks)
-	i.guard.HearEnd(e)
-	i.guard.ended(e)
-	for _, p := range e.Prints {
-		// One that was stopped while it ran here: the hosts of the earlier ends may
-		// each have left it to this one to keep.
-		if v := i.guard.Suspect(p); !v.Until.IsZero() {
-			i.guard.keep(p)
-		}
-	}
-}
-
-// unsent marks a request that was proved not to have run: it had no part in an end.
-func (i *instance) unsent(w *waiter) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	w.print = 0
-}
-
-// underWay lists the requests that were sent to the instance and have no answer,
-// those that began last first.
-func (i *instance) underWay() []*waiter {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	var out []*waiter
-	for _, w := range i.waiters {
-		if !w.started.IsZero() && w.print != 0 {
-			out = append(out, w)
-		}
-	}
-	slices.SortFunc(out, func(a, b *waiter) int { return b.started.Compare(a.started) })
-	return out
-}
-
-// endID names one start of an instance in the fleet.
-func endID(name string, started time.Time) string {
-	return name + "@" + started.UTC().Format("20060102T150405.000")
-}
