The frame protocol is version 4

Cause: requests between hosts carry one more field (the print), and a host of version 3 cannot read them: its connection would break at each request instead of being refused once with its reason. A fleet is restarted as a whole, as with version 3. Ruled out: a field that older hosts pass over (messages are tuples).

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -18,7 +18,7 @@
 
 const (
 	// Proto is the version of the frame protocol, checked in Hello.
-	Proto = 3
+	Proto = 4
 	// MaxFrame bounds one frame, in bytes after the length field. The largest
 	// message is a part of a record set: values are at most 1 MB each.
 	MaxFrame = 2 << 20
