Daemons' tests of ends use the stand-in target; senders share one loop

The daemons' tests had an instance of their own that ends, which the stand-in target does since the soak has it; the emulator's crashing callers repeated the loop of the others. Change: both use what is there; the stand-in may be away for less than 2 s and announces itself as soon as it is back. The same assertions. Ruled out: nothing.

--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -1,130 +1,42 @@
 package daemon
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
-	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/internal/standin/target"
 	"github.com/radishhoist/radishhoist/record"
 	"github.com/radishhoist/radishhoist/verdict"
 )
 
-// fatalPath is the path that ends a fragile instance.
-const fatalPath = "/fatal"
-
-// fragile is an instance of service "s" that ends when it begins to run fatalPath.
-type fragile struct {
-	listener net.Listener
-	// ran counts the requests for fatalPath.
-	ran *atomic.Int64
-	// over is closed when the instance ends.
-	over  chan struct{}
-	once  sync.Once
-	mu    sync.Mutex
-	conns []net.Conn
+// startFragile starts an instance beside a daemon that ends on its fatal path, and is back
+// soon after.
+func startFragile(t *testing.T, host *Daemon) *target.Server {
+	t.Helper()
+	s, err := target.Start(target.Config{Name: "i", Service: "s", Address: "127.0.0.1:0", Announce: host.cfg.Load().Announce, Slots: 4, DownFor: 100 * time.Millisecond})
+	assert.NilError(t, err)
+	t.Cleanup(s.Stop)
+	return s
 }
 
-// startFragile starts an instance beside a daemon and waits until a front uses it.
-func startFragile(t *testing.T, host, front *Daemon, name string, ran *atomic.Int64) *fragile {
+// awaitServed waits until a front serves requests.
+func awaitServed(t *testing.T, front *Daemon) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	f := &fragile{listener: l, ran: ran, over: make(chan struct{})}
-	t.Cleanup(f.end)
-	go f.accept()
-	body, err := json.Marshal(guard.Announcement{Service: "s", Address: l.Addr().String(), Slots: 4, Version: "1", State: "ready"})
-	assert.NilError(t, err)
-	url := "http://" + host.cfg.Load().Announce + "/v1/instances/" + name
-	assert.NilError(t, announce(url, body))
-	go func() {
-		for {
-			select {
-			case <-f.over:
-				return
-			case <-time.After(announceInterval):
-				if announce(url, body) != nil {
-					return // the daemon is gone
-				}
-			}
-		}
-	}()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if get(http.DefaultClient, "http://"+front.cfg.Load().Callers+"/") == nil {
-			return f
-		}
-	}
-	t.Fatal("the instance is not used")
-	return nil
-}
-
-// announceInterval is how often an instance announces itself.
-const announceInterval = 500 * time.Millisecond
-
-func announce(url string, body []byte) error {
-	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
-}
-
-func (f *fragile) accept() {
-	for {
-		c, err := f.listener.Accept()
-		if err != nil {
-			return
-		}
-		f.mu.Lock()
-		f.conns = append(f.conns, c)
-		f.mu.Unlock()
-		go f.serve(c)
-	}
-}
-
-func (f *fragile) serve(c net.Conn) {
-	in := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if r.URL.Path == fatalPath {
-			f.ran.Add(1)
-			f.end()
 			return
 		}
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-	}
-}
-
-// end closes everything at once, as a process that ends does.
-func (f *fragile) end() {
-	f.once.Do(func() { close(f.over) })
-	_ = f.listener.Close()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, c := range f.conns {
-		_ = c.Close()
 	}
+	t.Fatal("no instance is used")
 }
 
 // reasonOf sends a request and gives the reason and the verdict of its failure.
@@ -165,33 +77,33 @@
 // after the loss.
 func TestAStoppedRequestStaysStoppedOverALossOfAllProcesses(t *testing.T) {
 	platform := startPlatform(t)
-	var ran atomic.Int64
 	before := startDaemons(t, platform)
-	for n := range 3 {
-		startFragile(t, before[1], before[0], fmt.Sprint("before", n), &ran)
-		reason, _ := reasonOf(t, before[0], fatalPath)
+	i := startFragile(t, before[1])
+	for range 3 {
+		awaitServed(t, before[0])
+		reason, _ := reasonOf(t, before[0], target.FatalPath)
 		assert.Equal(t, reason, string(verdict.ReasonTargetEnded))
 	}
-	last := startFragile(t, before[1], before[0], "last", &ran)
-	reason, promise := reasonOf(t, before[0], fatalPath)
+	awaitServed(t, before[0])
+	reason, promise := reasonOf(t, before[0], target.FatalPath)
 	assert.Equal(t, reason, string(verdict.ReasonCrashesTargets))
 	assert.Equal(t, promise, verdict.NotRun.String())
-	assert.Equal(t, ran.Load(), int64(3))
 	time.Sleep(time.Second)
 	shutdown(before)
-	last.end()
+	assert.Equal(t, len(i.Runs().Ends), 3)
 
 	after := startDaemons(t, platform)
 	defer shutdown(after)
-	startFragile(t, after[1], after[0], "after", &ran)
-	reason, promise = reasonOf(t, after[0], fatalPath)
+	i = startFragile(t, after[1])
+	awaitServed(t, after[0])
+	reason, promise = reasonOf(t, after[0], target.FatalPath)
 	assert.Equal(t, reason, string(verdict.ReasonCrashesTargets))
 	assert.Equal(t, promise, verdict.NotRun.String())
-	assert.Equal(t, ran.Load(), int64(3), "no instance ended for it")
+	assert.Equal(t, len(i.Runs().Ends), 0, "no instance ended for it")
 
 	liftAll(t, platform)
-	for end := time.Now().Add(20 * time.Second); ran.Load() == 3 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		reason, _ = reasonOf(t, after[0], fatalPath)
+	for end := time.Now().Add(20 * time.Second); len(i.Runs().Ends) == 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		reason, _ = reasonOf(t, after[0], target.FatalPath)
 	}
 	assert.Equal(t, reason, string(verdict.ReasonTargetEnded), "it runs again by an operator's word")
 }
@@ -236,7 +148,7 @@
 // addressedTo makes the fatal request for a front, with another address in its Host header.
 func addressedTo(t *testing.T, front *Daemon, host string) *http.Request {
 	t.Helper()
-	req, err := http.NewRequest(http.MethodGet, "http://"+front.cfg.Load().Callers+fatalPath, nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+front.cfg.Load().Callers+target.FatalPath, nil)
 	assert.NilError(t, err)
 	req.Host = host
 	return req
@@ -256,17 +168,17 @@
 func TestTheFrontsAddressIsNoPartOfARequest(t *testing.T) {
 	daemons := startDaemons(t, startPlatform(t))
 	defer shutdown(daemons)
-	var ran atomic.Int64
+	i := startFragile(t, daemons[1])
 	for n := range 3 {
-		startFragile(t, daemons[1], daemons[0], fmt.Sprint("i", n), &ran)
+		awaitServed(t, daemons[0])
 		reason, _ := failureOf(t, addressedTo(t, daemons[0], fmt.Sprintf("10.0.0.%d", n)))
 		assert.Equal(t, reason, string(verdict.ReasonTargetEnded))
 	}
-	startFragile(t, daemons[1], daemons[0], "last", &ran)
+	awaitServed(t, daemons[0])
 	reason, promise := failureOf(t, addressedTo(t, daemons[0], "10.0.0.9"))
 	assert.Equal(t, reason, string(verdict.ReasonCrashesTargets))
 	assert.Equal(t, promise, verdict.NotRun.String())
-	assert.Equal(t, ran.Load(), int64(3))
+	assert.Equal(t, len(i.Runs().Ends), 3)
 }
 
 // Work that cannot be repeated, with a key and without, and with a body too large to keep:
@@ -276,31 +188,29 @@
 func TestWorkThatIsNotIdempotentIsStoppedTruthfully(t *testing.T) {
 	daemons := startDaemons(t, startPlatform(t))
 	defer shutdown(daemons)
-	var ran atomic.Int64
+	i := startFragile(t, daemons[1])
 	for name, body := range map[string]string{"plain": "x", "keyed": "y", "large": strings.Repeat("z", 1<<20)} {
-		ran.Store(0)
-		post := func(n int, body string) *http.Request {
-			req, err := http.NewRequest(http.MethodPost, "http://"+daemons[0].cfg.Load().Callers+fatalPath, strings.NewReader(body))
+		before := len(i.Runs().Ends)
+		post := func(body string) *http.Request {
+			req, err := http.NewRequest(http.MethodPost, "http://"+daemons[0].cfg.Load().Callers+target.FatalPath, strings.NewReader(body))
 			assert.NilError(t, err)
 			if name == "keyed" {
 				req.Header.Set("Idempotency-Key", newKey(t))
 			}
 			return req
 		}
-		for n := range 3 {
-			startFragile(t, daemons[1], daemons[0], fmt.Sprint(name, n), &ran)
+		for range 3 {
 			awaitKeys(t, daemons[0])
-			reason, promise := failureOf(t, post(n, body))
+			reason, promise := failureOf(t, post(body))
 			assert.Check(t, reason == string(verdict.ReasonTargetEnded), "%s: %s", name, reason)
 			assert.Check(t, promise == verdict.MayHaveRun.String(), "%s: %s", name, promise)
 		}
-		f := startFragile(t, daemons[1], daemons[0], name+"-last", &ran)
-		reason, promise := failureOf(t, post(3, body))
+		awaitKeys(t, daemons[0])
+		reason, promise := failureOf(t, post(body))
 		assert.Check(t, reason == string(verdict.ReasonCrashesTargets), "%s: %s", name, reason)
 		assert.Check(t, promise == verdict.NotRun.String(), "%s: %s", name, promise)
-		assert.Check(t, ran.Load() == 3, "%s: %d", name, ran.Load())
-		reason, _ = failureOf(t, post(4, body+"other"))
+		assert.Check(t, len(i.Runs().Ends) == before+3, "%s: %d", name, len(i.Runs().Ends)-before)
+		reason, _ = failureOf(t, post(body+"other"))
 		assert.Check(t, reason == string(verdict.ReasonTargetEnded), "%s, another body: %s", name, reason)
-		f.end()
 	}
 }
--- a/internal/fleetsim/callers.go
+++ b/internal/fleetsim/callers.go
@@ -52,11 +52,17 @@
 	o.Stopped += other.Stopped
 }
 
-// callersOf sends requests of one kind at random times from random hosts.
+// callersOf sends requests of one kind.
 func (f *fleet) callersOf(k Kind, rng *rand.Rand) {
+	f.atRandom(k.PerSecond, rng, func(h *host, n int) { f.call(h, k, fmt.Sprintf("%s-%d", k.Name, n)) })
+}
+
+// atRandom sends numbered requests at random times from random hosts, and waits for their
+// ends.
+func (f *fleet) atRandom(perSecond float64, rng *rand.Rand, send func(h *host, n int)) {
 	var wg sync.WaitGroup
 	for n := 0; ; n++ {
-		time.Sleep(time.Duration(rng.ExpFloat64() / k.PerSecond * float64(time.Second)))
+		time.Sleep(time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second)))
 		if f.now() > f.site.For {
 			break
 		}
@@ -64,7 +70,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			f.call(h, k, fmt.Sprintf("%s-%d", k.Name, n))
+			send(h, n)
 		}()
 	}
 	wg.Wait()
--- a/internal/fleetsim/crash.go
+++ b/internal/fleetsim/crash.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/guard"
@@ -22,22 +21,9 @@
 	return Crasher{}, false
 }
 
-// crashersOf sends one crasher at random times from random hosts.
+// crashersOf sends one crasher.
 func (f *fleet) crashersOf(c Crasher, rng *rand.Rand) {
-	var wg sync.WaitGroup
-	for n := 0; ; n++ {
-		time.Sleep(time.Duration(rng.ExpFloat64() / c.PerSecond * float64(time.Second)))
-		if f.now() > f.site.For {
-			break
-		}
-		h := f.hosts[rng.IntN(len(f.hosts))]
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			f.request(h, c.Kind, c.Path, fmt.Sprintf("%s-%d", c.Path, n))
-		}()
-	}
-	wg.Wait()
+	f.atRandom(c.PerSecond, rng, func(h *host, n int) { f.request(h, c.Kind, c.Path, fmt.Sprintf("%s-%d", c.Path, n)) })
 }
 
 // crash runs a crasher until the instance ends under it, or has ended already.
--- a/internal/standin/target/fatal.go
+++ b/internal/standin/target/fatal.go
@@ -1,6 +1,8 @@
 package target
 
 import (
+	"cmp"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,7 +17,7 @@
 const (
 	// fatalAfter is how long such a request runs before the end.
 	fatalAfter = 50 * time.Millisecond
-	// downFor is how long the stand-in is away.
+	// downFor is how long the stand-in is away by default.
 	downFor = 2 * time.Second
 	// listenAgain is the pause between two tries to take the port again.
 	listenAgain = 100 * time.Millisecond
@@ -33,7 +35,7 @@
 	}
 	s.ends = append(s.ends, time.Now().UnixMilli())
 	s.close()
-	time.AfterFunc(downFor, s.reopen)
+	time.AfterFunc(cmp.Or(s.cfg.DownFor, downFor), s.reopen)
 }
 
 // open serves on a listener, as a new start.
@@ -64,6 +66,7 @@
 		l, err := net.Listen("tcp", s.cfg.Address)
 		if err == nil {
 			s.open(l)
+			s.announce(context.Background())
 			return
 		}
 		s.mu.Lock()
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -66,6 +66,8 @@
 	// deviation of its logarithm.
 	ServiceTime time.Duration
 	Spread      float64
+	// DownFor is how long it is away after an end; 0 is two seconds.
+	DownFor time.Duration
 }
 
 // Server is one running stand-in.
