The soak lets no fault meet a process that is just being replaced

A planned stop of host 2 took longer than its schedule; the kill that followed met the process in between, waited ten seconds for the new one to end, killed that too, and the last fault ended after the run. The product did nothing wrong; the schedule cannot know how long a stop takes. Change: a fault of a daemon waits for the one before at the same host, and is left out where that has taken its whole time. No check is narrowed. Ruled out: by the trace, a daemon that hangs (it had drained and started within 2 s).

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -66,6 +66,9 @@
 	host   *lab.Host
 	target *lab.Target
 	link   *proxy
+	// process is held by a fault of the daemon until it runs again: a stop may take
+	// longer than planned, and the next fault must not meet the process in between.
+	process sync.Mutex
 }
 
 // run is a run under way.
@@ -162,10 +165,19 @@
 
 // inject brings a fault about, and its end, and notes when both were.
 func (r *run) inject(ctx context.Context, f Fault) {
+	over := f.End()
 	if !sleep.For(ctx, f.At-r.now()) {
 		return
 	}
+	if f.Kind.ofDaemon() {
+		n := r.nodes[f.Host]
+		n.process.Lock()
+		defer n.process.Unlock()
+	}
 	f.At = r.now()
+	if f.At >= over {
+		return // the fault before has taken its whole time
+	}
 	end := r.begins(f)
 	r.mu.Lock()
 	index := len(r.record.Faults)
@@ -174,7 +186,7 @@
 	lasting.For = r.cfg.Length
 	r.record.Faults = append(r.record.Faults, lasting)
 	r.mu.Unlock()
-	sleep.For(ctx, f.For)
+	sleep.For(ctx, over-f.At)
 	end()
 	r.mu.Lock()
 	defer r.mu.Unlock()
