--- a/internal/guard/suspects_test.go
+++ b/internal/guard/suspects_test.go
@@ -118,16 +118,24 @@
 	}
 }
 
-// All that an instance ran when it ended is told to the fleet once, and each caller hears
-// that the instance ended.
-func TestAnEndNamesWhatTheInstanceRan(t *testing.T) {
-	f := newFragile(t)
-	g, n := suspectGuard(t, f.listener.Addr().String())
+// startWaiting has the instance run a request, known as 5, that gets no answer, and gives
+// the guard's last message on it.
+func startWaiting(t *testing.T, g *Guard) <-chan msg.Message {
+	t.Helper()
 	waits := make(chan msg.Message, 1)
 	go func() { waits <- send(t, g, "/wait", 5) }()
 	for len(g.all()[0].underWay()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
+	return waits
+}
+
+// All that an instance ran when it ended is told to the fleet once, and each caller hears
+// that the instance ended.
+func TestAnEndNamesWhatTheInstanceRan(t *testing.T) {
+	f := newFragile(t)
+	g, n := suspectGuard(t, f.listener.Addr().String())
+	waits := startWaiting(t, g)
 	fail, ok := send(t, g, "/end", 7).(*msg.Fail)
 	assert.Assert(t, ok)
 	assert.Equal(t, fail.Reason, verdict.ReasonTargetEnded)
@@ -155,10 +163,7 @@
 	g, n := suspectGuard(t, f.listener.Addr().String())
 	_, whole := send(t, g, "/", 5).(*msg.End)
 	assert.Assert(t, whole)
-	go send(t, g, "/wait", 5)
-	for len(g.all()[0].underWay()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	startWaiting(t, g)
 	send(t, g, "/end", 7)
 	assert.DeepEqual(t, (<-n.ends).Prints, []crash.Print{7})
 }
@@ -167,11 +172,7 @@
 func TestAnAnnouncedEndSuspectsNothing(t *testing.T) {
 	f := newFragile(t)
 	g, n := suspectGuard(t, f.listener.Addr().String())
-	waits := make(chan msg.Message, 1)
-	go func() { waits <- send(t, g, "/wait", 5) }()
-	for len(g.all()[0].underWay()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	waits := startWaiting(t, g)
 	assert.NilError(t, g.Announce(time.Now(), "i", Announcement{
 		Service: "s", Address: f.listener.Addr().String(), Slots: 4, Connections: 8, Version: "1", Leaving: true,
 	}))
