Red: a popular request is stopped after a loss of instances

Cause: not shown by a trace yet.

Change: the scenario, committed failing and listed.

Conclusion: what a host has seen complete protects a request at that host alone.

--- a/internal/fleetsim/crash_test.go
+++ b/internal/fleetsim/crash_test.go
@@ -163,3 +163,23 @@
 		}
 	}
 }
+
+// What users would see: a request that everybody sends is refused by all hosts for a
+// moment, after a loss of instances that it did not cause.
+//
+// Order of events: a service has just begun to work. Some of its instances have completed
+// the request, the others run it for the first time and are lost all at once.
+func TestAPopularRequestOutlivesALoss(t *testing.T) {
+	site := func(seed uint64) Site {
+		s := scenario(seed)
+		s.Kinds[0].Popular, s.Kinds[1].Popular = true, true
+		s.Health, s.For = Health{}, 4*time.Second
+		for _, service := range s.Services[:2] {
+			s.Losses = append(s.Losses, Loss{At: 900 * time.Millisecond, Service: service.Name, Instances: 7})
+		}
+		return s
+	}
+	for seed, r := range play(t, 10**seeds, site) {
+		assert.Check(t, r.All.Stopped == 0, "seed %d: %d requests stopped", seed, r.All.Stopped)
+	}
+}
