Red: one end counts as several for a request that runs several times

Ruled out: that three instances had ended; no other end named it.

Change: a test of the decision, committed failing and listed.

Conclusion: this is why innocent requests of popular paths were stopped; that others had not completed yet is a second cause, to be seen apart.

--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -45,6 +45,25 @@
 	}
 }
 
+// What users would see: a request that many send is refused by all hosts for minutes,
+// after one instance has ended.
+//
+// Order of events: the instance runs the request in each of its slots, and ends.
+//
+// Cause: each of these runs was counted as an end.
+//
+// Evidence: all hosts held four ends against the request after the first, which names it
+// four times.
+func TestAnEndCountsOnceForARequestThatRanTwice(t *testing.T) {
+	b := NewBook()
+	add(b, 1, v1, 7, 7, 7, 10)
+	assert.Equal(t, verdictAt(b, 1, 7).Ends, 1)
+	add(b, 2, v1, 7, 7)
+	v := verdictAt(b, 2, 7)
+	assert.Equal(t, v.Ends, 2)
+	assert.Assert(t, !v.Everywhere(start.Add(2*time.Second)))
+}
+
 // Two such requests at once are both found, also where they shared an end.
 func TestTwoRequestsAtOnceAreBothStopped(t *testing.T) {
 	b := NewBook()
