An end counts once for each request that ran there

What callers saw: a request of a popular path refused by all hosts, for minutes where nothing of it was still running, after the loss of a single instance.

Cause: an instance that runs one request in several of its slots names it several times when it ends, and each name counted as an end. Three slots were enough to stop it.

Ruled out: fewer suspects an end as the cause, the bound of 32 was never reached.

Change: the Book takes each print of an end once, whoever told it; the guard names each once, so that the bound of 32 is of different requests.

Why it holds: a Book is built from ends alone, and no end can now add more than one to any request's count.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -65,7 +65,7 @@
 	Software Software
 	// At is when it was noticed, by the clock of the host that did.
 	At time.Time
-	// Prints are the requests that it ran, those that had begun last first.
+	// Prints are the requests that it ran, those that had begun last first, each once.
 	Prints []Print
 }
 
@@ -151,6 +151,7 @@
 	if _, known := b.ends[e.ID]; known || len(e.Prints) == 0 {
 		return false
 	}
+	e.Prints = distinct(e.Prints)
 	if len(e.Prints) > MaxPrints {
 		e.Prints = e.Prints[:MaxPrints]
 	}
@@ -159,6 +160,17 @@
 	return true
 }
 
+// distinct leaves the first of equal prints: an instance that runs a request several times
+// ends once under it.
+func distinct(prints []Print) []Print {
+	seen := make(map[Print]bool, len(prints))
+	return slices.DeleteFunc(slices.Clone(prints), func(p Print) bool {
+		again := seen[p]
+		seen[p] = true
+		return again
+	})
+}
+
 // Clear takes the word that a request had no part in an end, because it has
 // completed at the same software, and reports whether it was news.
 func (b *Book) Clear(now time.Time, end string, p Print) bool {
--- a/internal/guard/ends.go
+++ b/internal/guard/ends.go
@@ -78,8 +78,11 @@
 		if slot, mark := i.guard.suspects.slot(u.print, software); slot.Load() == mark {
 			continue
 		}
-		e.Prints = append(e.Prints, u.print)
 		requests = append(requests, u.run.RequestID)
+		if _, again := looks[u.print]; again {
+			continue
+		}
+		e.Prints = append(e.Prints, u.print)
 		looks[u.print] = u.look()
 	}
 	event.Log(i.guard.log, event.InstanceEnded, slog.String("instance", i.name), slog.String("service", software.Service),
