A request that is cleared at once is not kept for good

What callers would have seen: after a loss of all processes, a request that many send refused by all hosts for five minutes, though it had completed everywhere before.

Cause: a request was written to the platform in the moment in which it was stopped, while the news that clears it was under way. What is stopped everywhere at the start completes nowhere, so that nothing clears it.

Ruled out: that the platform's record is needed sooner: hosts know the ends themselves, and the write was only due within half a second before.

Change: the guard looks again after the 250 ms for which a fresh suspect waits, and keeps what is still stopped.

No benchmark: one timer for a stopped request.

--- a/internal/guard/ends.go
+++ b/internal/guard/ends.go
@@ -98,7 +98,7 @@
 		// One that was stopped while it ran here: the hosts of the earlier ends may
 		// each have left it to this one to keep.
 		if v := i.guard.Suspect(p); !v.Until.IsZero() {
-			i.guard.keep(p)
+			i.guard.keepSettled(p)
 		}
 	}
 }
--- a/internal/guard/suspects.go
+++ b/internal/guard/suspects.go
@@ -192,16 +192,25 @@
 func (g *Guard) stop(prints []crash.Print) {
 	for _, p := range prints {
 		g.logStopped(p)
-		g.keep(p)
+		g.keepSettled(p)
 	}
 }
 
+// keepSettled has a request kept that is still stopped once news that clears it would be
+// here: what is kept outlives all processes, and who is stopped then completes nowhere.
+func (g *Guard) keepSettled(p crash.Print) {
+	time.AfterFunc(crash.SettleFor, func() { g.keep(p) })
+}
+
 // keep has a stopped request kept where this host is that of its end which is the last
 // by name, so that one host does.
 func (g *Guard) keep(p crash.Print) {
+	if v := g.Suspect(p); v.Until.IsZero() {
+		return // cleared meanwhile
+	}
 	ends := g.suspects.endsOf(p)
 	if len(ends) == 0 {
-		return // cleared meanwhile
+		return
 	}
 	if look, own := g.suspects.look(ends[len(ends)-1].ID, p); own {
 		g.stopped(Stopped{Print: p, Request: look, Ends: ends})
--- a/internal/guard/suspects_test.go
+++ b/internal/guard/suspects_test.go
@@ -83,15 +83,17 @@
 type news struct {
 	ends    chan crash.End
 	cleared chan string
+	stopped chan Stopped
 }
 
 func suspectGuard(t *testing.T, address, service string) (*Guard, news) {
 	t.Helper()
-	n := news{ends: make(chan crash.End, 4), cleared: make(chan string, 4)}
+	n := news{ends: make(chan crash.End, 4), cleared: make(chan string, 4), stopped: make(chan Stopped, 4)}
 	g := New(Config{Host: "h", QueuePerSlot: 2, GrantLife: time.Minute, TargetIdle: time.Minute}, Limits{AnnounceExpiry: time.Hour},
 		slog.New(slog.NewTextHandler(io.Discard, nil)), openFence{}, Hooks{
 			Changed: func() {}, Pulse: func(*msg.Pulse, bool) {},
 			Ended: func(e crash.End) { n.ends <- e }, Cleared: func(end string, _ crash.Print) { n.cleared <- end },
+			Stopped: func(s Stopped) { n.stopped <- s },
 		})
 	a := Announcement{Service: service, Address: address, Slots: 4, Connections: 8, Version: "1"}
 	assert.NilError(t, g.Announce(time.Now(), "i", a))
@@ -248,6 +250,30 @@
 	assert.Assert(t, whole)
 }
 
+// What is stopped is kept for good once it has not been cleared for a while: who were
+// kept without cause would stay stopped over a loss of all processes, which leaves nobody
+// in whose place they could complete.
+func TestWhatIsClearedAtOnceIsNotKept(t *testing.T) {
+	for name, cleared := range map[string]bool{"cleared": true, "not cleared": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFragile(t)
+			g, n := suspectGuard(t, f.listener.Addr().String(), "s")
+			for _, id := range []string{"a", "b"} {
+				g.HearEnd(crash.End{ID: id, Software: crash.Software{Service: "s", Version: "1"}, Prints: []crash.Print{5}})
+			}
+			waits := startWaiting(t, g)
+			send(t, g, "/end", 7)
+			<-waits
+			assert.Equal(t, g.Suspect(5).Ends, 3)
+			if cleared {
+				g.HearCleared("a", 5)
+			}
+			time.Sleep(2 * crash.SettleFor)
+			assert.Equal(t, len(n.stopped) == 0, cleared)
+		})
+	}
+}
+
 // A request that has ended three instances anywhere reaches none here, whatever its
 // guard's queue; one that completes here is cleared of what it was suspected of.
 func TestAStoppedRequestReachesNoInstance(t *testing.T) {
