The record of a request goes once it has been cleared

Cause: a record was removed by age alone.

Why it holds: what a request was cleared of is a set that all hosts hold, as long as the ends themselves.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/core/config"
+	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/member"
 	"github.com/radishhoist/radishhoist/internal/msg"
@@ -98,6 +99,26 @@
 	assert.Equal(t, len(c.goneHosts(now.Add(2*janitorPatience))), 0)
 }
 
+// The record of a stopped request goes once it has been cleared of its ends: kept, it
+// would stop the request again after a loss of all processes.
+func TestTheRecordOfAClearedRequestIsRemoved(t *testing.T) {
+	c, _ := newTestControl(t)
+	now := time.Now()
+	const print = crash.Print(7)
+	c.hooks.Cleared = func(string, crash.Print) {}
+	key := record.Key{Kind: record.KindCrasher, Name: print.String()}
+	s := &record.Crasher{Request: "GET /status"}
+	for _, id := range []string{"a", "b", "c"} {
+		s.Ends = append(s.Ends, record.InstanceEnd{ID: id, Service: "desk", AtMS: now.UnixMilli()})
+	}
+	c.records.inForce[key] = &record.Record{Key: key, Version: 3, Spec: s}
+	assert.Equal(t, len(c.forgottenCrashers(now)), 0)
+	c.TellCleared("a", print+1)
+	assert.Equal(t, len(c.forgottenCrashers(now)), 0, "another request was cleared")
+	c.TellCleared("a", print)
+	assert.DeepEqual(t, c.forgottenCrashers(now), map[record.Key]int64{key: 3})
+}
+
 // A host that starts while the platform is away knows nobody. A probe of an old
 // peer is all it hears: it must call back who sent it, and once only.
 func TestAHostThatKnowsNobodyCallsBackWhoProbesIt(t *testing.T) {
--- a/internal/control/crashers.go
+++ b/internal/control/crashers.go
@@ -145,8 +145,9 @@
 	return now.UnixMilli()
 }
 
-// forgottenCrashers lists the records of requests whose ends are no longer remembered,
-// where this host is the first of its data centre. The caller holds the lock.
+// forgottenCrashers lists the records of requests whose ends are no longer remembered, or
+// that were cleared of so many that the rest would not stop them, where this host is the
+// first of its data centre. The caller holds the lock.
 func (c *Control) forgottenCrashers(now time.Time) map[record.Key]int64 {
 	out := make(map[record.Key]int64)
 	if c.rank() != 0 {
@@ -158,9 +159,21 @@
 			continue
 		}
 		last := slices.MaxFunc(s.Ends, func(x, y record.InstanceEnd) int { return int(x.AtMS - y.AtMS) })
-		if now.Sub(time.UnixMilli(last.AtMS)) > crash.Keep {
+		if now.Sub(time.UnixMilli(last.AtMS)) > crash.Keep || c.blamed(key.Name, s.Ends) < crash.StopAfter {
 			out[key] = r.Version
 		}
 	}
 	return out
 }
+
+// blamed counts the ends that a request, named by its print, has not been cleared of. The
+// caller holds the lock.
+func (c *Control) blamed(print string, ends []record.InstanceEnd) int {
+	n := 0
+	for _, e := range ends {
+		if _, cleared := c.replica.Set(msg.SetEnds).Get(config.Key{Kind: clearedKind, Name: e.ID + printStart + print}); !cleared {
+			n++
+		}
+	}
+	return n
+}
