Red: a crashing request that many send ends most instances of its service

Ruled out: late news (virtual time, all hosts know within 3 ms): what ends the instances is under way before the first end is known or sent between the first and the third.

Change: a scenario of 50 such requests a second, committed failing and listed; the bound is the aim of six ends in all.

Conclusion: a suspect needs a place of its own.

--- a/internal/fleetsim/crash_test.go
+++ b/internal/fleetsim/crash_test.go
@@ -34,6 +34,8 @@
 	// endsKnown is how many ends tell on a request, and sendsAfter how often it may
 	// reach an instance all the same once the fleet has had time to learn.
 	endsKnown, sendsAfter = 3, 3
+	// mostEnds is how many instances one request ends at the most.
+	mostEnds = 6
 )
 
 // What users saw: most requests of the enquiry service were refused or failed for ten
@@ -95,7 +97,7 @@
 // Whatever the size of the fleet, and whether the request may be repeated or not, it ends
 // few instances, and nobody else's request is stopped for it.
 func TestWhatCrashingRequestsCost(t *testing.T) {
-	const mostEnds, largest = 6, "354 hosts"
+	const largest = "354 hosts"
 	cases := map[string]func(uint64) Site{
 		"24 hosts, repeatable": func(seed uint64) Site {
 			s := scenario(seed)
@@ -142,6 +144,25 @@
 	}
 }
 
+// What users would see: a request that many callers send at once takes most instances of
+// its service away before it is stopped.
+//
+// Order of events: the request ends an instance. While the news of its first ends spreads,
+// other hosts send it, each to the instance that suits it best.
+func TestACrashingRequestThatIsSentOftenEndsFew(t *testing.T) {
+	site := func(seed uint64) Site {
+		s := scenario(seed)
+		s.Crashers = []Crasher{crasher("status", 0)}
+		s.Crashers[0].PerSecond = 50
+		return s
+	}
+	for seed, r := range play(t, 4**seeds, site) {
+		c := r.Crashes["/status/fatal0"]
+		t.Logf("seed %d: %d instances ended, served %.3f", seed, len(c.Ends), r.All.Served())
+		assert.Check(t, len(c.Ends) <= mostEnds, "seed %d: %d instances ended", seed, len(c.Ends))
+	}
+}
+
 // Instances that end for another reason, at once and one after the other, stop no
 // request: neither a path that runs on each of them nor any other.
 func TestLossesStopNoRequest(t *testing.T) {
