A suspect at its second moment is offered to one instance only

What callers saw: nothing of its own; one instance more ended under a request that comes often.

Cause: a suspect whose one place had no room was offered to the next one. Those that had waited for news came on together, filled the first and ended two more within 8 ms.

Ruled out: hosts that see other instances in use: all chose the same two, in the same order.

Change: from the second moment on a request that has failed or been refused once is not offered again.

Why it holds: an innocent request has ends at two moments only where nobody has completed it for 10 s; it is refused truly, as not run.

--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -63,7 +63,8 @@
 		c.failed(retryLater(verdict.ReasonDraining, "this host is stopping and the request is expected to take too long; another takes it", defaultRetryAfter))
 		return pick{}, false
 	}
-	if hedge && c.suspected() || c.sent && c.ends() >= crash.RepeatBelow {
+	if hedge && c.suspected() || len(c.failures) > 0 && c.ends() >= crash.RepeatBelow {
+		// Neither sent again nor, where its one place has no room, to another.
 		return pick{}, false
 	}
 	if c.kept() {
