An end that is told in parts counts whole

What callers would have seen: a request that had ended three instances, sent on by a host that has just started.

Cause: a host that starts hears of ends from the platform's record of a stopped request first, which names that request alone. The end as the other hosts tell it was then taken for known, with all others that ran there.

Ruled out: a record with all requests of its ends, which would repeat them once a record.

Change: what an end names is added to what is known of it.

Figures: TestAnEndThatIsToldInPartsIsWhole and the property that hosts agree whatever the order, with ends told in parts, red before, green now.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -167,26 +167,31 @@
 	return &Book{ends: make(map[string]*entry), cleared: make(map[clearing]time.Time)}
 }
 
-// Add takes an end and reports whether it was news.
+// Add takes an end, or more of what ran there, and reports whether it was news. What is
+// kept of a stopped request names it alone.
 func (b *Book) Add(now time.Time, e End) bool {
-	if _, known := b.ends[e.ID]; known || len(e.Prints) == 0 {
+	if len(e.Prints) == 0 {
 		return false
 	}
 	e.At = e.At.Truncate(time.Millisecond)
-	e.Prints = distinct(e.Prints)
-	if len(e.Prints) > MaxPrints {
-		e.Prints = e.Prints[:MaxPrints]
+	known, ok := b.ends[e.ID]
+	if !ok {
+		known = &entry{End: e, heard: now}
+		known.Prints = nil
+		b.ends[e.ID] = known
+		b.forget(now)
 	}
-	b.ends[e.ID] = &entry{End: e, heard: now}
-	b.forget(now)
-	return true
+	before := len(known.Prints)
+	known.Prints = distinct(slices.Concat(known.Prints, e.Prints))
+	known.Prints = known.Prints[:min(len(known.Prints), MaxPrints)]
+	return len(known.Prints) > before
 }
 
 // distinct leaves the first of equal prints: an instance that runs a request several times
 // ends once under it.
 func distinct(prints []Print) []Print {
 	seen := make(map[Print]bool, len(prints))
-	return slices.DeleteFunc(slices.Clone(prints), func(p Print) bool {
+	return slices.DeleteFunc(prints, func(p Print) bool {
 		again := seen[p]
 		seen[p] = true
 		return again
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -91,6 +91,29 @@
 	assert.Assert(t, v.Everywhere(start.Add(3*time.Second)), "the ends of other moments count")
 }
 
+// What users would see: a request that had ended three instances reaches others through a
+// host that has just started.
+//
+// Order of events: two requests end instances together. The host that starts hears of the
+// ends first from what is kept of one of them, which names that one alone, and then
+// from the other hosts.
+//
+// Cause: an end that was known already was left as it was.
+//
+// Evidence: the property that hosts agree whatever the order, with ends told in parts.
+func TestAnEndThatIsToldInPartsIsWhole(t *testing.T) {
+	b := NewBook()
+	for second := range 3 {
+		add(b, second, v1, 7)
+		add(b, second, v1, 7, 8, Print(100+second))
+	}
+	add(b, 3, v1, 8)
+	now := start.Add(3 * time.Second)
+	v := verdictAt(b, 3, 8)
+	assert.Assert(t, v.Everywhere(now), "it had part in four ends")
+	assert.Assert(t, !b.Add(now, End{ID: "0", Software: v1, At: start, Prints: []Print{8, 7}}), "nothing new")
+}
+
 // Two such requests at once are both found, also where they shared an end.
 func TestTwoRequestsAtOnceAreBothStopped(t *testing.T) {
 	b := NewBook()
@@ -180,6 +203,9 @@
 		}
 		for _, i := range order {
 			other.Clear(start, ends[i].ID, completes)
+			part := ends[i]
+			part.Prints = part.Prints[:len(part.Prints)/2]
+			other.Add(start, part)
 			other.Add(start, ends[i])
 			other.Add(start, ends[i])
 		}
