--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
+	"github.com/radishhoist/radishhoist/internal/cli"
 	"github.com/radishhoist/radishhoist/internal/objects"
 	"github.com/radishhoist/radishhoist/internal/standin/target"
 	"github.com/radishhoist/radishhoist/record"
@@ -120,6 +121,50 @@
 	assert.NilError(t, err)
 }
 
+// An operator sees a request that has ended instances before it is stopped and after, and
+// lets it run again; while the platform is away, what the daemon knows is shown all the
+// same.
+func TestOperatorsSeeAndClearSuspects(t *testing.T) {
+	platform := startPlatform(t)
+	daemons := startDaemons(t, platform)
+	defer shutdown(daemons)
+	i := startFragile(t, daemons[1])
+	assert.Equal(t, operate(t, platform, daemons[0], "suspects"), "no request is suspected of ending instances\n")
+	for n := range 3 {
+		awaitServed(t, daemons[0])
+		reason, _ := reasonOf(t, daemons[0], target.FatalPath)
+		assert.Equal(t, reason, string(verdict.ReasonTargetEnded))
+		if n == 0 {
+			shown := operate(t, platform, daemons[0], "suspects")
+			assert.Assert(t, strings.Contains(shown, "suspected  1"), shown)
+		}
+	}
+	awaitServed(t, daemons[0])
+	time.Sleep(time.Second)
+	shown := operate(t, platform, daemons[0], "suspects")
+	assert.Assert(t, strings.Contains(shown, "stopped until") && strings.Contains(shown, "GET") && strings.Contains(shown, target.FatalPath), shown)
+	print := strings.Fields(strings.Split(shown, "\n")[1])[0]
+	away := operate(t, "http://127.0.0.1:1", daemons[0], "suspects")
+	assert.Assert(t, strings.Contains(away, "records are missing") && strings.Contains(away, print), away)
+
+	shown = operate(t, platform, daemons[0], "suspects", "clear", print)
+	assert.Assert(t, strings.Contains(shown, "is removed"), shown)
+	before := len(i.Runs().Ends)
+	for end := time.Now().Add(20 * time.Second); len(i.Runs().Ends) == before && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		reasonOf(t, daemons[0], target.FatalPath)
+	}
+	assert.Equal(t, len(i.Runs().Ends), before+1, "it runs again")
+}
+
+// operate runs the operators' command line and gives what it prints.
+func operate(t *testing.T, platform string, d *Daemon, args ...string) string {
+	t.Helper()
+	var out strings.Builder
+	all := append([]string{"radishhoist", "--platform", platform, "--admin", d.cfg.Load().Admin}, args...)
+	assert.NilError(t, cli.New(strings.NewReader(""), &out, nil).Run(t.Context(), all), out.String())
+	return out.String()
+}
+
 // newKey makes a key as callers should: with the time in it.
 func newKey(t *testing.T) string {
 	t.Helper()
