Scenarios: crashing requests beside a cut, and as calls of other runs

Cause: two of the cases that were claimed by reading only.

Ruled out: a repair that comes sooner than in the product: news waits for the end of the cut and 0.9 s, as the sets of control are compared.

Change: the emulator cuts a data centre off for a time, and lets the runs of another kind call the crasher.

--- a/internal/fleetsim/crash.go
+++ b/internal/fleetsim/crash.go
@@ -23,7 +23,21 @@
 
 // crashersOf sends one crasher.
 func (f *fleet) crashersOf(c Crasher, rng *rand.Rand) {
-	f.atRandom(c.PerSecond, rng, func(h *host, n int) { f.request(h, c.Kind, c.Path, fmt.Sprintf("%s-%d", c.Path, n)) })
+	kind, path := c.Kind, c.Path
+	if c.Via != "" {
+		kind, path = c.Via, c.viaPath()
+	}
+	f.atRandom(c.PerSecond, rng, func(h *host, n int) { f.request(h, kind, path, fmt.Sprintf("%s-%d", path, n)) })
+}
+
+// calledBy finds the crasher that a request's run calls.
+func (f *fleet) calledBy(path string) (Crasher, bool) {
+	for _, c := range f.site.Crashers {
+		if c.Via != "" && c.viaPath() == path {
+			return c, true
+		}
+	}
+	return Crasher{}, false
 }
 
 // crash runs a crasher until the instance ends under it, or has ended already.
--- a/internal/fleetsim/crash_test.go
+++ b/internal/fleetsim/crash_test.go
@@ -124,6 +124,12 @@
 			s.Crashers = []Crasher{crasher("status", 0), crasher("admit", 1)}
 			return s
 		},
+		"24 hosts, called by other runs": func(seed uint64) Site {
+			s := scenario(seed)
+			s.Crashers = []Crasher{crasher("status", 0)}
+			s.Crashers[0].Via = "admit"
+			return s
+		},
 		"91 hosts": bookingsWithCrasher,
 		largest:    bureauWithCrasher,
 	}
@@ -191,6 +197,30 @@
 	}
 }
 
+// Beside a cut data centre each side learns for itself, and all know once it is over: the
+// request ends no more than it may on both sides together, and nobody else's is stopped.
+func TestACrashingRequestBesideACut(t *testing.T) {
+	site := func(seed uint64) Site {
+		s := scenario(seed)
+		s.Crashers = []Crasher{crasher("status", 0)}
+		s.Cuts = []Cut{{At: 0, For: 10 * time.Second, DC: 1}}
+		return s
+	}
+	for seed, r := range play(t, 5**seeds, site) {
+		c := r.Crashes["/status/fatal0"]
+		after := 0
+		for _, at := range c.Arrivals {
+			if at > 10*time.Second+settle {
+				after++
+			}
+		}
+		t.Logf("seed %d: %d instances ended, %d sends after the cut, served %.3f", seed, len(c.Ends), after, r.All.Served())
+		assert.Check(t, len(c.Ends) <= mostEnds, "seed %d: %d instances ended", seed, len(c.Ends))
+		assert.Check(t, after <= sendsAfter, "seed %d: %d sends after the cut", seed, after)
+		assert.Check(t, r.All.Stopped == 0, "seed %d: %d innocent requests stopped", seed, r.All.Stopped)
+	}
+}
+
 // Instances that end for another reason, at once and one after the other, stop no
 // request: neither a path that runs on each of them nor any other.
 func TestLossesStopNoRequest(t *testing.T) {
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -142,7 +142,7 @@
 }
 
 func (f *fleet) newHost(n int, s Service, name string) *host {
-	h := &host{fleet: f, name: "h" + name, dc: fmt.Sprint("dc", n%f.site.DCs), pulses: pulse.New(f.newRand())}
+	h := &host{fleet: f, name: "h" + name, dc: dcName(n % f.site.DCs), pulses: pulse.New(f.newRand())}
 	f.byName[h.name] = h
 	seen := &Seen{Service: s.Name}
 	f.result.Instances[name] = seen
@@ -227,11 +227,12 @@
 	h.tellAll(told, func(other *host) { other.front.HearPulse(p) })
 }
 
-// tellOthers tells all other hosts, each over one other host.
+// tellOthers tells all other hosts, each over one other host, those behind a cut with the
+// first repair after it.
 func (h *host) tellOthers(hear func(*host)) {
 	for _, other := range h.fleet.hosts {
 		if other != h {
-			time.AfterFunc(h.fleet.delay(h, other)+h.fleet.site.Near, func() { hear(other) })
+			time.AfterFunc(h.fleet.cutFor(h, other)+h.fleet.delay(h, other)+h.fleet.site.Near, func() { hear(other) })
 		}
 	}
 }
@@ -239,6 +240,9 @@
 func (h *host) tellAll(names []string, hear func(*host)) {
 	for _, name := range names {
 		other := h.fleet.byName[name]
+		if h.fleet.cutFor(h, other) > 0 {
+			continue
+		}
 		time.AfterFunc(h.fleet.delay(h, other), func() { hear(other) })
 	}
 }
@@ -261,13 +265,30 @@
 	}
 }
 
+// repair is how long after a cut the hosts on its sides have compared what they know.
+const repair = 900 * time.Millisecond
+
+// cutFor is how much longer two hosts hear nothing of each other, 0 where they do.
+func (f *fleet) cutFor(a, b *host) time.Duration {
+	now := f.now()
+	for _, c := range f.site.Cuts {
+		dc := dcName(c.DC)
+		if (a.dc == dc) != (b.dc == dc) && now >= c.At && now < c.At+c.For {
+			return c.At + c.For + repair - now
+		}
+	}
+	return 0
+}
+
+func dcName(n int) string { return fmt.Sprint("dc", n) }
+
 // peers are the ways from one host to the others.
 type peers struct{ from *host }
 
 // Open implements front.Peers.
 func (p peers) Open(_ context.Context, address string) (wire.Stream, *wire.Conn, error) {
 	to, ok := p.from.fleet.byName[address]
-	if !ok {
+	if !ok || p.from.fleet.cutFor(p.from, to) > 0 {
 		return nil, nil, io.EOF
 	}
 	near, far := wire.Pipe()
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -151,6 +151,9 @@
 		i.crash(c)
 		return http.StatusInternalServerError
 	}
+	if c, ok := f.calledBy(r.URL.Path); ok {
+		return f.request(i.host, c.Kind, c.Path, id+".1")
+	}
 	i.mu.Lock()
 	i.running++
 	health := f.site.Health
--- a/internal/fleetsim/site.go
+++ b/internal/fleetsim/site.go
@@ -55,8 +55,14 @@
 	PerSecond float64
 	// After is how long it runs before the instance ends.
 	After time.Duration
+	// Via is the kind that callers send in its place, each run of which calls it; empty
+	// where they send it themselves.
+	Via string
 }
 
+// viaPath is the path of the requests whose runs call the crasher.
+func (c *Crasher) viaPath() string { return "/" + c.Via + "/calls" + c.Path }
+
 // Loss ends some instances of a service at once.
 type Loss struct {
 	At      time.Duration
@@ -65,6 +71,14 @@
 	Instances int
 }
 
+// Cut parts a data centre from the others for a time: no stream opens between them, and
+// news waits for its end and the next repair.
+type Cut struct {
+	At, For time.Duration
+	// DC is the data centre, counted from 0.
+	DC int
+}
+
 // Site is what is played.
 type Site struct {
 	// DCs is the number of data centres that the hosts are spread over, and OneWay
@@ -79,6 +93,8 @@
 	Down     time.Duration
 	// Losses end instances for no fault of a request.
 	Losses []Loss
+	// Cuts part data centres from the others.
+	Cuts []Cut
 	// RetryShare and RetryReserve are the budget of repeats in RetryWindow.
 	RetryShare   int
 	RetryReserve float64
