--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -81,9 +81,8 @@
 	// noticed. They have one cause, such as a rack's loss of power, and count once: a
 	// request that ends its instances runs for longer than that before each.
 	OneMoment = 10 * time.Millisecond
-	// SettleFor is how long after the last of its ends a request that is stopped, or no
-	// more repeated, is still waited with: a host that has seen it complete says so within
-	// that time nearly always.
+	// SettleFor is how long after the last of its ends a request waits before it is
+	// refused or given up: a host that has seen it complete says so by then nearly always.
 	SettleFor = 250 * time.Millisecond
 	// MaxPrints bounds the suspects of one end. A request that crashes its
 	// instance does so soon after it began.
@@ -127,9 +126,9 @@
 	return now.Before(v.UntilOther)
 }
 
-// Unsettled is how much longer a request waits for news that may clear it before it is
-// held against it that it is suspected: zero or less where there is nothing to wait for.
-func (v *Verdict) Unsettled(now time.Time) time.Duration {
+// WaitForNews is how much longer a request waits for news that may clear it before it is
+// refused or given up: zero or less where there is nothing to wait for.
+func (v *Verdict) WaitForNews(now time.Time) time.Duration {
 	if v.Moments < RepeatBelow {
 		return 0
 	}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -67,7 +67,7 @@
 		// Neither sent again nor, where its one place has no room, to another.
 		return pick{}, false
 	}
-	if c.kept() {
+	if c.heldBack() {
 		return pick{}, false
 	}
 	if v := c.front.guard.Suspect(c.req.print); v.Everywhere(time.Now()) {
--- a/internal/front/suspect.go
+++ b/internal/front/suspect.go
@@ -36,9 +36,9 @@
 	return max(own, c.front.guard.Suspect(c.req.print).Moments)
 }
 
-// kept says that a guard has kept the request from its instance: it knows of ends that
-// this host has not heard of. The caller holds the lock, or is alone.
-func (c *race) kept() bool {
+// heldBack says that a guard has refused the request as one that crashes its targets: it
+// knows of ends that this host has not heard of. The caller holds the lock, or is alone.
+func (c *race) heldBack() bool {
 	return slices.ContainsFunc(c.failures, func(fail *verdict.Error) bool { return fail.Reason == verdict.ReasonCrashesTargets })
 }
 
@@ -47,7 +47,7 @@
 func (c *race) awaitNews(ctx context.Context) {
 	for {
 		v := c.front.guard.Suspect(c.req.print)
-		wait := v.Unsettled(time.Now())
+		wait := v.WaitForNews(time.Now())
 		if wait <= 0 || !sleep.For(ctx, wait) {
 			return
 		}
--- a/internal/guard/suspects.go
+++ b/internal/guard/suspects.go
@@ -205,13 +205,10 @@
 // keep has a stopped request kept where this host is that of its end which is the last
 // by name, so that one host does.
 func (g *Guard) keep(p crash.Print) {
-	if v := g.Suspect(p); v.Until.IsZero() {
+	v, ends := g.Suspect(p), g.suspects.endsOf(p)
+	if v.Until.IsZero() || len(ends) == 0 {
 		return // cleared meanwhile
 	}
-	ends := g.suspects.endsOf(p)
-	if len(ends) == 0 {
-		return
-	}
 	if look, own := g.suspects.look(ends[len(ends)-1].ID, p); own {
 		g.stopped(Stopped{Print: p, Request: look, Ends: ends})
 	}
@@ -241,7 +238,7 @@
 func (x *exchange) awaitNews() {
 	for {
 		v := x.guard.Suspect(x.print)
-		wait := v.Unsettled(time.Now())
+		wait := v.WaitForNews(time.Now())
 		if wait <= 0 {
 			return
 		}
