--- a/internal/fleetsim/crash_test.go
+++ b/internal/fleetsim/crash_test.go
@@ -158,6 +158,7 @@
 		s := scenario(seed)
 		s.Crashers = []Crasher{crasher("status", 0)}
 		s.Crashers[0].PerSecond = perSecond
+		s.For = 8 * time.Second // stopped within the first, with time for a send after that
 		return s
 	}
 }
