Read once more: work done once, and pieces that stood twice

Cause: the whole change read for what it wrote again. The decision listed the ends of all requests twice and counted the moments of each again for every request that it stopped. A print was parsed in two places away from where it is written. A loop had its own timer beside the new sleep.For. The emulator brought instances back in two places. One check of a stopped request said the same twice.

Ruled out: one wait for news for fronts and guards: what ends the guard's differs. Merging drain's timer: it is set anew while it runs.

Change: Verdicts lists once and finds the requests with ends at enough moments once; crash.ParsePrint beside String; keys' placeLoop waits with sleep.For; an instance's end in the emulator has it come back; no change of behaviour, no test touched.

Conclusion: less is computed at each end, and each piece stands once.

--- a/internal/control/crashers.go
+++ b/internal/control/crashers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -91,12 +90,11 @@
 	if e.Kind != string(record.KindCrasher) {
 		return
 	}
-	name, err := strconv.ParseUint(e.Name, 16, 64)
+	p, err := crash.ParsePrint(e.Name)
 	if err != nil {
 		c.refuseEnd(time.Now(), e, err)
 		return
 	}
-	p := crash.Print(name)
 	if e.Deleted {
 		c.hooks.Lifted(p)
 		c.clearEnds(p)
--- a/internal/control/ends.go
+++ b/internal/control/ends.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"strconv"
 	"strings"
 	"time"
 
@@ -66,10 +65,10 @@
 			c.hooks.Ended(end)
 		}
 	case clearedKind:
-		var p uint64
+		var p crash.Print
 		cut := strings.LastIndex(e.Name, printStart)
-		if p, err = strconv.ParseUint(e.Name[cut+1:], 16, 64); err == nil && cut >= 0 {
-			c.hooks.Cleared(e.Name[:cut], crash.Print(p))
+		if p, err = crash.ParsePrint(e.Name[cut+1:]); err == nil && cut >= 0 {
+			c.hooks.Cleared(e.Name[:cut], p)
 		}
 	}
 	if err != nil {
--- a/internal/core/crash/print.go
+++ b/internal/core/crash/print.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,6 +15,12 @@
 // String gives the print as operators see it.
 func (p Print) String() string { return fmt.Sprintf("%016x", uint64(p)) }
 
+// ParsePrint reads a print as String gives it.
+func ParsePrint(s string) (Print, error) {
+	p, err := strconv.ParseUint(s, 16, 64)
+	return Print(p), err
+}
+
 // Request is what a Print is made of: the caller's own words, not what differs
 // from one send of a request to the next or from host to host.
 type Request struct {
--- a/internal/core/crash/verdict.go
+++ b/internal/core/crash/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -77,15 +78,17 @@
 // each runs beside others. What is left suspects without stopping.
 func (b *Book) Verdicts(now time.Time) Verdicts {
 	b.forget(now)
-	all, left := b.byPrint(), b.byPrint()
+	left := b.byPrint()
+	grave := maps.Clone(left)
+	maps.DeleteFunc(grave, func(_ Print, ends []*entry) bool { return moments(ends) < StopAfter })
 	out := make(Verdicts)
 	for {
-		worst, found := most(all, left)
+		worst, found := most(grave, left)
 		if !found {
 			break
 		}
-		out[worst] = stopped(all[worst])
-		explain(left, all[worst])
+		out[worst] = stopped(grave[worst])
+		explain(left, grave[worst])
 	}
 	for p, ends := range left {
 		out[p] = Verdict{Ends: len(ends), Moments: moments(ends), Last: lastHeard(ends)}
@@ -106,12 +109,12 @@
 	return out
 }
 
-// most finds the request that explains the most ends of those left, among the ones
-// with ends at StopAfter moments; of equals the one whose print is least, which is the
-// same on every host.
-func most(all, left map[Print][]*entry) (worst Print, found bool) {
-	for p, ends := range left {
-		if len(all[p]) < StopAfter || moments(all[p]) < StopAfter {
+// most finds the request that explains the most ends of those left, among the grave ones;
+// of equals the one whose print is least, which is the same on every host.
+func most(grave, left map[Print][]*entry) (worst Print, found bool) {
+	for p := range grave {
+		ends, unexplained := left[p]
+		if !unexplained {
 			continue
 		}
 		if !found || len(ends) > len(left[worst]) || len(ends) == len(left[worst]) && p < worst {
--- a/internal/fleetsim/crash.go
+++ b/internal/fleetsim/crash.go
@@ -56,9 +56,7 @@
 	f.mu.Lock()
 	seen.Arrivals = append(seen.Arrivals, f.now())
 	f.mu.Unlock()
-	i.mu.Lock()
-	start := i.starts
-	i.mu.Unlock()
+	start := i.start()
 	time.Sleep(c.After)
 	if !i.end(start) {
 		return
@@ -66,11 +64,17 @@
 	f.mu.Lock()
 	seen.Ends = append(seen.Ends, f.now())
 	f.mu.Unlock()
-	time.AfterFunc(f.site.Down, i.restart)
 }
 
-// end ends a start of the instance with all that it runs; false where it has ended
-// before.
+// start is the number of the present start.
+func (i *instance) start() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.starts
+}
+
+// end ends a start of the instance with all that it runs, until it is back; false where
+// that start has ended before.
 func (i *instance) end(start int) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -81,6 +85,7 @@
 	for nc := range i.conns {
 		_ = nc.Close()
 	}
+	time.AfterFunc(i.host.fleet.site.Down, i.restart)
 	return true
 }
 
@@ -92,12 +97,7 @@
 			continue
 		}
 		left--
-		h.instance.mu.Lock()
-		start := h.instance.starts
-		h.instance.mu.Unlock()
-		if h.instance.end(start) {
-			time.AfterFunc(f.site.Down, h.instance.restart)
-		}
+		h.instance.end(h.instance.start())
 	}
 }
 
--- a/internal/guard/suspects.go
+++ b/internal/guard/suspects.go
@@ -258,7 +258,7 @@
 	x.awaitNews()
 	v := x.guard.Suspect(x.print)
 	now := time.Now()
-	if v.Until.IsZero() || !v.Stopped(now, x.inst.software()) {
+	if !v.Stopped(now, x.inst.software()) {
 		return nil
 	}
 	return StopRefusal(now, x.print, &v)
--- a/internal/keys/place.go
+++ b/internal/keys/place.go
@@ -13,6 +13,7 @@
 	"github.com/radishhoist/radishhoist/internal/core/once"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/internal/sleep"
 	"github.com/radishhoist/radishhoist/record"
 )
 
@@ -34,12 +35,7 @@
 		} else {
 			pause = min(max(2*pause, placePause), placePauseMax)
 		}
-		timer := time.NewTimer(pause/2 + time.Duration(rand.Int64N(int64(pause))))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		sleep.For(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
 	}
 }
 
