control: a record that the platform refuses is told, and encoded once

Cause: a stopped request whose record the platform refused was tried twice a second for ever without a line; operators could not know that a loss of all processes would forget it. A record that cannot be encoded would have been tried for ever, too. Ruled out: the lines about a platform that is away: they tell of watches, which a platform that refuses one write keeps answering. Change: line 410 "record not written" with the answer, at the first failure and once a minute; the record is encoded when the request is stopped, where a failure is one line. Before and after: TestARecordThatThePlatformRefusesIsTold, no line before, one a minute now; all records are written once each when the platform takes them. Conclusion: no error on this way is swallowed; writes are as often as before.

--- a/internal/control/crashers.go
+++ b/internal/control/crashers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -10,20 +11,27 @@
 
 	"github.com/radishhoist/radishhoist/internal/core/config"
 	"github.com/radishhoist/radishhoist/internal/core/crash"
+	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/objects"
 	"github.com/radishhoist/radishhoist/internal/sleep"
 	"github.com/radishhoist/radishhoist/record"
 )
 
-// keepInterval is how often it is looked for stopped requests that are to be kept, and
-// the pause after the platform has failed to take one.
-const keepInterval = 500 * time.Millisecond
+const (
+	// keepInterval is how often it is looked for stopped requests that are to be kept,
+	// and the pause after the platform has failed to take one.
+	keepInterval = 500 * time.Millisecond
+	// unkeptLines is how often a line tells that the platform does not take them.
+	unkeptLines = time.Minute
+)
 
-// unkept holds stopped requests until they stand in the platform.
+// unkept holds the records of stopped requests until they stand in the platform.
 type unkept struct {
 	mu      sync.Mutex
-	byPrint map[crash.Print]*record.Crasher
+	byPrint map[crash.Print][]byte
+	// toldAt is when a line told last that the platform does not take one.
+	toldAt time.Time
 }
 
 // Keep has a stopped request kept in the platform, so that a loss of all processes does
@@ -33,20 +41,30 @@
 	for _, e := range ends {
 		r.Ends = append(r.Ends, record.InstanceEnd{ID: e.ID, Service: e.Software.Service, Version: e.Software.Version, AtMS: e.At.UnixMilli()})
 	}
+	value, err := record.Marshal(crasherKey(p), r)
+	if err != nil {
+		c.logUnkept(p, err)
+		return
+	}
 	c.unkept.mu.Lock()
 	defer c.unkept.mu.Unlock()
 	if c.unkept.byPrint == nil {
-		c.unkept.byPrint = make(map[crash.Print]*record.Crasher)
+		c.unkept.byPrint = make(map[crash.Print][]byte)
 	}
-	c.unkept.byPrint[p] = r
+	c.unkept.byPrint[p] = value
 }
 
-// next gives one request that is to be kept; false for none.
-func (u *unkept) next() (crash.Print, *record.Crasher, bool) {
+// crasherKey is the key of a stopped request's record.
+func crasherKey(p crash.Print) record.Key {
+	return record.Key{Kind: record.KindCrasher, Name: p.String()}
+}
+
+// next gives the record of one request that is to be kept; false for none.
+func (u *unkept) next() (crash.Print, []byte, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for p, r := range u.byPrint {
-		return p, r, true
+	for p, value := range u.byPrint {
+		return p, value, true
 	}
 	return 0, nil, false
 }
@@ -60,23 +78,25 @@
 // keepCrashers writes stopped requests to the platform, however often it fails.
 func (c *Control) keepCrashers(ctx context.Context) {
 	for sleep.For(ctx, keepInterval) {
-		for p, r, ok := c.unkept.next(); ok; p, r, ok = c.unkept.next() {
-			if c.keepCrasher(ctx, p, r) != nil {
-				break
-			}
-			c.unkept.done(p)
+		c.keepAll(ctx, time.Now())
+	}
+}
+
+// keepAll writes the stopped requests that are to be kept, until the platform fails to take
+// one.
+func (c *Control) keepAll(ctx context.Context, now time.Time) {
+	for p, value, ok := c.unkept.next(); ok; p, value, ok = c.unkept.next() {
+		if err := c.keepCrasher(ctx, p, value); err != nil {
+			c.tellUnkept(now, p, err)
+			return
 		}
+		c.unkept.done(p)
 	}
 }
 
 // keepCrasher writes one record. One that stands there already says the same.
-func (c *Control) keepCrasher(ctx context.Context, p crash.Print, r *record.Crasher) error {
-	key := record.Key{Kind: record.KindCrasher, Name: p.String()}
-	value, err := record.Marshal(key, r)
-	if err != nil {
-		return err
-	}
-	_, err = c.store.Put(ctx, key, value, 0)
+func (c *Control) keepCrasher(ctx context.Context, p crash.Print, value []byte) error {
+	_, err := c.store.Put(ctx, crasherKey(p), value, 0)
 	var conflict *objects.ConflictError
 	if errors.As(err, &conflict) {
 		return nil
@@ -84,6 +104,20 @@
 	return err
 }
 
+// tellUnkept logs that the platform does not take a record, the first time and each
+// unkeptLines after.
+func (c *Control) tellUnkept(now time.Time, p crash.Print, cause error) {
+	if !c.unkept.toldAt.IsZero() && now.Sub(c.unkept.toldAt) < unkeptLines {
+		return
+	}
+	c.unkept.toldAt = now
+	c.logUnkept(p, cause)
+}
+
+func (c *Control) logUnkept(p crash.Print, cause error) {
+	event.Log(c.log, event.RecordUnwritten, slog.String("record", crasherKey(p).String()), slog.String("cause", cause.Error()))
+}
+
 // applyCrasher takes a stopped request from the platform, or that it may run again. The
 // caller holds the lock.
 func (c *Control) applyCrasher(e msg.Entry) {
@@ -100,7 +134,7 @@
 		c.clearEnds(p)
 		return
 	}
-	r, ok := c.records.inForce[record.Key{Kind: record.KindCrasher, Name: e.Name}]
+	r, ok := c.records.inForce[crasherKey(p)]
 	if !ok {
 		return // refused, with a line of its own
 	}
--- a/internal/control/ends_test.go
+++ b/internal/control/ends_test.go
@@ -1,14 +1,22 @@
 package control
 
 import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/logtest"
 	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/record"
 )
 
 // What a peer sends as an end or a clearing is read or refused, whatever its bytes, and
@@ -41,3 +49,51 @@
 		}
 	})
 }
+
+// refusingStore is a platform that refuses all writes until it is told to take them.
+type refusingStore struct {
+	awayStore
+	takes   bool
+	written []string
+}
+
+func (s *refusingStore) Put(_ context.Context, key record.Key, value []byte, _ int64) (objects.Object, error) {
+	if !s.takes {
+		return objects.Object{}, &objects.UnavailableError{Cause: errors.New("403 Forbidden"), Refused: true}
+	}
+	s.written = append(s.written, key.Name)
+	return objects.Object{Kind: key.Kind, Name: key.Name, Version: 1, Value: value}, nil
+}
+
+// What users would see: after a loss of all processes a stopped request ends instances
+// again, and nothing had said that it would.
+//
+// Order of events: the platform refuses the record of the stopped request, again and again.
+//
+// Cause: the refusal was taken for a platform that is away, and no line told of it.
+//
+// Evidence: reading; the store of this test refuses, and no line came.
+func TestARecordThatThePlatformRefusesIsTold(t *testing.T) {
+	store := &refusingStore{}
+	var lines logtest.Buffer
+	c := newOver(store, func(*directory.Directory) {})
+	c.log = slog.New(slog.NewTextHandler(&lines, nil))
+	for p := range crash.Print(3) {
+		c.Keep(p+1, "GET /status", []crash.End{{ID: "i@1", At: time.Unix(1000, 0)}})
+	}
+	told := func() int { return strings.Count(lines.String(), "403 Forbidden") }
+	now := time.Now()
+	c.keepAll(t.Context(), now)
+	assert.Equal(t, told(), 1)
+	c.keepAll(t.Context(), now.Add(unkeptLines-1))
+	assert.Equal(t, told(), 1, "no line for each try")
+	c.keepAll(t.Context(), now.Add(unkeptLines))
+	assert.Equal(t, told(), 2)
+
+	store.takes = true
+	c.keepAll(t.Context(), now.Add(unkeptLines+keepInterval))
+	slices.Sort(store.written)
+	assert.DeepEqual(t, store.written, []string{"0000000000000001", "0000000000000002", "0000000000000003"})
+	c.keepAll(t.Context(), now.Add(unkeptLines+2*keepInterval))
+	assert.Equal(t, len(store.written), 3, "each is written once")
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -54,6 +54,7 @@
 	PlatformLate      = Event{407, "platform call late", slog.LevelWarn}
 	PlatformCallEnded = Event{408, "platform call ended", slog.LevelWarn}
 	PlatformPause     = Event{409, "platform pause", slog.LevelInfo}
+	RecordUnwritten   = Event{410, "record not written", slog.LevelWarn}
 	HostJoined        = Event{500, "host joined", slog.LevelInfo}
 	HostSuspect       = Event{501, "host suspect", slog.LevelWarn}
 	HostDead          = Event{502, "host dead", slog.LevelWarn}
@@ -70,7 +71,7 @@
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
 		RequestEnded, RequestRefused, InstanceTurned, InstanceEnded, RequestStopped,
 		RecordApplied, RecordRefused, PlatformAway, PlatformBack, WatchStarted, WatchStopped, SetLoaded,
-		PlatformLate, PlatformCallEnded, PlatformPause,
+		PlatformLate, PlatformCallEnded, PlatformPause, RecordUnwritten,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
 	}
 }
