suspects: name the hosts that saw the ends, and all columns before a request is stopped

Cause: an operator at night saw which request had ended instances, not where: the ends named the starts of instances only, and service, versions and times came from the platform's record, which a request has only once it is stopped. Ruled out: looking the host up in the directory by the instance's name: an instance that has ended is no longer there. Change: an end carries the host that noticed it, in the message, the record and the state dump; the command shows SEEN BY, SERVICE, VERSIONS, SINCE and LAST from the daemon's own ends. Guards give ends in the form of the record, so that this stands once. TestOperatorsSeeAndClearSuspects asks for the host, for a request that is only suspected and for one that is stopped; it and the tests of control, guard, crash, command line and record are green.

--- a/internal/cli/suspects.go
+++ b/internal/cli/suspects.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -35,23 +36,25 @@
 	}
 }
 
-// suspect is a request that may end the instances that run it. What only the platform's
-// record tells is empty where there is none.
+// suspect is a request that may end the instances that run it.
 type suspect struct {
 	Print string `json:"print"`
 	// Until is when a stopped request may be tried again, empty for one that is only
 	// suspected or not known to the daemon.
 	Until string `json:"until,omitempty"`
 	// Ends counts the ends of instances that it has part in.
-	Ends     int    `json:"ends"`
-	Request  string `json:"request,omitempty"`
-	Service  string `json:"service,omitempty"`
-	Versions string `json:"versions,omitempty"`
+	Ends int `json:"ends"`
+	// Request is method, host and path, which the platform's record alone tells.
+	Request  string   `json:"request,omitempty"`
+	Service  string   `json:"service"`
+	Versions []string `json:"versions"`
+	// SeenBy are the hosts that noticed its ends.
+	SeenBy []string `json:"seenBy"`
 	// Since and Last are the times of its first end and its latest.
-	Since string `json:"since,omitempty"`
-	Last  string `json:"last,omitempty"`
-	// Instances are the starts that ended.
-	Instances []string `json:"instances"`
+	Since string `json:"since"`
+	Last  string `json:"last"`
+	// Instances are the ends of the starts that ended.
+	Instances []record.InstanceEnd `json:"instances"`
 }
 
 // suspectList is the answer of the command. Problem says why the records are missing.
@@ -86,7 +89,9 @@
 func joinSuspects(known []guard.SuspectState, kept []objects.Object) []*suspect {
 	byPrint := make(map[string]*suspect)
 	for _, k := range known {
-		byPrint[k.Print] = &suspect{Print: k.Print, Until: k.Until, Ends: k.Ends, Instances: k.Instances}
+		s := &suspect{Print: k.Print, Until: k.Until, Ends: k.Ends}
+		s.tell(k.Instances)
+		byPrint[k.Print] = s
 	}
 	for _, obj := range kept {
 		rec, err := record.Parse(obj.Value)
@@ -100,9 +105,10 @@
 		s := byPrint[obj.Name]
 		if s == nil {
 			s = &suspect{Print: obj.Name, Ends: len(c.Ends)}
+			s.tell(c.Ends)
 			byPrint[obj.Name] = s
 		}
-		s.tell(c)
+		s.Request = c.Request
 	}
 	out := []*suspect{}
 	for _, s := range byPrint {
@@ -112,27 +118,25 @@
 	return out
 }
 
-// tell adds what a record says of the request.
-func (s *suspect) tell(c *record.Crasher) {
-	s.Request = c.Request
-	first, last := c.Ends[0], c.Ends[0]
-	var versions, instances []string
-	for _, e := range c.Ends {
-		if e.AtMS < first.AtMS {
-			first = e
-		}
-		if e.AtMS > last.AtMS {
-			last = e
-		}
-		versions = append(versions, e.Version)
-		instances = append(instances, e.ID)
+// tell adds what is known of the ends that it has part in.
+func (s *suspect) tell(ends []record.InstanceEnd) {
+	if len(ends) == 0 {
+		return // cleared while it was listed
 	}
-	slices.Sort(versions)
-	s.Service, s.Versions = first.Service, fmt.Sprint(slices.Compact(versions))
-	s.Since, s.Last = stamp(first.AtMS), stamp(last.AtMS)
-	if len(s.Instances) == 0 {
-		s.Instances = instances
+	byTime := func(a, b record.InstanceEnd) int { return cmp.Compare(a.AtMS, b.AtMS) }
+	first, last := slices.MinFunc(ends, byTime), slices.MaxFunc(ends, byTime)
+	s.Service, s.Since, s.Last, s.Instances = first.Service, stamp(first.AtMS), stamp(last.AtMS), ends
+	for _, e := range ends {
+		s.Versions = append(s.Versions, e.Version)
+		s.SeenBy = append(s.SeenBy, e.Host)
 	}
+	s.Versions, s.SeenBy = distinct(s.Versions), distinct(s.SeenBy)
+}
+
+// distinct sorts some names and leaves each once.
+func distinct(names []string) []string {
+	slices.Sort(names)
+	return slices.Compact(names)
 }
 
 // stamp gives a time in Unix milliseconds as operators read it.
@@ -146,9 +150,10 @@
 		a.say("no request is suspected of ending instances")
 		return
 	}
-	a.table("PRINT\tSTATE\tENDS\tSERVICE\tVERSIONS\tSINCE\tLAST\tREQUEST", func(w *tabwriter.Writer) {
+	a.table("PRINT\tSTATE\tENDS\tSERVICE\tVERSIONS\tSEEN BY\tSINCE\tLAST\tREQUEST", func(w *tabwriter.Writer) {
 		for _, s := range list.Suspects {
-			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", s.Print, s.condition(), s.Ends, s.Service, s.Versions, s.Since, s.Last, s.Request)
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", s.Print, s.condition(), s.Ends, s.Service,
+				strings.Join(s.Versions, ","), strings.Join(s.SeenBy, ","), s.Since, s.Last, s.Request)
 		}
 	})
 }
--- a/internal/control/crashers.go
+++ b/internal/control/crashers.go
@@ -36,12 +36,8 @@
 
 // Keep has a stopped request kept in the platform, so that a loss of all processes does
 // not forget it. It does not wait for that.
-func (c *Control) Keep(p crash.Print, request string, ends []crash.End) {
-	r := &record.Crasher{Request: request}
-	for _, e := range ends {
-		r.Ends = append(r.Ends, record.InstanceEnd{ID: e.ID, Service: e.Software.Service, Version: e.Software.Version, AtMS: e.At.UnixMilli()})
-	}
-	value, err := record.Marshal(crasherKey(p), r)
+func (c *Control) Keep(p crash.Print, request string, ends []record.InstanceEnd) {
+	value, err := record.Marshal(crasherKey(p), &record.Crasher{Request: request, Ends: ends})
 	if err != nil {
 		c.logUnkept(p, err)
 		return
@@ -144,7 +140,7 @@
 		}
 		c.hooks.Ended(crash.End{
 			ID: end.ID, Software: crash.Software{Service: end.Service, Version: end.Version},
-			At: time.UnixMilli(end.AtMS), Prints: []crash.Print{p},
+			Host: end.Host, At: time.UnixMilli(end.AtMS), Prints: []crash.Print{p},
 		})
 	}
 }
--- a/internal/control/ends.go
+++ b/internal/control/ends.go
@@ -23,7 +23,7 @@
 
 // TellEnd tells all hosts of the end of an instance.
 func (c *Control) TellEnd(e crash.End) {
-	m := msg.InstanceEnd{Service: e.Software.Service, SoftwareVersion: e.Software.Version, AtMS: e.At.UnixMilli()}
+	m := msg.InstanceEnd{Service: e.Software.Service, SoftwareVersion: e.Software.Version, Host: e.Host, AtMS: e.At.UnixMilli()}
 	for _, p := range e.Prints {
 		m.Prints = append(m.Prints, uint64(p))
 	}
@@ -81,7 +81,10 @@
 	if _, err := m.UnmarshalMsg(e.Value); err != nil {
 		return crash.End{}, err
 	}
-	end := crash.End{ID: e.Name, Software: crash.Software{Service: m.Service, Version: m.SoftwareVersion}, At: time.UnixMilli(m.AtMS)}
+	end := crash.End{
+		ID: e.Name, Software: crash.Software{Service: m.Service, Version: m.SoftwareVersion},
+		Host: m.Host, At: time.UnixMilli(m.AtMS),
+	}
 	for _, p := range m.Prints {
 		end.Prints = append(end.Prints, crash.Print(p))
 	}
--- a/internal/control/ends_test.go
+++ b/internal/control/ends_test.go
@@ -79,7 +79,7 @@
 	c := newOver(store, func(*directory.Directory) {})
 	c.log = slog.New(slog.NewTextHandler(&lines, nil))
 	for p := range crash.Print(3) {
-		c.Keep(p+1, "GET /status", []crash.End{{ID: "i@1", At: time.Unix(1000, 0)}})
+		c.Keep(p+1, "GET /status", []record.InstanceEnd{{ID: "i@1", AtMS: 1000}})
 	}
 	told := func() int { return strings.Count(lines.String(), "403 Forbidden") }
 	now := time.Now()
--- a/internal/control/janitor.go
+++ b/internal/control/janitor.go
@@ -77,7 +77,8 @@
 		forgotten := c.forgottenCrashers(time.Now())
 		c.mu.Unlock()
 		for key, version := range forgotten {
-			// A conflict means that another data centre's first host was sooner.
+			// A conflict means that another data centre's first host was sooner; what else
+			// fails is tried in the next sweep.
 			_, _ = c.store.Delete(ctx, key, version)
 		}
 		for name, version := range gone {
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -25,8 +25,9 @@
 	// ID names the start in the fleet.
 	ID       string
 	Software Software
-	// At is when it was noticed, by the clock of the host that did, in whole
-	// milliseconds.
+	// Host is the host that noticed it.
+	Host string
+	// At is when it was noticed, by the clock of that host, in whole milliseconds.
 	At time.Time
 	// Prints are the requests that it ran, those that had begun last first, each once.
 	Prints []Print
--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -135,12 +135,14 @@
 		reason, _ := reasonOf(t, daemons[0], target.FatalPath)
 		assert.Equal(t, reason, string(verdict.ReasonTargetEnded))
 		if n == 0 {
-			awaitSuspect(t, platform, daemons[0])
+			shown := awaitSuspect(t, platform, daemons[0])
+			assert.Assert(t, strings.Contains(shown, " h1 "), "the host that saw it: %s", shown)
 		}
 	}
 	awaitServed(t, daemons[0])
 	time.Sleep(time.Second)
 	shown := operate(t, platform, daemons[0], "suspects")
+	assert.Assert(t, strings.Contains(shown, " h1 "), "the host that saw its ends: %s", shown)
 	assert.Assert(t, strings.Contains(shown, "stopped until") && strings.Contains(shown, "GET") && strings.Contains(shown, target.FatalPath), shown)
 	print := strings.Fields(strings.Split(shown, "\n")[1])[0]
 	away := operate(t, "http://127.0.0.1:1", daemons[0], "suspects")
@@ -159,17 +161,18 @@
 const newsTime = 500 * time.Millisecond
 
 // awaitSuspect waits until operators of a daemon see a request that has ended one
-// instance. Its caller may have the answer before that: the news of the end goes a way of
+// instance, and gives what they see. Its caller may have the answer before that: the news of the end goes a way of
 // its own.
-func awaitSuspect(t *testing.T, platform string, d *Daemon) {
+func awaitSuspect(t *testing.T, platform string, d *Daemon) string {
 	t.Helper()
 	shown := ""
 	for end := time.Now().Add(newsTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if shown = operate(t, platform, d, "suspects"); strings.Contains(shown, "suspected  1") {
-			return
+			return shown
 		}
 	}
 	t.Fatalf("not shown in time: %s", shown)
+	return ""
 }
 
 // operate runs the operators' command line and gives what it prints.
--- a/internal/guard/ends.go
+++ b/internal/guard/ends.go
@@ -71,7 +71,7 @@
 // tellEnd tells the fleet that the instance has ended and what it ran.
 func (i *instance) tellEnd(now time.Time) {
 	software := i.software()
-	e := crash.End{ID: endID(i.name, i.started), Software: software, At: now}
+	e := crash.End{ID: endID(i.name, i.started), Software: software, Host: i.guard.cfg.Host, At: now}
 	var requests []string
 	looks := make(map[crash.Print]string)
 	for _, u := range i.underWay() {
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/core/detect"
+	"github.com/radishhoist/radishhoist/record"
 )
 
 // InstanceState is one instance in the state dump.
@@ -59,21 +60,18 @@
 	// Until is when it may reach the software that it has ended again, empty where it
 	// is not stopped.
 	Until string `json:"until,omitempty"`
-	// Instances are the starts that ended.
-	Instances []string `json:"instances"`
+	// Instances are the ends of the starts that ended.
+	Instances []record.InstanceEnd `json:"instances"`
 }
 
 // Suspects lists the requests that are suspected, for the state dump.
 func (g *Guard) Suspects() []SuspectState {
 	out := []SuspectState{}
 	for p, v := range *g.suspects.verdicts.Load() {
-		s := SuspectState{Print: p.String(), Ends: v.Ends}
+		s := SuspectState{Print: p.String(), Ends: v.Ends, Instances: records(g.suspects.endsOf(p))}
 		if !v.Until.IsZero() {
 			s.Until = v.Until.UTC().Format(time.RFC3339)
 		}
-		for _, e := range g.suspects.endsOf(p) {
-			s.Instances = append(s.Instances, e.ID)
-		}
 		out = append(out, s)
 	}
 	slices.SortFunc(out, func(a, b SuspectState) int { return strings.Compare(a.Print, b.Print) })
--- a/internal/guard/suspects.go
+++ b/internal/guard/suspects.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/radishhoist/radishhoist/internal/core/crash"
+	"github.com/radishhoist/radishhoist/record"
 	"github.com/radishhoist/radishhoist/verdict"
 )
 
@@ -210,7 +211,7 @@
 		return // cleared meanwhile
 	}
 	if look, own := g.suspects.look(ends[len(ends)-1].ID, p); own {
-		g.stopped(Stopped{Print: p, Request: look, Ends: ends})
+		g.stopped(Stopped{Print: p, Request: look, Ends: records(ends)})
 	}
 }
 
@@ -220,7 +221,18 @@
 	// Request is the request as this host saw it: method, host and path.
 	Request string
 	// Ends are those that it explains.
-	Ends []crash.End
+	Ends []record.InstanceEnd
+}
+
+// records gives ends as they are kept and shown.
+func records(ends []crash.End) []record.InstanceEnd {
+	out := make([]record.InstanceEnd, 0, len(ends))
+	for _, e := range ends {
+		out = append(out, record.InstanceEnd{
+			ID: e.ID, Service: e.Software.Service, Version: e.Software.Version, Host: e.Host, AtMS: e.At.UnixMilli(),
+		})
+	}
+	return out
 }
 
 // Suspect gives what is known of a request that may end the instances that run it.
--- a/internal/msg/control.go
+++ b/internal/msg/control.go
@@ -154,7 +154,9 @@
 	Service string
 	// SoftwareVersion is that of the instance's software.
 	SoftwareVersion string
-	// AtMS is when it was noticed, in Unix milliseconds of the host that did.
+	// Host is the host that noticed it.
+	Host string
+	// AtMS is when it was noticed, in Unix milliseconds of that host.
 	AtMS int64
 	// Prints are the requests that it ran, see crash.Print.
 	Prints []uint64 `msg:"prints,limit=256"`
--- a/internal/msg/control_gen.go
+++ b/internal/msg/control_gen.go
@@ -418,10 +418,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *InstanceEnd) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.SoftwareVersion)
+	o = msgp.AppendString(o, z.Host)
 	o = msgp.AppendInt64(o, z.AtMS)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Prints)))
 	for za0001 := range z.Prints {
@@ -438,8 +439,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -452,6 +453,11 @@
 		err = msgp.WrapError(err, "SoftwareVersion")
 		return
 	}
+	z.Host, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Host")
+		return
+	}
 	z.AtMS, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "AtMS")
@@ -485,7 +491,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *InstanceEnd) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.SoftwareVersion) + msgp.Int64Size + msgp.ArrayHeaderSize + (len(z.Prints) * (msgp.Uint64Size))
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.SoftwareVersion) + msgp.StringPrefixSize + len(z.Host) + msgp.Int64Size + msgp.ArrayHeaderSize + (len(z.Prints) * (msgp.Uint64Size))
 	return
 }
 
--- a/record/system.go
+++ b/record/system.go
@@ -75,6 +75,8 @@
 	// Service and Version are those of the instance.
 	Service string `json:"service"`
 	Version string `json:"version"`
+	// Host is the host that noticed it.
+	Host string `json:"host"`
 	// AtMS is when it was noticed, in Unix milliseconds.
 	AtMS int64 `json:"atMS"`
 }
