Idle instances ask few fronts for work, and asks are forgotten

Cause: a host sends 64 pulses a second. An ask for work went to all fronts nearby, and another pulse to all of them once a request had come: in a large data centre one such round used up what there is, fronts kept asks of instances that had long got work, sent what they had there before they looked at any load, and did not hear of others. Change: an instance that is believed well and has had nothing to do for 300 ms asks four hosts nearby, others each time; nothing tells them that it has got work, and a front forgets a wish after 300 ms. One in doubt asks for its trial as before.

--- a/internal/control/pulse.go
+++ b/internal/control/pulse.go
@@ -3,22 +3,22 @@
 import (
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/core/pulse"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
 
-// Tell passes a pulse of this host's guard to the fronts of its data centre
-// and, with far, to those of the others. Each of them gets one copy, which is
-// passed on there. Where the rate does not suffice for all, some are told.
-func (c *Control) Tell(p *msg.Pulse, far bool) {
+// Tell passes a pulse of this host's guard to fronts. Each other data centre gets one
+// copy, which is passed on there. Where the rate does not suffice for all, some are told.
+func (c *Control) Tell(p *msg.Pulse, to pulse.Reach) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	near, dcs := c.members.Live()
-	if far {
+	if to == pulse.ToAll {
 		relayed := &msg.Pulse{Relay: true, Loads: p.Loads}
 		c.tellAll(c.pulses.Far(now, dcs), relayed)
 	}
-	c.tellAll(c.pulses.Near(now, near, far), p)
+	c.tellAll(c.pulses.Near(now, near, to), p)
 }
 
 // tellAll sends a pulse to some hosts. The caller holds the lock.
@@ -35,6 +35,6 @@
 	c.hooks.Pulse(p)
 	if p.Relay {
 		near, _ := c.members.Live()
-		c.tellAll(c.pulses.Near(time.Now(), near, true), &msg.Pulse{Loads: p.Loads})
+		c.tellAll(c.pulses.Near(time.Now(), near, pulse.ToAll), &msg.Pulse{Loads: p.Loads})
 	}
 }
--- a/internal/control/pulse_test.go
+++ b/internal/control/pulse_test.go
@@ -54,11 +54,11 @@
 
 func TestASmallFleetIsToldEverythingWithOneCopyADataCentre(t *testing.T) {
 	c := withHosts(t, 7, 8, 8)
-	c.Tell(aPulse(), false)
+	c.Tell(aPulse(), pulse.ToNear)
 	all, relayed := told(c)
 	assert.Equal(t, all, 7)
 	assert.Equal(t, relayed, 0)
-	c.Tell(aPulse(), true)
+	c.Tell(aPulse(), pulse.ToAll)
 	all, relayed = told(c)
 	assert.Equal(t, all, 9)
 	assert.Equal(t, relayed, 2)
@@ -84,7 +84,7 @@
 func TestALargeFleetIsToldOfLoads(t *testing.T) {
 	for _, hosts := range []int{22, 60, 90} {
 		c := withHosts(t, hosts, 30)
-		c.Tell(aPulse(), false)
+		c.Tell(aPulse(), pulse.ToNear)
 		all, _ := told(c)
 		assert.Assert(t, all >= min(hosts, pulse.Burst-pulse.TurnReserve-1), "%d of %d", all, hosts)
 	}
@@ -97,18 +97,30 @@
 		c := withHosts(t, hosts, 20, 20)
 		begun := time.Now()
 		for range 200 {
-			c.Tell(aPulse(), false)
+			c.Tell(aPulse(), pulse.ToNear)
 		}
 		loads, _ := told(c)
 		assert.Assert(t, float64(loads) <= pulse.TurnReserve+pulse.PerSecond*time.Since(begun).Seconds()+1)
-		c.Tell(aPulse(), true)
+		c.Tell(aPulse(), pulse.ToAll)
 		turned, relayed := told(c)
 		assert.Assert(t, turned >= min(hosts+2, pulse.TurnReserve-1))
 		assert.Equal(t, relayed, 2)
 		for range 200 {
-			c.Tell(aPulse(), true)
+			c.Tell(aPulse(), pulse.ToAll)
 		}
 		more, _ := told(c)
 		assert.Assert(t, float64(loads+turned+more) <= pulse.Burst+pulse.PerSecond*time.Since(begun).Seconds()+1)
 	}
 }
+
+// However large the data centre, few hosts hear that an instance has nothing to do: were
+// it told to all, all would send there, and it would use up what the host may send.
+func TestFewHostsHearOfAnIdleInstance(t *testing.T) {
+	for _, hosts := range []int{2, 7, 90} {
+		c := withHosts(t, hosts, 30)
+		c.Tell(aPulse(), pulse.ToFew)
+		all, relayed := told(c)
+		assert.Equal(t, all, min(hosts, 4))
+		assert.Equal(t, relayed, 0)
+	}
+}
--- a/internal/core/pulse/pulse.go
+++ b/internal/core/pulse/pulse.go
@@ -25,6 +25,22 @@
 	Burst = 128
 	// TurnReserve is the part of the burst that is left for turned estimates.
 	TurnReserve = Burst / 2
+	// few is how many hosts hear that an instance has nothing to do: enough that one
+	// of them soon has a request, and few enough that not all send one.
+	few = 4
+)
+
+// Reach says who is told of a pulse.
+type Reach int
+
+const (
+	// ToFew tells some hosts nearby.
+	ToFew Reach = iota
+	// ToNear tells the hosts nearby.
+	ToNear
+	// ToAll tells the hosts nearby and those of the other data centres. It goes before
+	// the others where the rate does not suffice for all.
+	ToAll
 )
 
 // Spread is one host's rate of pulses. It is not safe for concurrent use.
@@ -51,13 +67,16 @@
 }
 
 // Near picks the hosts nearby that are told, from a random one on: as many as the
-// rate allows. turned says that an estimate has turned, which goes before loads.
-func (s *Spread) Near(now time.Time, hosts []string, turned bool) []string {
+// rate allows.
+func (s *Spread) Near(now time.Time, hosts []string, to Reach) []string {
 	if len(hosts) == 0 {
 		return nil
 	}
-	first := s.rng.IntN(len(hosts))
-	out := make([]string, s.take(now, len(hosts), turned))
+	first, count := s.rng.IntN(len(hosts)), len(hosts)
+	if to == ToFew {
+		count = min(count, few)
+	}
+	out := make([]string, s.take(now, count, to == ToAll))
 	for i := range out {
 		out[i] = hosts[(first+i)%len(hosts)]
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/header"
 	"github.com/radishhoist/radishhoist/internal/core/member"
+	"github.com/radishhoist/radishhoist/internal/core/pulse"
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/front"
 	"github.com/radishhoist/radishhoist/internal/guard"
@@ -225,9 +226,9 @@
 
 // pulse tells this host's front and those that use its instances what has
 // changed there.
-func (d *Daemon) pulse(p *msg.Pulse, far bool) {
+func (d *Daemon) pulse(p *msg.Pulse, to pulse.Reach) {
 	d.front.HearPulse(p)
-	d.control.Tell(p, far)
+	d.control.Tell(p, to)
 }
 
 // handleStream takes a stream that another host opened.
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -205,18 +205,18 @@
 	}
 }
 
-// tell passes a guard's pulse on as control does: to the fronts nearby as far as the
-// rate allows, with far to a host of each other data centre, which passes it on there.
-func (h *host) tell(p *msg.Pulse, far bool) {
+// tell passes a guard's pulse on as control does: to fronts nearby as far as the rate
+// allows, and to a host of each other data centre, which passes it on there.
+func (h *host) tell(p *msg.Pulse, to pulse.Reach) {
 	p = h.known(p)
 	h.front.HearPulse(p)
 	now := time.Now()
 	var relays []string
 	h.mu.Lock()
-	if far {
+	if to == pulse.ToAll {
 		relays = h.pulses.Far(now, h.far)
 	}
-	told := h.pulses.Near(now, h.near, far)
+	told := h.pulses.Near(now, h.near, to)
 	h.mu.Unlock()
 	h.tellAll(told, func(other *host) { other.front.HearPulse(p) })
 	h.tellAll(relays, func(other *host) { other.passOn(p) })
@@ -226,7 +226,7 @@
 func (h *host) passOn(p *msg.Pulse) {
 	h.front.HearPulse(p)
 	h.mu.Lock()
-	told := h.pulses.Near(time.Now(), h.near, true)
+	told := h.pulses.Near(time.Now(), h.near, pulse.ToAll)
 	h.mu.Unlock()
 	h.tellAll(told, func(other *host) { other.front.HearPulse(p) })
 }
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -86,6 +86,9 @@
 	// wantsLong is how long a guard has asked for a trial before one may be made
 	// with work that cannot be repeated: requests that can are sent first.
 	wantsLong = 300 * time.Millisecond
+	// wishLife is how long a guard's wish counts: by then it has asked again if it
+	// still has it.
+	wishLife = 300 * time.Millisecond
 	// trialSpread blurs the estimates among which a trial is chosen, so that fronts
 	// which know the same do not all try one.
 	trialSpread = 0.2
@@ -99,7 +102,7 @@
 	var best *target
 	least := 0.0
 	for _, t := range st.targets {
-		if !t.seen.load.Wants || !t.Usable() || !p.usable(t.Host.Name) || !t.seen.mayTry(now, idempotent, paid) {
+		if !t.seen.wishes(now) || !t.Usable() || !p.usable(t.Host.Name) || !t.seen.mayTry(now, idempotent, paid) {
 			continue
 		}
 		sick := t.seen.sick.Sick(now, model) + trialSpread*rng.Float64()
@@ -110,6 +113,12 @@
 	return best
 }
 
+// wishes says that the guard asks for a request, as far as is known: one that got what it
+// asked for may have told others.
+func (o *observed) wishes(now time.Time) bool {
+	return o.load.Wants && now.Sub(o.loadAt) <= wishLife
+}
+
 // mayTry says that a request is fit for a trial: one that can be sent again at any
 // instance, one that can not only where it is hardly at risk.
 func (o *observed) mayTry(now time.Time, idempotent, paid bool) bool {
--- a/internal/front/hedge_test.go
+++ b/internal/front/hedge_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/core/pulse"
 	"github.com/radishhoist/radishhoist/internal/core/route"
 	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/internal/msg"
@@ -35,7 +36,7 @@
 func racing(t *testing.T) (*race, pick, lateStream) {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	g := guard.New(guard.Config{Host: "h"}, guard.Limits{}, log, nil, guard.Hooks{Changed: func() {}, Pulse: func(*msg.Pulse, bool) {}})
+	g := guard.New(guard.Config{Host: "h"}, guard.Limits{}, log, nil, guard.Hooks{Changed: func() {}, Pulse: func(*msg.Pulse, pulse.Reach) {}})
 	stream := lateStream{word: make(chan msg.Message)}
 	f := New(Config{Host: "h"}, Limits{}, log, stream, g, nil)
 	req := &request{
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -234,7 +234,7 @@
 
 // hear takes a guard's count. The service's lock is held.
 func (o *observed) hear(now time.Time, load msg.Load) {
-	if load.Wants && !o.load.Wants {
+	if load.Wants && !o.wishes(now) {
 		o.wantsAt = now
 	}
 	o.load, o.loadAt = load, now
--- a/internal/front/weigh_test.go
+++ b/internal/front/weigh_test.go
@@ -97,3 +97,17 @@
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, c.o.mayTry(now, c.idempotent, c.paid), c.want) })
 	}
 }
+
+// An instance that asked for work a while ago may have got it.
+func TestAWishIsForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := &observed{}
+	o.hear(now, msg.Load{Slots: 4, Wants: true})
+	assert.Assert(t, o.wishes(now.Add(wishLife)))
+	assert.Assert(t, !o.wishes(now.Add(wishLife+1)))
+	later := now.Add(2 * wishLife)
+	o.hear(later, msg.Load{Slots: 4, Wants: true})
+	assert.Assert(t, !o.mayTry(later, false, false), "it has just asked anew")
+	o.hear(later, msg.Load{Slots: 4})
+	assert.Assert(t, !o.wishes(later))
+}
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -5,6 +5,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/core/admit"
 	"github.com/radishhoist/radishhoist/internal/core/chance"
+	"github.com/radishhoist/radishhoist/internal/core/pulse"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
 
@@ -51,7 +52,7 @@
 	// leftoverWork is for how long an instance may still work on a request that
 	// was broken off: about as long as one takes at the offices.
 	leftoverWork = time.Second
-	// wantAgain is how often a trial is asked for.
+	// wantAgain is how often a trial or work is asked for.
 	wantAgain = 300 * time.Millisecond
 )
 
@@ -72,8 +73,34 @@
 	if turned {
 		i.logTurn(believed, load)
 	}
-	if news {
-		i.guard.pulse(&msg.Pulse{Loads: []msg.InstanceLoad{{Service: i.service, Instance: i.name, Load: load}}}, turned)
+	if !news {
+		return
+	}
+	to := pulse.ToNear
+	if turned {
+		to = pulse.ToAll
+	}
+	i.pulse(load, to)
+}
+
+func (i *instance) pulse(load msg.Load, to pulse.Reach) {
+	i.guard.pulse(&msg.Pulse{Loads: []msg.InstanceLoad{{Service: i.service, Instance: i.name, Load: load}}}, to)
+}
+
+// ask asks a few fronts for work where the instance has had none for a while, and others
+// each time. Without asking, those that were heard of last get all of it, and nobody knows
+// any more whether the others are well when they are needed.
+func (i *instance) ask(now time.Time) {
+	i.mu.Lock()
+	load := i.loadAt(now)
+	asks := i.idle(now, load) && now.Sub(i.askedAt) >= wantAgain
+	if asks {
+		i.askedAt = now
+		load.Wants = true
+	}
+	i.mu.Unlock()
+	if asks {
+		i.pulse(load, pulse.ToFew)
 	}
 }
 
@@ -112,22 +139,20 @@
 	// longer leaves out for longer those that are well again.
 	trialPause = time.Second
 	// idlePause is how long an instance that is believed well has nothing to do
-	// before it asks for work. Without asking, those that were heard of last got
-	// all of it: of 36 instances that could have shared 50 requests a second
-	// evenly, 14 got nothing for 2 s and one 37, and nobody knew any more whether
-	// the others were well when they were needed.
-	idlePause = 600 * time.Millisecond
+	// before it asks for work.
+	idlePause = 300 * time.Millisecond
 )
 
-// wants says that the instance, sick with the given probability, has nothing under
-// way that would tell how it is, and should get a request that does. The caller
-// holds the lock.
+// wants says that the instance, in doubt and sick with the given probability, has
+// nothing under way that would tell how it is, and should get a request that does. The
+// caller holds the lock.
 func (i *instance) wants(now time.Time, sick float64) bool {
-	if i.out() || i.queue.Running()+i.queue.Queued() > 0 {
-		return false
-	}
-	if sick < doubt {
-		return now.Sub(i.idleAt) >= idlePause
-	}
-	return now.Sub(i.failedAt) >= trialPause
+	unused := i.queue.Running()+i.queue.Queued() == 0
+	return unused && !i.out() && sick >= doubt && now.Sub(i.failedAt) >= trialPause
+}
+
+// idle says that the instance is believed well and has had nothing to do for a while. The
+// caller holds the lock.
+func (i *instance) idle(now time.Time, l msg.Load) bool {
+	return busy(l) == 0 && !i.out() && l.SickChance() < doubt && now.Sub(i.idleAt) >= idlePause
 }
--- a/internal/guard/estimate_test.go
+++ b/internal/guard/estimate_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/radishhoist/radishhoist/internal/core/admit"
 	"github.com/radishhoist/radishhoist/internal/core/chance"
+	"github.com/radishhoist/radishhoist/internal/core/pulse"
+	"github.com/radishhoist/radishhoist/internal/msg"
 )
 
 // start seats requests at the test guard's instance, which has two slots.
@@ -42,3 +44,59 @@
 		})
 	}
 }
+
+// What users saw: of equal instances, all well, some lived on a request now and then while
+// others had a hundred times as many; which ones was chance.
+//
+// Order of events: an instance has nothing to do and asks the fronts for work, each of the
+// fronts nearby. The fronts send what they have to whoever asked, also to those that had
+// got what they asked for since.
+//
+// Cause: a host may send so many pulses a second, and in a large data centre one ask with
+// its answer used them up: the fronts kept old asks, and did not hear new ones.
+//
+// Evidence: with 91 hosts at a tenth of their slots, asking twice as soon left five times
+// as many instances short.
+func TestAnIdleInstanceAsksFewForWork(t *testing.T) {
+	g := newTestGuard(t, "127.0.0.1:1")
+	var told []pulse.Reach
+	g.pulse = func(p *msg.Pulse, to pulse.Reach) {
+		if p.Loads[0].Load.Wants {
+			told = append(told, to)
+		}
+	}
+	i := g.all()[0]
+	now := time.Now()
+	i.sick, i.idleAt = chance.At(now, 0.01), now
+	i.ask(now.Add(idlePause - 1))
+	assert.Equal(t, len(told), 0, "it has just had work")
+	i.ask(now.Add(idlePause))
+	i.ask(now.Add(idlePause + wantAgain - 1))
+	assert.DeepEqual(t, told, []pulse.Reach{pulse.ToFew})
+	i.ask(now.Add(idlePause + wantAgain))
+	assert.DeepEqual(t, told, []pulse.Reach{pulse.ToFew, pulse.ToFew})
+
+	start(i, now, 1)
+	i.ask(now.Add(idlePause + 2*wantAgain))
+	assert.Equal(t, len(told), 2, "it has work")
+}
+
+// One in doubt asks all nearby for a trial: it needs one request that can be repeated, and
+// few can.
+func TestADoubtfulInstanceAsksForATrial(t *testing.T) {
+	g := newTestGuard(t, "127.0.0.1:1")
+	var told []pulse.Reach
+	g.pulse = func(p *msg.Pulse, to pulse.Reach) {
+		if p.Loads[0].Load.Wants {
+			told = append(told, to)
+		}
+	}
+	i := g.all()[0]
+	now := time.Now()
+	i.sick, i.failedAt, i.toldAt = chance.At(now, 0.5), now, now
+	i.ask(now.Add(trialPause))
+	assert.Equal(t, len(told), 0)
+	i.tell(now.Add(trialPause))
+	assert.Equal(t, len(told), 1)
+	assert.Assert(t, told[0] != pulse.ToFew)
+}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -18,6 +18,7 @@
 	"github.com/radishhoist/radishhoist/internal/core/detect"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/header"
+	"github.com/radishhoist/radishhoist/internal/core/pulse"
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/verdict"
@@ -60,9 +61,8 @@
 type Hooks struct {
 	// Changed is called when what the host says of its instances has changed.
 	Changed func()
-	// Pulse is called with what the fronts should know at once; far says that
-	// those of other data centres should too.
-	Pulse func(p *msg.Pulse, far bool)
+	// Pulse is called with what some fronts should know at once.
+	Pulse func(p *msg.Pulse, to pulse.Reach)
 	// Ended is called with the end of an instance of this host, and Cleared where a
 	// request that was suspected of one has completed: all hosts are to know. Nil
 	// tells nobody.
@@ -91,7 +91,7 @@
 	refusals event.Limiter
 	counts   counters
 	// pulse is called, without locks, with what the fronts should know at once.
-	pulse   func(p *msg.Pulse, far bool)
+	pulse   func(p *msg.Pulse, to pulse.Reach)
 	changed func()
 	ended   func(crash.End)
 	cleared func(string, crash.Print)
@@ -224,6 +224,7 @@
 			changed = true
 		}
 		inst.tell(now)
+		inst.ask(now)
 		if inst.silent(now) {
 			g.drop(inst)
 			changed = true
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -47,6 +47,8 @@
 	sheds chance.Share
 	// cutAt is when a request was last broken off.
 	cutAt time.Time
+	// askedAt is when work was last asked for.
+	askedAt time.Time
 	// told is what fronts were told last, and toldSick what they make of it
 	// since.
 	told     msg.Load
--- a/internal/guard/suspects_test.go
+++ b/internal/guard/suspects_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
+	"github.com/radishhoist/radishhoist/internal/core/pulse"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/wire"
 	"github.com/radishhoist/radishhoist/verdict"
@@ -91,7 +92,7 @@
 	n := news{ends: make(chan crash.End, 4), cleared: make(chan string, 4), stopped: make(chan Stopped, 4)}
 	g := New(Config{Host: "h", QueuePerSlot: 2, GrantLife: time.Minute, TargetIdle: time.Minute}, Limits{AnnounceExpiry: time.Hour},
 		slog.New(slog.NewTextHandler(io.Discard, nil)), openFence{}, Hooks{
-			Changed: func() {}, Pulse: func(*msg.Pulse, bool) {},
+			Changed: func() {}, Pulse: func(*msg.Pulse, pulse.Reach) {},
 			Ended: func(e crash.End) { n.ends <- e }, Cleared: func(end string, _ crash.Print) { n.cleared <- end },
 			Stopped: func(s Stopped) { n.stopped <- s },
 		})
