Retry budgets: only routes known for calls earn nothing; the part is 0.8 again

In a fleet of 354 hosts a host runs three requests on average and idles a twentieth of the time: guards took callers' routes for calls. Change: a route is known for calls after forty requests of which at most one in a hundred began where nothing ran. Between that and a callers' route it earns as it did.

--- a/internal/core/retry/origin.go
+++ b/internal/core/retry/origin.go
@@ -16,6 +16,11 @@
 	callersShare = 0.05
 	// callersLeast is how many such requests must have been seen.
 	callersLeast = 1.5
+	// callsShare is the share up to which a route's requests are calls, and callsLeast
+	// how many must have been seen: of a run that has just been broken off, a call may
+	// begin where nothing runs.
+	callsShare = 0.01
+	callsLeast = 40
 	// maxOrigins bounds the routes that are remembered.
 	maxOrigins = 4096
 )
@@ -54,9 +59,15 @@
 	}
 }
 
-// Callers reports whether the route's requests are callers' own. A route of which
-// too little is known is taken for calls, which costs budget and breaks no bound.
+// Callers reports whether the route's requests are known to be callers' own.
 func (o *Origins) Callers(route uint32) bool {
 	e, ok := o.byRoute[route]
 	return ok && e.idle >= callersLeast && e.idle >= callersShare*e.all
 }
+
+// Calls reports whether the route's requests are known to be calls. Where hosts hardly
+// ever idle, neither may be known.
+func (o *Origins) Calls(route uint32) bool {
+	e, ok := o.byRoute[route]
+	return ok && e.all >= callsLeast && e.idle <= callsShare*e.all
+}
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -55,13 +55,19 @@
 // SetLimits changes the limits.
 func (b *Budget) SetLimits(l Limits) { b.limits = l }
 
-// Fresh records the first send of a caller's request, which earns a part of a repeat.
-func (b *Budget) Fresh(now time.Time) { b.current(now).requests++ }
+// Fresh records the first send of a request that may be a caller's. It earns a part of a
+// repeat. callOfRepeat is the chance, 0 to 1, that it is a call of a run that was itself a
+// repeat: so much of it counts as a repeat that nobody asked the budget for, and only the
+// rest earns any.
+func (b *Budget) Fresh(now time.Time, callOfRepeat float64) {
+	c := b.current(now)
+	c.requests += 1 - callOfRepeat
+	c.repeats += callOfRepeat
+}
 
 // Call records the first send of a call that a run makes. It earns nothing: its caller's
-// request does so where that was sent to. ofRepeat is the chance, 0 to 1, that the run
-// was itself a repeat: so much of the call counts as a repeat that nobody asked the
-// budget for.
+// request does so where that was sent to. ofRepeat is the chance that the run was itself a
+// repeat.
 func (b *Budget) Call(now time.Time, ofRepeat float64) { b.current(now).repeats += ofRepeat }
 
 // Take pays for one repeat that is sent at once and reports whether the budget
--- a/internal/experiment/ours.go
+++ b/internal/experiment/ours.go
@@ -213,7 +213,7 @@
 func (o *ours) send() {
 	f := o.fronts[o.rng.IntN(len(o.fronts))]
 	o.m.fresh++
-	f.budget.Fresh(o.time())
+	f.budget.Fresh(o.time(), 0)
 	r := &requestSim{front: f, arrived: o.now, idempotent: o.rng.Float64() < idempotentShare}
 	o.attempt(r)
 	o.after(deadline, func() { o.finish(r, false) })
--- a/internal/guard/repeats.go
+++ b/internal/guard/repeats.go
@@ -13,7 +13,7 @@
 	// budgetPart is the part of the retry budget that guards let through. The
 	// rest covers what no guard can know or hold back: calls that repeated runs still
 	// make, which come unevenly to the guards, and hosts that join.
-	budgetPart = 0.9
+	budgetPart = 0.8
 	// keepForFirst is the part of the allowance that hedges and repeats beyond
 	// their objective leave to those that still save an answer in time.
 	keepForFirst = 0.5
@@ -174,11 +174,15 @@
 func (k *keeper) fresh(now time.Time, aim msg.Aim) uint16 {
 	k.origins.Saw(now, aim.Route, aim.Idle)
 	if k.origins.Callers(aim.Route) {
-		k.budget.Fresh(now)
+		k.budget.Fresh(now, 0)
 		return 0
 	}
 	part := min(aim.CallPart, msg.Thousandths)
-	k.budget.Call(now, float64(part)/msg.Thousandths)
+	if k.origins.Calls(aim.Route) {
+		k.budget.Call(now, float64(part)/msg.Thousandths)
+	} else {
+		k.budget.Fresh(now, float64(part)/msg.Thousandths)
+	}
 	return part
 }
 
