Asks for a trial go to few hosts, within a rate of their own

Each asks for one request that would clear it. The ask was told with the loads, which come after turned estimates; 3,096 of these in 29 s, each passed on in four other data centres, use up the 64 pulses a second of every host. Some 5 failed trials in 2 s stand in the logs of the whole fleet; instances at 0.98 were left alone for 10 s. Change: whoever asks for a request asks four hosts, others each 300 ms; these pulses have a rate of their own, 16 a second, 1.8 KB beside 7 KB.

--- a/internal/control/pulse_test.go
+++ b/internal/control/pulse_test.go
@@ -124,3 +124,22 @@
 		assert.Equal(t, relayed, 0)
 	}
 }
+
+// Where many instances turn, what is told of that uses up the rate. Those that ask for a
+// request are heard all the same, within a rate of their own.
+func TestAsksAreHeardBesideTurnedEstimates(t *testing.T) {
+	c := withHosts(t, 500, 20, 20)
+	begun := time.Now()
+	for range 200 {
+		c.Tell(aPulse(), pulse.ToAll)
+	}
+	told(c)
+	c.Tell(aPulse(), pulse.ToFew)
+	asked, _ := told(c)
+	assert.Equal(t, asked, 4)
+	for range 200 {
+		c.Tell(aPulse(), pulse.ToFew)
+	}
+	more, _ := told(c)
+	assert.Assert(t, float64(asked+more) <= pulse.AsksPerSecond*(1+time.Since(begun).Seconds())+1)
+}
--- a/internal/core/pulse/pulse.go
+++ b/internal/core/pulse/pulse.go
@@ -25,9 +25,13 @@
 	Burst = 128
 	// TurnReserve is the part of the burst that is left for turned estimates.
 	TurnReserve = Burst / 2
-	// few is how many hosts hear that an instance has nothing to do: enough that one
-	// of them soon has a request, and few enough that not all send one.
+	// few is how many hosts hear that an instance would like a request: enough that one
+	// of them soon has one, and few enough that not all send one.
 	few = 4
+	// AsksPerSecond bounds the pulses to few hosts, beside PerSecond: where many
+	// instances turn, that news takes all there is, and just then those that are well
+	// again need a request that shows it. It is also how many may be sent at once.
+	AsksPerSecond = 16
 )
 
 // Reach says who is told of a pulse.
@@ -45,13 +49,13 @@
 
 // Spread is one host's rate of pulses. It is not safe for concurrent use.
 type Spread struct {
-	rng   *rand.Rand
-	limit *rate.Limiter
+	rng         *rand.Rand
+	limit, asks *rate.Limiter
 }
 
 // New makes a Spread with its whole burst.
 func New(rng *rand.Rand) *Spread {
-	return &Spread{rng: rng, limit: rate.NewLimiter(PerSecond, Burst)}
+	return &Spread{rng: rng, limit: rate.NewLimiter(PerSecond, Burst), asks: rate.NewLimiter(AsksPerSecond, AsksPerSecond)}
 }
 
 // Far picks a host of each other data centre to pass a turned estimate on there:
@@ -59,7 +63,7 @@
 func (s *Spread) Far(now time.Time, dcs [][]string) []string {
 	var out []string
 	for _, hosts := range dcs {
-		if s.take(now, 1, true) == 1 {
+		if s.take(now, 1, ToAll) == 1 {
 			out = append(out, hosts[s.rng.IntN(len(hosts))])
 		}
 	}
@@ -76,7 +80,7 @@
 	if to == ToFew {
 		count = min(count, few)
 	}
-	out := make([]string, s.take(now, count, to == ToAll))
+	out := make([]string, s.take(now, count, to))
 	for i := range out {
 		out[i] = hosts[(first+i)%len(hosts)]
 	}
@@ -84,12 +88,16 @@
 }
 
 // take gives how many of some pulses may be sent now, and takes them.
-func (s *Spread) take(now time.Time, count int, turned bool) int {
-	room := int(s.limit.TokensAt(now))
-	if !turned {
+func (s *Spread) take(now time.Time, count int, to Reach) int {
+	limit := s.limit
+	if to == ToFew {
+		limit = s.asks
+	}
+	room := int(limit.TokensAt(now))
+	if to == ToNear {
 		room -= TurnReserve
 	}
 	count = max(min(count, room), 0)
-	s.limit.AllowN(now, count)
+	limit.AllowN(now, count)
 	return count
 }
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -52,7 +52,7 @@
 	// leftoverWork is for how long an instance may still work on a request that
 	// was broken off: about as long as one takes at the offices.
 	leftoverWork = time.Second
-	// wantAgain is how often a trial or work is asked for.
+	// wantAgain is how often a request is asked for.
 	wantAgain = 300 * time.Millisecond
 )
 
@@ -63,8 +63,8 @@
 	load := i.loadAt(now)
 	believed := i.toldSick.Doubt(now, i.guard.model) * msg.Thousandths
 	turned := differ(int(load.Sick), int(believed)) >= sickNews || differ(int(load.Sheds), int(i.told.Sheds)) >= sickNews
-	stale := now.Sub(i.toldAt) >= tellAgain || load.Wants && now.Sub(i.toldAt) >= wantAgain
-	news := turned || stale || load.Wants != i.told.Wants || float64(differ(busy(load), busy(i.told))) >= busyNews*float64(i.slots)
+	stale := now.Sub(i.toldAt) >= tellAgain
+	news := turned || stale || float64(differ(busy(load), busy(i.told))) >= busyNews*float64(i.slots)
 	if news {
 		i.toldAt = now
 		i.told, i.toldSick = load, chance.At(now, load.SickChance())
@@ -87,13 +87,13 @@
 	i.guard.pulse(&msg.Pulse{Loads: []msg.InstanceLoad{{Service: i.service, Instance: i.name, Load: load}}}, to)
 }
 
-// ask asks a few fronts for work where the instance has had none for a while, and others
-// each time. Without asking, those that were heard of last get all of it, and nobody knows
-// any more whether the others are well when they are needed.
+// ask asks a few fronts for a request where the instance has had none for a while, and
+// others each time. Without asking, those that were heard of last get all of them, and
+// nobody knows any more whether the others are well when they are needed.
 func (i *instance) ask(now time.Time) {
 	i.mu.Lock()
 	load := i.loadAt(now)
-	asks := i.idle(now, load) && now.Sub(i.askedAt) >= wantAgain
+	asks := i.wants(now, load) && now.Sub(i.askedAt) >= wantAgain
 	if asks {
 		i.askedAt = now
 		load.Wants = true
@@ -127,7 +127,7 @@
 		Slots:     uint32(i.slots), Running: uint32(i.queue.Running()), Queued: uint32(i.queue.Queued()),
 		Health: uint8(i.detector.Health()), Evidence: uint32(i.detector.Evidence() * evidenceScale),
 		Sick: uint16(sick * msg.Thousandths), Sheds: uint16(i.sheds.Now(now) * msg.Thousandths),
-		Repeats: i.guard.repeats.left(now, i.service), Wants: i.wants(now, sick),
+		Repeats: i.guard.repeats.left(now, i.service),
 	}
 }
 
@@ -143,16 +143,14 @@
 	idlePause = 300 * time.Millisecond
 )
 
-// wants says that the instance, in doubt and sick with the given probability, has
-// nothing under way that would tell how it is, and should get a request that does. The
-// caller holds the lock.
-func (i *instance) wants(now time.Time, sick float64) bool {
-	unused := i.queue.Running()+i.queue.Queued() == 0
-	return unused && !i.out() && sick >= doubt && now.Sub(i.failedAt) >= trialPause
-}
-
-// idle says that the instance is believed well and has had nothing to do for a while. The
-// caller holds the lock.
-func (i *instance) idle(now time.Time, l msg.Load) bool {
-	return busy(l) == 0 && !i.out() && l.SickChance() < doubt && now.Sub(i.idleAt) >= idlePause
+// wants says that the instance should get a request: it has nothing to do, and where it is
+// in doubt nothing that would tell how it is. The caller holds the lock.
+func (i *instance) wants(now time.Time, l msg.Load) bool {
+	if i.out() || busy(l) > 0 {
+		return false
+	}
+	if l.SickChance() < doubt {
+		return now.Sub(i.idleAt) >= idlePause
+	}
+	return now.Sub(i.failedAt) >= trialPause
 }
--- a/internal/guard/estimate_test.go
+++ b/internal/guard/estimate_test.go
@@ -81,8 +81,18 @@
 	assert.Equal(t, len(told), 2, "it has work")
 }
 
-// One in doubt asks all nearby for a trial: it needs one request that can be repeated, and
-// few can.
+// What users saw: instances that had been well again for seconds got nothing, while a tenth
+// of the requests was lost at others.
+//
+// Order of events: many instances turn sick and well. What is told of that is passed on to
+// all hosts and uses up what a host may send. Instances in doubt ask for the one request
+// that would clear them, and hardly anybody hears it.
+//
+// Cause: an ask for a trial was told with the loads, which come after turned estimates.
+//
+// Evidence: on a day of the large deployment 75 to 108 of 162 instances of a service were
+// held for doubtful at a time; some 5 failed trials in 2 s stand in the logs, and instances
+// that had been left alone for 10 s.
 func TestADoubtfulInstanceAsksForATrial(t *testing.T) {
 	g := newTestGuard(t, "127.0.0.1:1")
 	var told []pulse.Reach
@@ -94,9 +104,9 @@
 	i := g.all()[0]
 	now := time.Now()
 	i.sick, i.failedAt, i.toldAt = chance.At(now, 0.5), now, now
-	i.ask(now.Add(trialPause))
-	assert.Equal(t, len(told), 0)
+	i.ask(now.Add(trialPause - 1))
 	i.tell(now.Add(trialPause))
-	assert.Equal(t, len(told), 1)
-	assert.Assert(t, told[0] != pulse.ToFew)
+	assert.Equal(t, len(told), 0)
+	i.ask(now.Add(trialPause))
+	assert.DeepEqual(t, told, []pulse.Reach{pulse.ToFew})
 }
