Emulator: a crashing request beside a rack's loss

Ruled out: nothing to mend was found. Change: one scenario more in the table, with the bounds of the others.

--- a/internal/fleetsim/crash_test.go
+++ b/internal/fleetsim/crash_test.go
@@ -130,6 +130,13 @@
 			s.Crashers[0].Via = "admit"
 			return s
 		},
+		"24 hosts, beside a rack's loss": func(seed uint64) Site {
+			s := scenario(seed)
+			s.Kinds[0].Popular = true
+			s.Crashers = []Crasher{crasher("status", 0)}
+			s.Losses = []Loss{{At: 700 * time.Millisecond, Service: "desk", Instances: 3}, {At: 5 * time.Second, Service: "claims", Instances: 3}}
+			return s
+		},
 		"91 hosts": bookingsWithCrasher,
 		largest:    bureauWithCrasher,
 	}
