--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -1,11 +1,13 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -25,6 +27,10 @@
 	demoRate    = 240
 	demoGray    = 8 * time.Second
 	demoTime    = 15 * time.Millisecond
+	// demoGood is how long all targets are good, and leastShare the part of its even
+	// share that each gets meanwhile at the least.
+	demoGood   = 5 * time.Second
+	leastShare = 0.5
 )
 
 // Demo runs the main job for a newcomer to watch.
@@ -52,11 +58,16 @@
 	}
 	say("   every daemon has the records and knows all %d targets", demoHosts)
 
-	before, err := f.load(ctx, 4*time.Second)
+	before, err := f.load(ctx, demoGood)
 	if err != nil {
 		return err
 	}
 	say("2. all targets good, %d requests a second through every daemon\n%s", demoRate, indent(before.String()))
+	starved, least := before.leastServed(targets)
+	say("   the even share is %d; %s, with the least, answered %.2f of it", before.Whole/len(targets), starved, least)
+	if least < leastShare {
+		return errors.Errorf("the good target %s answered %.2f of its even share; %.2f is the least", starved, least, leastShare)
+	}
 
 	gray := targets[0]
 	say("3. target %s turns gray: five times slower, health unchanged", gray.Name)
@@ -80,6 +91,13 @@
 	return nil
 }
 
+// leastServed gives the target that answered the fewest requests, and which part of an
+// even share that was.
+func (r *Report) leastServed(targets []*Target) (name string, part float64) {
+	fewest := slices.MinFunc(targets, func(a, b *Target) int { return cmp.Compare(r.ByTarget[a.Name], r.ByTarget[b.Name]) })
+	return fewest.Name, float64(r.ByTarget[fewest.Name]*len(targets)) / float64(max(r.Whole, 1))
+}
+
 // startDemoFleet starts every process and writes the records.
 func startDemoFleet(ctx context.Context, f *Fleet) ([]*Target, error) {
 	if err := f.StartPlatform("127.0.0.1"); err != nil {
