--- a/internal/core/admit/wait.go
+++ b/internal/core/admit/wait.go
@@ -10,9 +10,7 @@
 // givenUp says that a request has waited until its objective and is given back:
 // others that are still in time go before it, so that under overload it would mostly
 // wait to be refused in the end, and its caller does better to hear when to come
-// back. While requests were held for as long again, 4 s of an objective of 2 s were
-// waited for a refusal; 20 heavy days had a mean worth of 0.513 and served 0.781 of
-// the requests, with a quarter as long 0.517 and 0.782, and so 0.527 and 0.787.
+// back.
 func (t *ticket) givenUp(now time.Time) bool { return now.After(t.Objective) }
 
 // countLate counts the waiting requests that miss their objective or are
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -88,10 +88,7 @@
 	blur = 0.1
 	// maxLooks bounds the candidates that one choice looks at. More looks find an
 	// instance that is likelier well; but where many fronts know the same, all find the
-	// same few and crowd there. In a fleet of 354 hosts, a third of its instances sick
-	// by turns, 0.066 of the requests came late with 12 and 0.077 with 24, as many
-	// failed (0.081, 0.080; virtual time, four seeds); of 91 hosts 0.035 and 0.038 late,
-	// 0.046 and 0.048 failed.
+	// same few and crowd there.
 	maxLooks = 12
 )
 
--- a/internal/core/pulse/pulse.go
+++ b/internal/core/pulse/pulse.go
@@ -16,9 +16,8 @@
 	// size, of the 19 KB a second that control may take. Beyond the bound fewer hosts
 	// hear of each change, and others each time.
 	//
-	// It guards against instances without work: while fleets of more than 64 hosts
-	// were told nothing of loads and of wishes for a trial, instances of 91 hosts that
-	// had failed once, or had had nothing to do, got nothing for 5 s and more.
+	// It guards against instances without work: a front that is told of no loads hardly
+	// chooses those of which it happens to have heard nothing.
 	PerSecond = 64
 	// Burst is how many may be sent at once: a turned estimate that is told
 	// and passed on in a fleet of 300 hosts.
--- a/internal/front/weigh.go
+++ b/internal/front/weigh.go
@@ -25,9 +25,9 @@
 }
 
 // refusalWeight is how much of a failure a refusal counts for: the request has
-// not run and can be sent elsewhere, but that takes time and a repeat. Whole
-// failures made matters worse where all instances of a service refused half of
-// what they got: the choice ran from one to the other (served 0.66 to 0.63).
+// not run and can be sent elsewhere, but that takes time and a repeat. As a whole
+// failure it would make the choice run from one instance to the other where all of a
+// service refuse.
 const refusalWeight = 0.3
 
 // fails is the chance that a request is lost at the instance. The service's lock
@@ -69,9 +69,8 @@
 // queue that takes only what will be in time holds no more of that than fits
 // into the time that the request has left; half of it is expected.
 //
-// Counting all that waits sent requests of the highest priority to sick
-// instances because work of lower priority waited at well ones: a fifth of them
-// failed so on a day on which most instances of a service were sick.
+// Counting all that waits would send requests of the highest priority to sick
+// instances because work of lower priority waits at well ones.
 func (req *request) behind(now time.Time, l msg.Load) time.Duration {
 	var higher uint32
 	for p := req.route.Priority + 1; p < len(l.WaitingMS); p++ {
@@ -90,8 +89,7 @@
 	// againWeight is how much of a failure counts for work that can be repeated,
 	// while repeats are left: most failures come within milliseconds, so that the
 	// repeat still answers in time, and each tells of a sick instance before work
-	// that cannot be repeated meets it. Mean worth of 23 days a site with 0.8, 0.4,
-	// 0.2 and 0.05: 0.605, 0.607, 0.616, 0.591 and 0.523, 0.515, 0.529, 0.497.
+	// that cannot be repeated meets it.
 	againWeight = 0.2
 	// distanceStake is what bytes between data centres are worth, as a part of
 	// the request's value.
@@ -100,10 +98,8 @@
 
 // stakes says what the choice of a target means for a request. again is the chance
 // that it can be repeated where it fails: the weight of a failure grows from
-// againWeight to a whole one as repeats run out. While any guard's last repeat made
-// it light, 487 of 896 lost requests of one service on a heavy day were sent to
-// instances known to be sick and found no repeat; now 20 such days have a mean worth
-// of 0.513 in place of 0.501, and 0.128 of the requests fail in place of 0.162.
+// againWeight to a whole one as repeats run out: a request that is sent to an instance
+// known to be sick must find one.
 func (req *request) stakes(now time.Time, again float64) balance.Stakes {
 	weight := 1 - again*(1-againWeight)
 	objective := req.route.Objective()
--- a/internal/guard/repeats.go
+++ b/internal/guard/repeats.go
@@ -28,9 +28,7 @@
 // repeats keeps this host's part of the services' retry budgets.
 //
 // The guards keep them, not the fronts, because a service has few guards and a
-// fleet has many fronts: divided among 24 fronts, each had two or three repeats
-// in 10 s, and half of those that were refused fell into windows of which the
-// fleet had spent a quarter.
+// fleet has many fronts: divided among these, a part would be too small to use.
 type repeats struct {
 	mu        sync.Mutex
 	byService map[string]*keeper
@@ -124,8 +122,7 @@
 
 // Overdrawn notes that a call that may be one of a repeated run of this host has
 // found no repeat left. Such calls cannot be refused, so that the host makes no
-// repeats for a while: a service that got 126 of them in 10 s had 206 repeats
-// where 198 were allowed.
+// repeats for a while.
 func (g *Guard) Overdrawn(now time.Time) {
 	g.repeats.mu.Lock()
 	defer g.repeats.mu.Unlock()
@@ -218,9 +215,8 @@
 // that it is a call of a repeated run, in thousandths, if it is a call at all:
 // such calls are repeats at the services that they go to, and nothing tells which
 // run has made one. idle says that nothing runs here. The chance is
-// the share of repeats among the runs of work that may be repeated: taken among
-// all runs, 108 calls of repeats in 10 s were counted as 83, because other work
-// ran on the same hosts, and a service had 222 repeats where 200 were allowed.
+// the share of repeats among the runs of work that may be repeated: other work that
+// runs on the same host would make it look smaller.
 func (g *Guard) Origin() (callPart uint16, idle bool) {
 	r := g.repeats
 	r.mu.Lock()
