Choice: small differences of cost decide again

Change: the variation of costs and its test are taken back; the demo keeps its check of even shares. Conclusion: equal shares must not be bought with what is known of slow instances.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -82,10 +82,6 @@
 	lateWorth = 0.4
 	// jitter spreads the choices of fronts that know the same, as a share.
 	jitter = 0.1
-	// blur is up to how much of an objective costs are varied at random: less is worth
-	// nothing to the caller, and fronts that prefer the same few by chance leave others
-	// without work.
-	blur = 0.1
 	// maxLooks bounds the candidates that one choice looks at. More looks find an
 	// instance that is likelier well; but where many fronts know the same, all find the
 	// same few and crowd there.
@@ -136,17 +132,16 @@
 	}
 }
 
-// Pick chooses among n candidates by their cost for a request and returns an index, -1
-// where n is 0.
+// Pick chooses among n candidates and returns an index, -1 where n is 0.
 // local holds the indexes of those in the own data centre. Where there are more
 // than maxLooks, a random half of the looks goes to local ones.
-func Pick(rng *rand.Rand, n int, local []int, s Stakes, cost func(int) float64) int {
+func Pick(rng *rand.Rand, n int, local []int, cost func(int) float64) int {
 	if n == 0 {
 		return -1
 	}
 	best, bestCost := -1, math.Inf(1)
 	try := func(i int) {
-		if c := cost(i)*(1+jitter*rng.Float64()) + blur*s.Objective.Seconds()*rng.Float64(); best < 0 || c < bestCost {
+		if c := cost(i) * (1 + jitter*rng.Float64()); best < 0 || c < bestCost {
 			best, bestCost = i, c
 		}
 	}
--- a/internal/experiment/ours.go
+++ b/internal/experiment/ours.go
@@ -262,7 +262,7 @@
 			}
 		}
 	}
-	k := balance.Pick(f.rng, len(usable), local, balance.Stakes{}, func(k int) float64 {
+	k := balance.Pick(f.rng, len(usable), local, func(k int) float64 {
 		i := usable[k]
 		t := &f.targets[i]
 		return balance.Cost(balance.Candidate{
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -144,7 +144,7 @@
 	at := localPositions(usable, local)
 	typical := st.typical(now, req)
 	expected, stakes := st.expected(req), req.stakes(now, st.again(now, req, tried))
-	i := balance.Pick(rng, len(usable), at, stakes, func(k int) float64 {
+	i := balance.Pick(rng, len(usable), at, func(k int) float64 {
 		return balance.Cost(st.targets[usable[k]].candidate(now, req, expected, typical, p, cfg), stakes)
 	})
 	if i < 0 {
