guard: a load is counted for an ask only where one is due

Cause: each instance made its whole load twice on each tick, 50 times a second, once to tell and once to see whether it wants a request: the queue's waiting work, the retry budget under its lock, the detector, for nothing in nearly all cases. Change: ask looks at the time of the last one and at what the instance has to do, and makes the load only where it sends it. What makes an instance want a request is the same: the bounds are multiples of a thousandth, to which the load rounds down. Two comments say whom a wish reaches and what it is for, as it is now.

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -96,8 +96,8 @@
 
 // wanting finds a target whose guard would like a trial, nil for none: the one that
 // is likeliest well, because trials are few and sick instances ask for them too.
-// paid says that the request could be repeated if it fails there. Whatever sends
-// it sends one request: the guard tells at once that it has one.
+// paid says that the request could be repeated if it fails there. Few fronts hear of a
+// wish, and each sends one request for it.
 func (st *serviceState) wanting(now time.Time, idempotent, paid bool, rng *rand.Rand, p *paths) *target {
 	var best *target
 	least := 0.0
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -92,16 +92,15 @@
 // nobody knows any more whether the others are well when they are needed.
 func (i *instance) ask(now time.Time) {
 	i.mu.Lock()
-	load := i.loadAt(now)
-	asks := i.wants(now, load) && now.Sub(i.askedAt) >= wantAgain
-	if asks {
-		i.askedAt = now
-		load.Wants = true
+	if now.Sub(i.askedAt) < wantAgain || !i.wants(now) {
+		i.mu.Unlock()
+		return
 	}
+	i.askedAt = now
+	load := i.loadAt(now)
+	load.Wants = true
 	i.mu.Unlock()
-	if asks {
-		i.pulse(load, pulse.ToFew)
-	}
+	i.pulse(load, pulse.ToFew)
 }
 
 func busy(l msg.Load) int { return int(l.Running + l.Queued) }
@@ -145,11 +144,11 @@
 
 // wants says that the instance should get a request: it has nothing to do, and where it is
 // in doubt nothing that would tell how it is. The caller holds the lock.
-func (i *instance) wants(now time.Time, l msg.Load) bool {
-	if i.out() || busy(l) > 0 {
+func (i *instance) wants(now time.Time) bool {
+	if i.out() || i.queue.Running()+i.queue.Queued() > 0 {
 		return false
 	}
-	if l.SickChance() < doubt {
+	if i.sick.Doubt(now, i.guard.model) < doubt {
 		return now.Sub(i.idleAt) >= idlePause
 	}
 	return now.Sub(i.failedAt) >= trialPause
--- a/internal/msg/requests.go
+++ b/internal/msg/requests.go
@@ -39,8 +39,8 @@
 	// Overdrawn says that the request may have been a call of a repeated run, and
 	// that no repeat is left here: the host where it began makes too many.
 	Overdrawn bool
-	// Wants says that the guard would like a request that can be repeated, to
-	// learn whether the instance is well again.
+	// Wants says that the guard would like a request: the instance has nothing to
+	// do, or is in doubt and one that can be repeated would tell how it is.
 	Wants bool
 }
 
