fleetsim: one way to find the fullest window of a budget

Cause: two checks of the retry budget walked a service's windows, each in its own way, one beside the other. Change: fullest finds the window, and both ask the same of it: have at most what is allowed, in every window. The story of the starving instances has the causes that were found.

--- a/internal/fleetsim/budget_test.go
+++ b/internal/fleetsim/budget_test.go
@@ -45,13 +45,9 @@
 // checkFullest checks that the fullest window of the called service keeps to its bound.
 func checkFullest(t *testing.T, seed int, s Site, r Result) {
 	t.Helper()
-	most := 0.0
-	for _, end := range r.Repeats["desk"] {
-		have := countIn(r.Repeats["desk"], end-s.RetryWindow, end)
-		most = max(most, float64(have)/repeatsAllowed(s, r.Requests["desk"], end))
-	}
-	t.Logf("seed %d: at most %.2f of what is allowed; served %.4f", seed, most, r.All.Served())
-	assert.Check(t, most <= 1, "seed %d: %.2f", seed, most)
+	w := fullest(s, r, "desk")
+	t.Logf("seed %d: at most %.2f of what is allowed; served %.4f", seed, float64(w.have)/w.allowed, r.All.Served())
+	assert.Check(t, float64(w.have) <= w.allowed, "seed %d: %s", seed, w)
 }
 
 // What users would see: a service that callers use little and instances much gets more
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -223,13 +223,33 @@
 
 func checkBudget(t *testing.T, s Site, r Result) {
 	t.Helper()
-	for service, repeats := range r.Repeats {
-		for _, end := range repeats {
-			have := countIn(repeats, end-s.RetryWindow, end)
-			allowed := repeatsAllowed(s, r.Requests[service], end)
-			assert.Assert(t, float64(have) <= allowed, "%s: %d of %.0f until %s", service, have, allowed, end)
+	for service := range r.Repeats {
+		w := fullest(s, r, service)
+		assert.Assert(t, float64(w.have) <= w.allowed, "%s: %s", service, w)
+	}
+}
+
+// budgetWindow is a window of a service's budget of repeats.
+type budgetWindow struct {
+	have    int
+	allowed float64
+	end     time.Duration
+}
+
+func (w budgetWindow) String() string {
+	return fmt.Sprintf("%d of %.0f until %s", w.have, w.allowed, w.end)
+}
+
+// fullest finds the window in which a service had most of what it is allowed.
+func fullest(s Site, r Result, service string) budgetWindow {
+	most := budgetWindow{allowed: 1}
+	for _, end := range r.Repeats[service] {
+		w := budgetWindow{countIn(r.Repeats[service], end-s.RetryWindow, end), repeatsAllowed(s, r.Requests[service], end), end}
+		if float64(w.have)*most.allowed > float64(most.have)*w.allowed {
+			most = w
 		}
 	}
+	return most
 }
 
 // What a policy would gain that knows at once who is sick, and one that also has
--- a/internal/fleetsim/starve_test.go
+++ b/internal/fleetsim/starve_test.go
@@ -51,9 +51,11 @@
 // What users saw: two of six equal instances, all well, lived on trials alone at a tenth of
 // the load, 47 of 7,300 requests in half a minute each; which ones was chance.
 //
-// Likely cause, by ablation: an estimate of which nothing is heard drifts to the usual
-// share of sickness, and one that has just started begins there. Such an instance costs
-// more than any load makes up for, so that nothing is ever heard of it.
+// Causes found: asks for work used up what a host may tell, so that fronts kept old ones and
+// did not hear others; and an estimate of which nothing is heard rose to the usual share of
+// sickness, so that nothing was ever heard of the instance. What is left has no shown cause;
+// likely that all fronts prefer the same few for some milliseconds of pace, and, where an
+// even share is few requests, chance.
 func TestEqualInstancesShareTheWork(t *testing.T) {
 	const span, half = 5 * time.Second, 0.5
 	for _, size := range []struct {
