Tests: one place for ports that are free and may be taken

Cause: the tests of daemon and platform each asked for a free port, and each started again where it was taken, in the same lines. Change: porttest.Free and porttest.Start, which both call. The number of tries and what counts as taken are the same; any other error ends the test as before. Conclusion: no check changes.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -5,34 +5,21 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"syscall"
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/objects"
+	"github.com/radishhoist/radishhoist/internal/porttest"
 	"github.com/radishhoist/radishhoist/internal/settings"
 	"github.com/radishhoist/radishhoist/internal/standin/platformd"
 	"github.com/radishhoist/radishhoist/internal/standin/target"
 	"github.com/radishhoist/radishhoist/record"
 )
 
-// maxPortTries bounds the tries to start on ports that nobody else takes.
-const maxPortTries = 5
-
-func freeAddr(tb testing.TB) string {
-	tb.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(tb, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // pair is two daemons in this process: a front alone, and a host with one
 // target.
 type pair struct {
@@ -73,22 +60,17 @@
 	return daemons
 }
 
-// startOnFreePorts starts a daemon on ports that are free, on others where another process
-// has taken one of them meanwhile.
+// startOnFreePorts starts a daemon on ports that are free.
 func startOnFreePorts(tb testing.TB, cfg *settings.Config) *Daemon {
 	tb.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	for range maxPortTries {
-		cfg.Callers, cfg.Peer, cfg.Announce, cfg.Admin = freeAddr(tb), freeAddr(tb), freeAddr(tb), freeAddr(tb)
-		d, err := Start(cfg, OwnPorts(cfg), log)
-		if errors.Is(err, syscall.EADDRINUSE) {
-			continue
-		}
-		assert.NilError(tb, err)
-		return d
-	}
-	tb.Fatalf("no ports are free in %d tries", maxPortTries)
-	return nil
+	var d *Daemon
+	porttest.Start(tb, func() (err error) {
+		cfg.Callers, cfg.Peer, cfg.Announce, cfg.Admin = porttest.Free(tb), porttest.Free(tb), porttest.Free(tb), porttest.Free(tb)
+		d, err = Start(cfg, OwnPorts(cfg), log)
+		return err
+	})
+	return d
 }
 
 func startPair(tb testing.TB) *pair {
