e2e: keys of TestKeyedBookingsRunOnce are spread evenly over the shards

Change: key i is made for shard i modulo 4 (once.ShardOf, which the daemon uses too). The loss is known before the signal: all bookings whose shards the lost host does not own must succeed, but for the first, which may be running there. That is 29 of 30 where 20 of 60 were asked, so the check is stricter. A host that owns more than half of the shards fails the test.

--- a/internal/core/once/placement.go
+++ b/internal/core/once/placement.go
@@ -30,6 +30,9 @@
 	Lost bool
 }
 
+// ShardOf returns the shard of a key in a map of the given number of shards.
+func ShardOf(key string, shards int) uint32 { return uint32(xxhash.Sum64String(key) % uint64(shards)) }
+
 // InitialMap returns a service's initial shard map, or nil if no host is usable.
 // Epochs start at the wall time in seconds, so that they are greater than those
 // of an earlier map that an operator has deleted.
--- a/internal/e2e/keys_test.go
+++ b/internal/e2e/keys_test.go
@@ -12,8 +12,10 @@
 	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
+	"github.com/radishhoist/radishhoist/internal/core/once"
 	"github.com/radishhoist/radishhoist/internal/lab"
 	"github.com/radishhoist/radishhoist/internal/standin/target"
+	"github.com/radishhoist/radishhoist/record"
 )
 
 // bookOnce sends a booking with an idempotency key through one host and returns the body of
@@ -49,6 +51,29 @@
 	return bodies
 }
 
+// newKey returns a new idempotency key of the given shard. Like all new keys it has the
+// current time in it.
+func newKey(shard uint32, shards int) string {
+	for {
+		key := uuid.Must(uuid.NewV7()).String()
+		if once.ShardOf(key, shards) == shard {
+			return key
+		}
+	}
+}
+
+// ownedShards returns the shards that a host has authority over.
+func ownedShards(t *testing.T, h *lab.Host) map[uint32]bool {
+	t.Helper()
+	dump, err := h.Dump()
+	assert.NilError(t, err)
+	owned := map[uint32]bool{}
+	for _, s := range dump.Shards {
+		owned[s.Shard] = s.HasAuthority
+	}
+	return owned
+}
+
 // shardOwner returns a host that has authority over shards of the service, nil if there is none.
 func (fleet *testFleet) shardOwner() *lab.Host {
 	for _, h := range fleet.Hosts {
@@ -65,18 +90,22 @@
 	return nil
 }
 
+// Bookings with idempotency keys run at most once while the owner of some shards is lost.
+// The keys are spread evenly over the shards, so that the number of keys that the loss
+// affects does not depend on chance.
 func TestKeyedBookingsRunOnce(t *testing.T) {
+	const shards = record.DefaultKeyShards
 	for _, c := range []struct {
 		name  string
 		octet int
 		sig   syscall.Signal
-		// minSucceeded is the number of bookings that must succeed: keys of a dead owner
-		// are refused, those of a drained owner are handed over.
-		minSucceeded int
+		// keysSurvive reports that the keys of the lost owner are handed over; those of a
+		// dead owner are refused.
+		keysSurvive bool
 	}{
-		{"owner killed", 41, syscall.SIGKILL, 20},
-		{"owner frozen", 42, syscall.SIGSTOP, 20},
-		{"owner drained", 43, syscall.SIGTERM, 60},
+		{"owner killed", 41, syscall.SIGKILL, false},
+		{"owner frozen", 42, syscall.SIGSTOP, false},
+		{"owner drained", 43, syscall.SIGTERM, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			fleet := startFleet(t, c.octet, 5, 5*time.Millisecond)
@@ -94,6 +123,8 @@
 				owner = fleet.shardOwner()
 				return owner != nil
 			}))
+			lost := ownedShards(t, owner)
+			assert.Assert(t, len(lost) <= shards/2, "%s owns %d of %d shards: too few keys would be left", owner.Name, len(lost), shards)
 			var wg sync.WaitGroup
 			bodies := make([][]string, 60)
 			for i := range bodies {
@@ -101,7 +132,7 @@
 				go func() {
 					defer wg.Done()
 					time.Sleep(time.Duration(i) * 20 * time.Millisecond)
-					bodies[i] = fleet.book(uuid.Must(uuid.NewV7()).String(), fmt.Sprintf("m%d", i), i)
+					bodies[i] = fleet.book(newKey(uint32(i%shards), shards), fmt.Sprintf("m%d", i), i)
 				}()
 				if i == len(bodies)/2 {
 					assert.NilError(t, owner.Daemon.Signal(c.sig))
@@ -109,19 +140,28 @@
 			}
 			wg.Wait()
 			ran := assertAtMostOnce(t, fleet)
-			succeeded := 0
+			due, succeeded := 0, 0
 			for i, b := range bodies {
+				survives := c.keysSurvive || !lost[uint32(i%shards)]
+				if survives {
+					due++
+				}
 				if len(b) == 0 {
 					continue
 				}
-				succeeded++
+				if survives {
+					succeeded++
+				}
 				assert.Equal(t, ran[fmt.Sprintf("m%d", i)], 1)
 				if len(b) == 2 {
 					assert.Equal(t, b[0], b[1], "a repeated booking got a different response")
 				}
 			}
-			assert.Assert(t, succeeded >= c.minSucceeded, "only %d of %d succeeded", succeeded, len(bodies))
-			t.Logf("%d of %d succeeded", succeeded, len(bodies))
+			if !c.keysSurvive {
+				due-- // the first booking may be running on the lost host
+			}
+			assert.Assert(t, succeeded >= due, "only %d of %d bookings succeeded that the loss does not affect", succeeded, due)
+			t.Logf("%d of %d succeeded that the loss does not affect", succeeded, due)
 		})
 	}
 }
--- a/internal/keys/claim.go
+++ b/internal/keys/claim.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"github.com/radishhoist/radishhoist/internal/core/directory"
@@ -35,7 +34,7 @@
 		m.needsShardMap[service] = true
 		return 0, "", false
 	}
-	shard = uint32(xxhash.Sum64String(key) % uint64(len(sm.Shards)))
+	shard = once.ShardOf(key, len(sm.Shards))
 	return shard, sm.Shards[shard].Owner, true
 }
 
