core/once: a new owner refuses opaque keys until runs of the last owner are forgotten

Callers: a request with a key without timestamp could run twice. Cause: an owner that took a shard over without its key table accepted new opaque keys after the longer of Window and ClaimTimeout, 11 minutes; a request claimed just before the takeover may run for ClaimTimeout and its key must be remembered for Window after that. Change: the owner waits for the sum, 21 minutes.

--- a/internal/core/once/table.go
+++ b/internal/core/once/table.go
@@ -112,16 +112,16 @@
 
 // Activate records that the owner has authority from now on. Keys created later cannot
 // have been claimed at the previous owner, which accepted no claims after that time. New
-// opaque keys are accepted after the longer of Window and ClaimTimeout. By then, the window
-// of requests that had ended before has passed, and requests that were running have ended.
-// The window of the latter may not have passed yet. Only the first call has an effect.
+// opaque keys are accepted after ClaimTimeout and Window have passed in turn: a request that
+// was running has ended after ClaimTimeout, and its key must be remembered for another
+// Window. Only the first call has an effect.
 func (t *Table) Activate(now time.Time, wallMS int64) {
 	if t.activated {
 		return
 	}
 	t.activated = true
 	t.completeSinceMS = wallMS + t.cfg.MaxSkew.Milliseconds()
-	t.opaqueAcceptedFrom = now.Add(max(t.cfg.Window, t.cfg.ClaimTimeout))
+	t.opaqueAcceptedFrom = now.Add(t.cfg.ClaimTimeout + t.cfg.Window)
 }
 
 // Len returns the number of keys.
