guard: a host that is stopping stays drained when a directory is applied

Callers: requests could be admitted by a host that was about to exit, and be cut off. Cause: Drain and a planned stop shared one flag; the next directory, applied while the host stopped, cleared it as no planned stop covered the instance, and resumed the queue. An instance that announced itself while the host stopped was not drained at all. Change: closed, for good, and stopped, until the Stop record is deleted, are two flags; a new instance of a draining guard is closed.

--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/core/directory"
 )
 
 // A second stop signal restarts the drain timeout. A host gets two if, for example, it is
@@ -71,3 +73,27 @@
 		assert.Assert(t, awaitGroup(context.Background(), &wg))
 	})
 }
+
+// A directory that arrives while a host stops must not make its targets accept requests
+// again: the process would exit while they run.
+func TestStoppingHostStaysDrainedAfterNewDirectory(t *testing.T) {
+	daemons := startDaemons(t, startPlatform(t))
+	host := daemons[1]
+	started := startCrashingTarget(t, host)
+	waitUntilServed(t, daemons[0])
+	done := make(chan struct{})
+	go func() {
+		host.Shutdown(nil)
+		close(done)
+	}()
+	for end := time.Now().Add(20 * time.Second); !host.guard.Draining(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the host did not drain within 20 s")
+	}
+	host.setDirectory(host.control.Directory())
+	for _, i := range host.guard.Instances() {
+		assert.Equal(t, i.State, directory.Leaving, "%s accepts requests", i.Name)
+	}
+	<-done
+	started.Stop()
+	daemons[0].Shutdown(nil)
+}
--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -131,6 +131,9 @@
 		inst.close()
 	}
 	inst = newInstance(g, name, a, now)
+	if g.draining {
+		inst.drain()
+	}
 	g.instances[name] = inst
 	return inst, true, nil
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -281,7 +281,8 @@
 	return !stopping || !now.Add(shutdownMargin*expect).After(end)
 }
 
-// Drain refuses new requests on every instance; running requests continue.
+// Drain refuses new requests on every instance, also on those that announce themselves
+// later; running requests continue. It cannot be undone.
 func (g *Guard) Drain() {
 	g.mu.Lock()
 	g.draining = true
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -65,7 +65,11 @@
 	maxConns          int
 	softwareVersion   string
 	leaving           bool
-	stopped           bool
+	// stopped reports that a planned stop covers the instance.
+	stopped bool
+	// closed reports that the instance never accepts requests again: it was removed, or
+	// this host is stopping.
+	closed bool
 	// terminated reports that the instance's port refuses connections: it has terminated,
 	// whether or not it announced its shutdown. It gets no requests until it announces
 	// itself again, because each would waste one of its attempts there.
@@ -187,10 +191,11 @@
 	return true
 }
 
+// drain refuses queued and new requests for good; running requests continue.
 func (i *instance) drain() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.stopped = true
+	i.closed = true
 	i.updateQueue()
 }
 
@@ -206,15 +211,11 @@
 
 // unavailable reports that the instance accepts no new requests. The caller must hold
 // i.mu.
-func (i *instance) unavailable() bool { return i.leaving || i.stopped || i.terminated }
+func (i *instance) unavailable() bool { return i.leaving || i.stopped || i.closed || i.terminated }
 
-// close refuses queued and new requests and closes idle connections; running requests
-// continue.
+// close is drain for an instance that is removed; it also closes idle connections.
 func (i *instance) close() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.stopped = true
-	i.deliver(i.queue.Drain())
+	i.drain()
 	i.client.Close()
 }
 
