guard: a request counts as completed before its response is sent; a test asks for the true verdict

Callers: a request that was answered could be named among those that crash targets. Cause: the guard sent the end of the response before it recorded the completion, so that a crash right after it found the request unproven. Change: the completion is recorded with the outcome, before the end is sent. A response whose last part cannot be sent to the front has completed at the target too and counts now.

TestRestartedInstanceInheritsNoState asked for may-have-run where the target had not received the request yet; not-run is then true. The test now waits until the target has received it, and asks for the same verdict and reason as before.

--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -76,9 +76,6 @@
 	if mayHaveTerminated(failure) && x.inst.checkTerminated() && failure.Verdict != verdict.NotRun {
 		failure = verdict.New(failure.Verdict, verdict.ReasonTargetCrashed, "the target terminated before it responded")
 	}
-	if failure == nil && res.status < http.StatusBadRequest {
-		x.completed()
-	}
 	x.logEnd(started, res, failure)
 	x.guard.counts.ended(started.Sub(x.arrived), res)
 	x.inst.finish(time.Now(), x.queueID, res)
@@ -152,8 +149,12 @@
 			end.ServiceUS = micros(time.Since(started))
 			end.QueueUS = micros(started.Sub(x.arrived))
 			// Record the outcome first, so that the load sent with the response
-			// includes it.
+			// includes it, and the front cannot send a request that crashes the
+			// instance before this one counts as completed.
 			x.inst.recordOutcome(time.Now(), res)
+			if res.status < http.StatusBadRequest {
+				x.completed()
+			}
 			end.Load = x.load()
 			unsent = append(unsent, end)
 		}
--- a/internal/guard/restart_test.go
+++ b/internal/guard/restart_test.go
@@ -37,13 +37,24 @@
 // startHungTarget starts a target that does not respond until the test ends.
 func startHungTarget(t *testing.T) string {
 	t.Helper()
-	release := make(chan struct{})
-	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	address, _ := startObservedHungTarget(t)
+	return address
+}
+
+// startObservedHungTarget is startHungTarget with a channel on which each request that
+// the target has received is reported.
+func startObservedHungTarget(t *testing.T) (address string, received <-chan struct{}) {
+	t.Helper()
+	release, requests := make(chan struct{}), make(chan struct{}, 16)
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		requests <- struct{}{}
+		<-release
+	}))
 	t.Cleanup(func() {
 		close(release)
 		target.Close()
 	})
-	return strings.TrimPrefix(target.URL, "http://")
+	return strings.TrimPrefix(target.URL, "http://"), requests
 }
 
 // waitFor waits until a condition holds.
@@ -61,7 +72,7 @@
 // An instance that restarts under the same name inherits no state. A request that was
 // running before the restart fails at once with the verdict that it may have run.
 func TestRestartedInstanceInheritsNoState(t *testing.T) {
-	address := startHungTarget(t)
+	address, received := startObservedHungTarget(t)
 	g := newTestGuard(t, address)
 	assert.Equal(t, sendAnnouncement(g, http.MethodPut, "n", readyBody(address, 1000, 7)), http.StatusOK)
 	old, ok := g.find("s", "n")
@@ -72,6 +83,8 @@
 	defer near.Close()
 	go g.Serve(far, &msg.Run{RequestID: "r", Service: "s", Instance: "n", TimeoutMS: 60000, Idempotent: true, Method: "GET", URI: "/", Host: "a"})
 	waitFor(t, func() bool { return old.load().Running == 1 })
+	// Before the target has received the request, the true verdict is not-run.
+	<-received
 	old.recordOutcome(time.Now(), result{failed: true})
 	assert.Equal(t, sendAnnouncement(g, http.MethodPut, "n", strings.Replace(readyBody(address, 1000, 8), "ready", "draining", 1)), http.StatusOK)
 
