front: ask the guards of the candidates for their load before each choice

Cause: what a front knows of an instance comes from its own responses, about one a second among 236 to 379 instances, and from load reports, which are limited to 64 a second a host and so reach a smaller part of the fleet the larger it is. Change: the 12 sampled candidates are asked by datagram (LoadQuery, LoadReply on the membership socket) unless what is known of them is younger than 100 ms; the choice waits 2 ms at most, late replies serve the next choices. The queries a choice do not grow with the fleet. A host of an older build answers none: the choice is then made as before, 2 ms later. Counts of queries are apart from control traffic in the state dump and the metrics.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -56,6 +56,10 @@
 	// LoadReport is called with load reports from the guards of other hosts. It must not
 	// block.
 	LoadReport func(*msg.LoadReport)
+	// Load returns the current load of an instance on this host, and LoadReply is called with
+	// replies to the queries of this host. They must not block.
+	Load      func(service, instance string) (msg.Load, bool)
+	LoadReply func(*msg.LoadReply)
 	// Crashed is called with each crash of an instance on any host, and Cleared with each
 	// request that was found not to have caused a crash. They must not block.
 	Crashed func(crash.Crash)
@@ -118,6 +122,8 @@
 	// failedFeeds are the feeds whose last call failed.
 	failedFeeds map[objects.Feed]bool
 	traffic     Traffic
+	// loadTraffic counts load queries and replies; it is not guarded by mu.
+	loadTraffic loadTraffic
 	// loadReportLimiter selects the recipients of load reports within the rate limits.
 	loadReportLimiter *loadreport.Limiter
 	// pendingCrashers are the Crasher records not yet stored in the platform.
@@ -418,14 +424,14 @@
 func (c *Control) readPackets(ctx context.Context) {
 	buf := make([]byte, maxPacketBytes)
 	for ctx.Err() == nil {
-		n, _, err := c.udp.ReadFromUDP(buf)
+		n, from, err := c.udp.ReadFromUDP(buf)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue
 		}
-		if c.handleTeamPacket(buf[:n]) {
+		if c.handleTeamPacket(buf[:n]) || c.handleLoadPacket(buf[:n], from) {
 			continue
 		}
 		var p msg.MemberPacket
@@ -457,6 +463,12 @@
 	BytesOut uint64 `json:"bytesOut"`
 	// Dropped counts the messages that were dropped because the queue was full.
 	Dropped uint64 `json:"dropped"`
+	// LoadPacketsIn and LoadPacketsOut count the load queries and replies received and
+	// sent, and LoadBytesOut is the size of the latter. They grow with the requests of
+	// callers and are not part of the other fields.
+	LoadPacketsIn  uint64 `json:"loadPacketsIn"`
+	LoadPacketsOut uint64 `json:"loadPacketsOut"`
+	LoadBytesOut   uint64 `json:"loadBytesOut"`
 }
 
 func (c *Control) handleMemberChange(now time.Time, ch member.Change) {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -217,7 +217,7 @@
 		Records: set.Len(), Root: fmt.Sprintf("%016x", set.Root()), Newest: set.Newest(), ActiveVersion: c.activeVersion,
 		Watching: c.watching, PlatformUnavailable: len(c.failedFeeds) > 0, Isolated: c.members.Isolated(),
 		Confirmed: c.confirmed.state(time.Now()),
-		Rejected:  []msg.RejectedRecord{}, Members: []MemberState{}, Traffic: c.traffic,
+		Rejected:  []msg.RejectedRecord{}, Members: []MemberState{}, Traffic: c.loadTraffic.addTo(c.traffic),
 	}
 	for _, r := range c.records.rejected {
 		s.Rejected = append(s.Rejected, r)
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -138,30 +138,34 @@
 	}
 }
 
-// Pick returns the index of the selected one of n candidates, -1 if n is 0. local
-// holds the indexes of the candidates in the front's data centre. If there are more
-// than maxSampled, a random sample of them is evaluated, half of it local.
-func Pick(rng *rand.Rand, n int, local []int, cost func(int) float64) int {
-	if n == 0 {
-		return -1
-	}
-	best, bestCost := -1, math.Inf(1)
-	evaluate := func(i int) {
-		if c := cost(i) * (1 + jitter*rng.Float64()); best < 0 || c < bestCost {
-			best, bestCost = i, c
-		}
-	}
+// Sample returns the indexes of the candidates to evaluate among n: all of them, or, if
+// there are more than maxSampled, a random sample with repetition, half of it local. local
+// holds the indexes of the candidates in the front's data centre.
+func Sample(rng *rand.Rand, n int, local []int) []int {
 	if n <= maxSampled {
-		for i := range n {
-			evaluate(i)
+		all := make([]int, n)
+		for i := range all {
+			all[i] = i
 		}
-		return best
+		return all
 	}
-	for k := range maxSampled {
+	sampled := make([]int, maxSampled)
+	for k := range sampled {
 		if k%2 == 0 && len(local) > 0 {
-			evaluate(local[rng.IntN(len(local))])
+			sampled[k] = local[rng.IntN(len(local))]
 		} else {
-			evaluate(rng.IntN(n))
+			sampled[k] = rng.IntN(n)
+		}
+	}
+	return sampled
+}
+
+// Pick returns the sampled index of the lowest cost, -1 if there is none.
+func Pick(rng *rand.Rand, sampled []int, cost func(int) float64) int {
+	best, bestCost := -1, math.Inf(1)
+	for _, i := range sampled {
+		if c := cost(i) * (1 + jitter*rng.Float64()); best < 0 || c < bestCost {
+			best, bestCost = i, c
 		}
 	}
 	return best
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -44,12 +44,12 @@
 
 func TestPickTakesTheCheapestOfFewAndSamplesMany(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
-	assert.Equal(t, Pick(rng, 0, nil, nil), -1)
+	assert.Equal(t, Pick(rng, Sample(rng, 0, nil), nil), -1)
 	for range 100 {
-		assert.Equal(t, Pick(rng, 9, nil, func(i int) float64 { return float64(1 + 10*(i+3)%9) }), 6)
+		assert.Equal(t, Pick(rng, Sample(rng, 9, nil), func(i int) float64 { return float64(1 + 10*(i+3)%9) }), 6)
 	}
 	evaluated := 0
-	Pick(rng, 10000, []int{1, 2, 3}, func(int) float64 { evaluated++; return 1 })
+	Pick(rng, Sample(rng, 10000, []int{1, 2, 3}), func(int) float64 { evaluated++; return 1 })
 	assert.Equal(t, evaluated, maxSampled)
 }
 
@@ -58,7 +58,7 @@
 	rng := rand.New(rand.NewPCG(3, 4))
 	counts := make([]int, 8)
 	for range 8000 {
-		counts[Pick(rng, 8, nil, func(int) float64 { return Cost(idle(), nonRetryable()) })]++
+		counts[Pick(rng, Sample(rng, 8, nil), func(int) float64 { return Cost(idle(), nonRetryable()) })]++
 	}
 	for _, n := range counts {
 		assert.Assert(t, n > 800 && n < 1200, "%v", counts)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -125,6 +125,8 @@
 		Directory:     d.setDirectory,
 		Instances:     d.guard.Instances,
 		LoadReport:    func(p *msg.LoadReport) { d.front.HandleLoadReport(p) },
+		Load:          d.guard.Load,
+		LoadReply:     func(r *msg.LoadReply) { d.front.HandleLoadReply(r) },
 		Crashed:       d.guard.ApplyCrash,
 		Cleared:       d.guard.ApplyClearance,
 		Unblocked:     d.guard.ClearSuspect,
@@ -138,6 +140,7 @@
 		Service: cfg.Service, Dialect: adapter.Dialect,
 	}, frontLimits(cfg), log, nil, d.guard, d.keys)
 	d.front.SetRateLimiter(d.teams)
+	d.front.SetLoadQuerier(d.control)
 	d.gauges = d.newGauges()
 	if err := d.listen(); err != nil {
 		d.close(failedStartTimeout)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -35,6 +35,8 @@
 	set.NewGauge("radishhoist_isolated", d.controlGauge(func(s control.State) float64 { return boolToFloat(s.Isolated) }))
 	set.NewGauge("radishhoist_hosts_alive", d.controlGauge(countAliveHosts))
 	set.NewGauge("radishhoist_control_bytes_sent", d.controlGauge(func(s control.State) float64 { return float64(s.Traffic.BytesOut) }))
+	set.NewGauge("radishhoist_load_query_bytes_sent", d.controlGauge(func(s control.State) float64 { return float64(s.Traffic.LoadBytesOut) }))
+	set.NewGauge("radishhoist_load_query_packets_sent", d.controlGauge(func(s control.State) float64 { return float64(s.Traffic.LoadPacketsOut) }))
 	set.NewGauge("radishhoist_shards_held", func() float64 {
 		held := 0
 		for _, s := range d.keys.State() {
--- a/internal/experiment/radishhoist.go
+++ b/internal/experiment/radishhoist.go
@@ -276,7 +276,7 @@
 			}
 		}
 	}
-	k := balance.Pick(f.rng, len(usable), local, func(k int) float64 {
+	k := balance.Pick(f.rng, balance.Sample(f.rng, len(usable), local), func(k int) float64 {
 		i := usable[k]
 		t := &f.targets[i]
 		return balance.Cost(balance.Candidate{
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -169,6 +169,7 @@
 	h.front = front.New(front.Config{
 		Host: h.name, DC: h.dc, BufferBodyBytes: 1 << 10, MaxConns: 1 << 10, Service: s.Name, Dialect: dialect,
 	}, front.Limits{MaxBodyBytes: 1 << 20}, log, peers{h}, h.guard, nil)
+	h.front.SetLoadQuerier(h)
 	h.instance.announce()
 	return h
 }
@@ -237,6 +238,19 @@
 	h.sendTo(recipients, func(other *host) { other.front.HandleLoadReport(report) })
 }
 
+// SendLoadQuery implements front.LoadQuerier.
+func (h *host) SendLoadQuery(address string, q *msg.LoadQuery) {
+	h.sendTo([]string{address}, func(other *host) {
+		load, ok := other.guard.Load(q.Service, q.Instance)
+		if !ok {
+			return
+		}
+		other.instance.setTrueHealth(&load)
+		reply := &msg.LoadReply{ID: q.ID, Index: q.Index, Load: load}
+		other.sendTo([]string{h.name}, func(front *host) { front.front.HandleLoadReply(reply) })
+	})
+}
+
 // broadcast delivers a message to all other hosts, with the delay of one forwarding host. Hosts on the
 // other side of a partition receive it with the first repair after the partition.
 func (h *host) broadcast(deliver func(*host)) {
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/core/balance"
@@ -44,20 +45,20 @@
 // accepts requests. A path is the network path to the target's host; it is excluded while no
 // frame arrives from that host. If usesRetryBudget is set, only targets whose guard may have
 // retry budget left are considered, and there is no fallback.
-func (f *Front) choose(req *request, tried []*target, usesRetryBudget bool, rng *rand.Rand) (pick, bool) {
+// sampled are the targets among which the one of the lowest cost is picked, see
+// sampleCandidates.
+func (f *Front) choose(req *request, sampled, tried []*target, usesRetryBudget bool, rng *rand.Rand) (pick, bool) {
 	st := req.state
 	now := time.Now()
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if now.Sub(st.candidates.computedAt) > candidateMaxAge {
-		st.refreshCandidates(now, req.service, f.paths, f.cfg)
-	}
+	st.refreshOldCandidates(now, req.service, f.paths, f.cfg)
 	var t *target
 	var why string
 	if a := f.guard.CrashAssessment(req.fingerprint); a.Crashes > 0 {
 		t, why = st.pickForCrashSuspect(now, req.fingerprint, &a, tried, usesRetryBudget), whyCrashSuspect
 	} else if t, why = st.pickTrial(now, req, tried, rng, f.paths); t == nil {
-		t, why = st.pickEligible(now, req, tried, usesRetryBudget, rng, f.paths, f.cfg), whyCost
+		t, why = st.pickEligible(now, req, sampled, tried, rng, f.paths, f.cfg), whyCost
 	}
 	if t == nil && !usesRetryBudget {
 		t, why = st.pickFallback(tried), whyFallback
@@ -158,9 +159,10 @@
 	return idempotent || now.Sub(o.trialWantedAt) >= trialWaitNonIdempotent
 }
 
-// pickEligible picks the target with the lowest cost in a random sample of candidates.eligible.
-func (st *serviceState) pickEligible(now time.Time, req *request, tried []*target, usesRetryBudget bool, rng *rand.Rand, p *paths, cfg Config) *target {
-	eligible, local := st.candidates.eligible, st.candidates.local
+// eligibleFor returns the indexes of the targets that a request may use, in all data centres
+// and in this one. The caller must hold st.mu.
+func (st *serviceState) eligibleFor(now time.Time, tried []*target, usesRetryBudget bool) (eligible, local []int) {
+	eligible, local = st.candidates.eligible, st.candidates.local
 	if len(tried) > 0 {
 		eligible, local = st.untried(eligible, tried), st.untried(local, tried)
 	}
@@ -168,16 +170,26 @@
 		withBudget := func(t *target) bool { return t.observed.retryBudgetLeft(now) }
 		eligible, local = st.filter(eligible, withBudget), st.filter(local, withBudget)
 	}
-	localAt := localPositions(eligible, local)
+	return eligible, local
+}
+
+// pickEligible picks the sampled target with the lowest cost. Targets that became unusable
+// since the sample was drawn are left out. The caller must hold st.mu.
+func (st *serviceState) pickEligible(now time.Time, req *request, sampled, tried []*target, rng *rand.Rand, p *paths, cfg Config) *target {
 	typical := st.typicalLoad(now, req)
 	expected, weights := st.expectedServiceTimeLocked(req), req.costWeights(now, st.retryChance(now, req, tried))
-	i := balance.Pick(rng, len(eligible), localAt, func(k int) float64 {
-		return balance.Cost(st.targets[eligible[k]].candidate(now, req, expected, typical, p, cfg), weights)
+	usable := slices.DeleteFunc(slices.Clone(sampled), func(t *target) bool { return !t.Usable() || !p.reachable(t.Host.Name) || wasTried(tried, t) })
+	all := make([]int, len(usable))
+	for i := range all {
+		all[i] = i
+	}
+	i := balance.Pick(rng, all, func(k int) float64 {
+		return balance.Cost(usable[k].candidate(now, req, expected, typical, p, cfg), weights)
 	})
 	if i < 0 {
 		return nil
 	}
-	return st.targets[eligible[i]]
+	return usable[i]
 }
 
 // retryChance is the probability that the request can be retried if its next attempt fails.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,6 +56,8 @@
 	cfg             Config
 	log             *slog.Logger
 	peers           Peers
+	loadQuerier     LoadQuerier
+	loadQueries     loadQueries
 	guard           *guard.Guard
 	idempotencyKeys IdempotencyKeys
 
--- a/internal/front/hedge.go
+++ b/internal/front/hedge.go
@@ -16,11 +16,18 @@
 // one if the hedge responds first.
 func (e *execution) runHedge(requestCtx context.Context) {
 	e.mu.Lock()
-	if e.done || e.hedge != nil || !e.req.canResend() || requestCtx.Err() != nil {
+	useful := e.hedgeUseful(requestCtx)
+	e.mu.Unlock()
+	if !useful {
+		return
+	}
+	sampled := e.sampleCandidates(requestCtx, true)
+	e.mu.Lock()
+	if !e.hedgeUseful(requestCtx) {
 		e.mu.Unlock()
 		return
 	}
-	p, ok := e.nextPick(true)
+	p, ok := e.nextPick(sampled, true)
 	if !ok {
 		e.mu.Unlock()
 		return
@@ -47,6 +54,12 @@
 	}
 }
 
+// hedgeUseful reports whether a hedge may be made and its response would still be used. The
+// caller must hold e.mu.
+func (e *execution) hedgeUseful(requestCtx context.Context) bool {
+	return !e.done && e.hedge == nil && e.req.canResend() && requestCtx.Err() == nil
+}
+
 // awaitHedge waits for the hedge, if there is one, and returns its outcome. Later calls
 // return nil.
 func (e *execution) awaitHedge() *outcome {
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -53,10 +53,19 @@
 	budgetExhausted bool
 }
 
-// nextPick chooses the target of the next attempt. It returns false if no target is left or
+// sampleCandidates returns the candidates of the next choice, with current loads.
+func (e *execution) sampleCandidates(ctx context.Context, hedge bool) []*target {
+	e.mu.Lock()
+	tried, usesRetryBudget := slices.Clone(e.tried), e.reachedInstance || hedge
+	rng := rand.New(rand.NewPCG(e.rng.Uint64(), e.rng.Uint64()))
+	e.mu.Unlock()
+	return e.front.sampleCandidates(ctx, e.req, tried, usesRetryBudget, rng)
+}
+
+// nextPick chooses the target of the next attempt among the sampled candidates. It returns false if no target is left or
 // no attempt is allowed. hedge says that another attempt is running. The caller must hold
 // e.mu or have exclusive access.
-func (e *execution) nextPick(hedge bool) (pick, bool) {
+func (e *execution) nextPick(sampled []*target, hedge bool) (pick, bool) {
 	if e.attemptsExhausted() {
 		return pick{}, false
 	}
@@ -77,7 +86,7 @@
 		return pick{}, false
 	}
 	options := attemptOptions{usesRetryBudget: e.reachedInstance || hedge, hedge: hedge, allowLate: len(e.failures) >= onTimeAttempts}
-	p, ok := e.front.choose(e.req, e.tried, options.usesRetryBudget, e.rng)
+	p, ok := e.front.choose(e.req, sampled, e.tried, options.usesRetryBudget, e.rng)
 	if !ok {
 		e.noteBudgetExhausted(options.usesRetryBudget)
 		return pick{}, false
@@ -178,8 +187,9 @@
 func (e *execution) primaryAttempt(requestCtx context.Context) *outcome {
 	ctx, cancel := context.WithCancel(requestCtx)
 	e.awaitClearance(ctx)
+	sampled := e.sampleCandidates(ctx, false)
 	e.mu.Lock()
-	chosen, ok := e.nextPick(false)
+	chosen, ok := e.nextPick(sampled, false)
 	e.cancelPrimary = cancel
 	e.mu.Unlock()
 	if !ok {
@@ -210,7 +220,7 @@
 	defer func() { req.summary = exec.finish() }()
 	for {
 		exec.awaitClearance(ctx)
-		p, ok := exec.nextPick(false)
+		p, ok := exec.nextPick(exec.sampleCandidates(ctx, false), false)
 		if !ok {
 			break
 		}
--- a/internal/front/run_test.go
+++ b/internal/front/run_test.go
@@ -48,7 +48,7 @@
 
 	f.guard.SetShutdownTime(now.Add(time.Second))
 	exec := &execution{front: f, req: req}
-	_, ok := exec.nextPick(false)
+	_, ok := exec.nextPick(nil, false)
 	assert.Assert(t, !ok)
 	got := exec.combinedFailure()
 	assert.Equal(t, got.Reason, verdict.ReasonDraining)
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -133,6 +133,14 @@
 // a change of the directory.
 const candidateMaxAge = 250 * time.Millisecond
 
+// refreshOldCandidates computes the candidate sets if they are older than candidateMaxAge.
+// The caller must hold st.mu.
+func (st *serviceState) refreshOldCandidates(now time.Time, svc *directory.Service, p *paths, cfg Config) {
+	if now.Sub(st.candidates.computedAt) > candidateMaxAge {
+		st.refreshCandidates(now, svc, p, cfg)
+	}
+}
+
 // refreshCandidates computes the candidate sets. The caller must hold st.mu.
 func (st *serviceState) refreshCandidates(now time.Time, svc *directory.Service, p *paths, cfg Config) {
 	members := make([]eject.Member, len(st.targets))
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -179,8 +179,10 @@
 			out.UnusedTargets = append(out.UnusedTargets, t.Name+": "+t.Use+", "+t.Reason)
 		}
 	}
+	now, rng := time.Now(), f.rng()
+	sampled, _ := st.sample(now, req, nil, false, rng, f)
 	st.mu.Lock()
-	t := st.pickEligible(time.Now(), req, nil, false, f.rng(), f.paths, f.cfg)
+	t := st.pickEligible(now, req, sampled, nil, rng, f.paths, f.cfg)
 	st.mu.Unlock()
 	if t == nil {
 		out.Problem = "service " + svc.Name + " has no available target"
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -111,7 +111,17 @@
 
 func absDiff(a, b int) int { return max(a-b, b-a) }
 
-// load returns the exact current load, which is sent with responses.
+// Load returns the current load of an instance on this host, and false if there is no such
+// instance.
+func (g *Guard) Load(service, name string) (msg.Load, bool) {
+	inst, ok := g.find(service, name)
+	if !ok {
+		return msg.Load{}, false
+	}
+	return inst.load(), true
+}
+
+// load returns the exact current load, which is sent with responses and replies to queries.
 func (i *instance) load() msg.Load {
 	i.mu.Lock()
 	defer i.mu.Unlock()
