loadreport: 8 load reports a second for each host in place of 64

Cause: fronts ask for the loads that they choose by, and the reports, up to 64 a second and host, were still sent, received and looked up in lists of all instances. Change: 8 a second, 32 at once, 16 of these reserved for changed estimates.

--- a/internal/core/loadreport/loadreport.go
+++ b/internal/core/loadreport/loadreport.go
@@ -12,16 +12,14 @@
 
 const (
 	// MaxRate is the maximum number of load reports per second sent by a host, counting
-	// each copy and each relayed one. At 110 bytes per report this is 7 KB/s in a fleet
-	// of any size, of the 19 KB/s available for control traffic. Above the limit, each
-	// change is sent to fewer hosts, and to different ones each time.
-	//
-	// The rate must be high enough for fronts to learn which instances are idle, because
-	// a front that gets no load reports of an instance rarely selects it.
-	MaxRate = 64
+	// each copy and each relayed one. At 110 bytes per report this is 0.9 KB/s in a fleet
+	// of any size. Above the limit, each change is sent to fewer hosts, and to different
+	// ones each time. Fronts ask for the loads of the instances that they choose from, so
+	// reports only have to spare them some of the queries.
+	MaxRate = 8
 	// Burst is the maximum number of load reports sent at once. It is enough to send and
-	// relay a changed estimate in a fleet of 300 hosts.
-	Burst = 128
+	// relay a changed estimate in a fleet of 60 hosts.
+	Burst = 32
 	// ChangeReserve is the part of Burst reserved for load reports about a
 	// significantly changed estimate, which are sent ToAll.
 	ChangeReserve = Burst / 2
