--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -60,7 +60,9 @@
 	// DeadProbeInterval is the time between two probes of hosts considered dead. These
 	// probes heal a partition in which both sides consider each other dead.
 	DeadProbeInterval time.Duration
-	// ClaimsPerPacket is the maximum number of claims in one packet.
+	// ClaimsPerPacket is the maximum number of claims in one packet. When many hosts die at
+	// once, the time until all others know grows with the number of packets that it takes
+	// to name them; a packet should still fit one Ethernet frame.
 	ClaimsPerPacket int
 }
 
@@ -74,7 +76,7 @@
 		IndirectProbes:    3,
 		RemoteProbeShare:  0.1,
 		DeadProbeInterval: 5 * time.Second,
-		ClaimsPerPacket:   12,
+		ClaimsPerPacket:   40,
 	}
 }
 
