--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -470,6 +470,9 @@
 }
 
 func (c *Control) handleMemberChange(now time.Time, ch member.Change) {
+	if ch.Returned {
+		c.replica.RepairReturned(ch.Host)
+	}
 	e := event.HostJoined
 	switch ch.Status {
 	case member.Suspect:
--- a/internal/core/config/node.go
+++ b/internal/core/config/node.go
@@ -70,6 +70,7 @@
 	// pendingPulls holds the time at which each entry was requested from a peer.
 	pendingPulls        map[pullKey]time.Time
 	nextRepair          time.Time
+	nextReturnRepair    time.Time
 	snapshotRequestedAt [msg.SetCount]time.Time
 	snapshots           [msg.SetCount]incomingSnapshot
 	relayQueue          relayQueue
@@ -107,6 +108,8 @@
 	// one is incomplete too. When all hosts start at once, a few read the set from the
 	// platform, and with each round about twice as many have it.
 	incompleteRetry = 150 * time.Millisecond
+	// returnRepairInterval is the minimum time between two repairs with returned hosts.
+	returnRepairInterval = 200 * time.Millisecond
 )
 
 // NewNode returns a Node with empty sets.
@@ -297,6 +300,21 @@
 	if !ok {
 		return
 	}
+	n.sendDigests(to)
+}
+
+// RepairReturned starts a repair with a host that is alive again, since both sides may have
+// missed entries. After a partition many hosts return at once, of which a few are enough.
+func (n *Node) RepairReturned(host string) {
+	if n.now.Before(n.nextReturnRepair) {
+		return
+	}
+	n.nextReturnRepair = n.now.Add(returnRepairInterval)
+	n.sendDigests(host)
+}
+
+// sendDigests starts a repair with a peer.
+func (n *Node) sendDigests(to string) {
 	for id, s := range n.sets {
 		if msg.SetID(id) == msg.SetCrashes && len(s.entries) == 0 {
 			continue // usually empty; a peer whose set is not empty starts the repair
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -103,6 +103,8 @@
 type Change struct {
 	Host   string
 	Status Status
+	// Returned reports that the host is alive again after it was considered dead.
+	Returned bool
 }
 
 // Datagram is a packet to send to an address.
@@ -273,6 +275,8 @@
 	if m.Status == s {
 		return
 	}
+	// A host that has just become known is Dead since the zero time.
+	returned := s == Alive && m.Status == Dead && !m.Since.IsZero()
 	m.Status = s
 	m.Since = now
 	if s == Suspect {
@@ -281,5 +285,5 @@
 		delete(n.suspects, m.Host)
 	}
 	n.live.update(m)
-	n.changes = append(n.changes, Change{Host: m.Host, Status: s})
+	n.changes = append(n.changes, Change{Host: m.Host, Status: s, Returned: returned})
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -360,7 +360,12 @@
 			break
 		}
 	}
-	datagrams, _ := h.Members.Take()
+	datagrams, changes := h.Members.Take()
+	for _, c := range changes {
+		if c.Returned {
+			h.Replica.RepairReturned(c.Host)
+		}
+	}
 	for _, d := range datagrams {
 		if to, ok := m.byName[d.To]; ok {
 			h.Sent.add(d.Packet.Msgsize()/2 + headerBytes)
