front: at most 120 load queries a second for each host

Cause: a query for each of 12 candidates is paid by the request: at the size that the product is built for, 81 choices a second and host among 340 services would be 972 queries and as many replies, some 130 KB/s and 3 % of a core by computation. Change: 120 a second, 240 at once; beyond that a choice asks part of its candidates, or none, and waits for none then.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -57,7 +57,7 @@
 	log             *slog.Logger
 	peers           Peers
 	loadQuerier     LoadQuerier
-	loadQueries     loadQueries
+	loadQueries     *loadQueries
 	guard           *guard.Guard
 	idempotencyKeys IdempotencyKeys
 
@@ -85,7 +85,7 @@
 	f.limits.Store(&limits)
 	f.dir.Store(&directory.Directory{})
 	f.services.byName = make(map[string]*serviceState)
-	f.counts = newCounters()
+	f.counts, f.loadQueries = newCounters(), newLoadQueries()
 	return f
 }
 
--- a/internal/front/loadquery.go
+++ b/internal/front/loadquery.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/radishhoist/radishhoist/internal/core/balance"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
@@ -15,7 +17,8 @@
 // load and failure estimate. Load reports alone do not suffice in a large fleet: the rate at
 // which a host may send them is limited, so that each reaches a smaller part of the fleet the
 // more hosts there are, and a front that sends few requests learns little from responses. The
-// number of queries for a choice does not depend on the size of the fleet.
+// number of queries for a choice does not depend on the size of the fleet, and their rate is
+// limited: a front that makes many choices asks part of the candidates.
 
 const (
 	// currentLoadMaxAge is the age up to which a load counts as current, so that its guard
@@ -25,6 +28,10 @@
 	// is known: a lost reply costs the request this time and nothing else. Replies that
 	// arrive later are used by the next choices.
 	loadQueryTimeout = 2 * time.Millisecond
+	// maxLoadQueryRate is the maximum number of queries that a front sends per second, and
+	// loadQueryBurst at once. With as many replies this is some 16 KB/s, headers included.
+	maxLoadQueryRate = 120
+	loadQueryBurst   = 240
 	// recentLoadQueries is the number of choices whose replies are accepted.
 	recentLoadQueries = 1024
 )
@@ -41,11 +48,26 @@
 
 // loadQueries holds the recent choices for which guards were asked.
 type loadQueries struct {
+	limiter *rate.Limiter
+
 	mu     sync.Mutex
 	lastID uint64
 	recent [recentLoadQueries]*loadQuery
 }
 
+func newLoadQueries() *loadQueries {
+	return &loadQueries{limiter: rate.NewLimiter(maxLoadQueryRate, loadQueryBurst), lastID: rand.Uint64()}
+}
+
+// admit returns how many of n queries may be sent now.
+func (l *loadQueries) admit(now time.Time, n int) int {
+	n = min(n, max(int(l.limiter.TokensAt(now)), 0))
+	if !l.limiter.AllowN(now, n) {
+		return 0 // a concurrent choice took the tokens
+	}
+	return n
+}
+
 // loadQuery is one choice for which guards were asked.
 type loadQuery struct {
 	id    uint64
@@ -117,7 +139,11 @@
 	now := time.Now()
 	sampled, outdated := req.state.sample(now, req, tried, usesRetryBudget, rng, f)
 	outdated = slices.DeleteFunc(outdated, func(t *target) bool { return f.queryLocally(now, req.state, t) })
-	if len(outdated) == 0 || f.loadQuerier == nil {
+	if f.loadQuerier == nil {
+		return sampled
+	}
+	outdated = outdated[:f.loadQueries.admit(now, len(outdated))]
+	if len(outdated) == 0 {
 		return sampled
 	}
 	q := f.loadQueries.add(req.state, outdated)
--- a/internal/front/loadquery_test.go
+++ b/internal/front/loadquery_test.go
@@ -41,7 +41,8 @@
 func newQueryingFront(hosts int) (*Front, *request, *scriptedGuards) {
 	f := &Front{
 		cfg: Config{Host: "front", DC: "dc"}, paths: newPaths(slog.Default()),
-		guard: guard.New(guard.Config{Host: "front"}, guard.Limits{}, slog.Default(), nil, guard.Hooks{}),
+		loadQueries: newLoadQueries(),
+		guard:       guard.New(guard.Config{Host: "front"}, guard.Limits{}, slog.Default(), nil, guard.Hooks{}),
 	}
 	guards := &scriptedGuards{front: f, delays: map[string]time.Duration{}, loads: map[string]msg.Load{}}
 	f.SetLoadQuerier(guards)
@@ -118,3 +119,26 @@
 		}
 	})
 }
+
+// At the size that the product is built for, a front makes 81 choices a second, mostly among
+// instances of which it knows nothing current. Its queries must stay within the budget of a
+// host, and a choice without them must not wait.
+func TestLoadQueriesStayWithinRate(t *testing.T) {
+	const choices, hosts = 81, 12
+	synctest.Test(t, func(t *testing.T) {
+		f, req, guards := newQueryingFront(hosts)
+		began := time.Now()
+		for range choices {
+			_, took := chooseHost(f, req)
+			assert.Assert(t, took <= loadQueryTimeout)
+			for _, target := range req.state.targets {
+				target.observed.loadAt = time.Time{}
+			}
+			time.Sleep(time.Second/choices - took)
+		}
+		limit := loadQueryBurst + maxLoadQueryRate*time.Since(began).Seconds()
+		t.Logf("%d queries for %d choices", len(guards.asked), choices)
+		assert.Assert(t, float64(len(guards.asked)) <= limit, "%d queries", len(guards.asked))
+		assert.Assert(t, len(guards.asked) > maxLoadQueryRate)
+	})
+}
