--- a/internal/front/loadquery.go
+++ b/internal/front/loadquery.go
@@ -21,9 +21,12 @@
 // limited: a front that makes many choices asks part of the candidates.
 
 const (
-	// currentLoadMaxAge is the age up to which a load counts as current, so that its guard
-	// is not asked again.
-	currentLoadMaxAge = 100 * time.Millisecond
+	// localLoadMaxAge is the age up to which the load of an instance in this data centre
+	// counts as current, so that its guard is not asked again, and remoteLoadMaxAge that of
+	// an instance in another one: most requests stay in the data centre, and traffic between
+	// data centres is expensive.
+	localLoadMaxAge  = 100 * time.Millisecond
+	remoteLoadMaxAge = time.Second
 	// loadQueryTimeout is how long a choice waits for replies. Without a reply it uses what
 	// is known: a lost reply costs the request this time and nothing else. Replies that
 	// arrive later are used by the next choices.
@@ -185,9 +188,17 @@
 			continue
 		}
 		sampled = append(sampled, t)
-		if now.Sub(t.observed.loadAt) > currentLoadMaxAge {
+		if now.Sub(t.observed.loadAt) > maxLoadAge(t, f.cfg) {
 			outdated = append(outdated, t)
 		}
 	}
 	return sampled, outdated
 }
+
+// maxLoadAge is the age up to which the load of a target counts as current.
+func maxLoadAge(t *target, cfg Config) time.Duration {
+	if t.Host.DC == cfg.DC {
+		return localLoadMaxAge
+	}
+	return remoteLoadMaxAge
+}
