control: a host that has served before does not wait for peers that are starting too

Cause: every host waited for the records from a peer for up to 3 s, while no peer had them. Change: the first call to another host also asks for the records; a host whose record is listed, so that callers wait for it, goes to the platform as soon as a peer says that it has none either, or after 0.4 to 0.6 s; a new host waits as before. The test of the first call to an unknown sender asks for this message as well.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -129,10 +129,12 @@
 	c.tick(now)
 	c.tick(now.Add(tickInterval))
 	queued := c.outboxes.byAddr["127.0.0.1:2"].queued
-	assert.Equal(t, len(queued), 2)
+	assert.Equal(t, len(queued), 3)
 	_, announces := queued[0].(*msg.Rumor)
 	pull, isPull := queued[1].(*msg.Pull)
 	assert.Assert(t, announces && isPull && pull.All && pull.Set == msg.SetHosts)
+	pull, isPull = queued[2].(*msg.Pull)
+	assert.Assert(t, isPull && pull.All && pull.Set == msg.SetRecords)
 
 	c.hosts["c"] = &directory.Host{Name: "c"}
 	c.addUnknownSender(&msg.MemberPacket{Kind: msg.PacketPing, From: "c", FromAddr: "127.0.0.1:3", ProbedHost: "a"})
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -173,7 +173,7 @@
 }
 
 // callContacts sends the entry of this host to the hosts of which only the address is known,
-// and requests their entries. Once each of them is known or no longer called, it pushes the
+// and requests their entries and, until this host has them, the records. Once each of them is known or no longer called, it pushes the
 // entry of this host again, because the earlier push reached only the hosts known at that
 // time. The caller holds the lock.
 func (c *Control) callContacts(now time.Time) {
@@ -187,6 +187,12 @@
 		}
 		c.enqueue(call.Addr, &msg.Rumor{Set: msg.SetHosts, Entries: []msg.Entry{self}})
 		c.enqueue(call.Addr, call.PullRequest(hostKind))
+		if call.Host == "" {
+			continue
+		}
+		if m := c.replica.RequestRecords(now, call.Host); m != nil {
+			c.enqueue(call.Addr, m)
+		}
 	}
 }
 
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -16,7 +16,8 @@
 // Starting costs the platform little, since thousands of hosts may start at once: a host reads
 // the addresses of the others from a list that may be seconds old, writes its own record only
 // if that is not listed, and takes the records from a peer. Only the first hosts of each data
-// centre, and hosts that no peer has served in time, read the records from the platform.
+// centre, and hosts that no peer has served in time, read the records from the platform. A
+// host that is listed has served before: it does not wait for peers that are starting too.
 
 const (
 	// lonelyListings is the number of cached lists without another host after which a host
@@ -26,9 +27,11 @@
 	// lonelyListInterval is the mean pause between these lists. It is random, so that hosts
 	// that start together do not all read before the others have written.
 	lonelyListInterval = 800 * time.Millisecond
-	// peerRecordsTimeout is how long a host waits for the records from its peers. Half as
-	// much again is added at random.
+	// peerRecordsTimeout is how long a new host waits for the records from its peers.
 	peerRecordsTimeout = 2 * time.Second
+	// restartRecordsTimeout is how long a host that has served before waits for them,
+	// because callers wait with it. It does not wait at all for peers that are starting too.
+	restartRecordsTimeout = 400 * time.Millisecond
 	// peerRecordsMaxAge is the age up to which a peer's records count as current. The peer
 	// reports the time since they were last known to be; it exceeds the longest wait of a
 	// watch.
@@ -46,19 +49,20 @@
 	if err != nil {
 		return 0, err
 	}
-	if !c.addListedHosts(page) {
+	restarted := c.addListedHosts(page)
+	if !restarted {
 		if err := c.writeOwnRecord(ctx); err != nil {
 			return 0, err
 		}
 	}
-	for n := 1; page.Cached && n < lonelyListings && c.lonely(); n++ {
+	for n := 1; !restarted && page.Cached && n < lonelyListings && c.lonely(); n++ {
 		sleep.For(ctx, lonelyListInterval/2+time.Duration(rand.Int64N(int64(lonelyListInterval))))
 		if page, err = c.store.ListCached(ctx, feed); err != nil {
 			return 0, err
 		}
 		c.addListedHosts(page)
 	}
-	if !c.lonely() && !c.listedFirst() && c.awaitPeerRecords(ctx) {
+	if !c.lonely() && !c.listedFirst() && c.awaitPeerRecords(ctx, restarted) {
 		return 0, nil
 	}
 	return c.readRecords(ctx)
@@ -127,17 +131,31 @@
 // awaitPeerRecords waits until a peer has sent all records, current ones as far as it knows,
 // and reports whether that was so in time. Replication requests them as long as they are
 // missing.
-func (c *Control) awaitPeerRecords(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerRecordsTimeout+time.Duration(rand.Int64N(int64(peerRecordsTimeout/2))))
+func (c *Control) awaitPeerRecords(ctx context.Context, restarted bool) bool {
+	timeout := peerRecordsTimeout
+	if restarted {
+		timeout = restartRecordsTimeout
+	}
+	// Hosts that start together should not all fall back to the platform together.
+	timeout += time.Duration(rand.Int64N(int64(timeout / 2)))
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for !c.hasCurrentRecords() {
-		if !sleep.For(ctx, joinPollInterval) {
+		if restarted && c.peersIncomplete() || !sleep.For(ctx, joinPollInterval) {
 			return false
 		}
 	}
 	return true
 }
 
+// peersIncomplete reports whether a peer that was asked for the records does not have them
+// either.
+func (c *Control) peersIncomplete() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replica.PeersIncomplete()
+}
+
 // hasCurrentRecords reports whether this host has all records and a peer, or the platform,
 // has confirmed them within peerRecordsMaxAge.
 func (c *Control) hasCurrentRecords() bool {
--- a/internal/core/config/node.go
+++ b/internal/core/config/node.go
@@ -71,6 +71,7 @@
 	pendingPulls        map[pullKey]time.Time
 	nextRepair          time.Time
 	nextReturnRepair    time.Time
+	peersIncomplete     bool
 	snapshotRequestedAt [msg.SetCount]time.Time
 	snapshots           [msg.SetCount]incomingSnapshot
 	relayQueue          relayQueue
@@ -353,15 +354,25 @@
 }
 
 func (n *Node) pullSnapshot(now time.Time, peers Peers) {
+	if to, ok := n.repairPeer(peers); ok {
+		if m := n.RequestRecords(now, to); m != nil {
+			n.send(to, m)
+		}
+	}
+}
+
+// RequestRecords returns the message that requests the record set from a host, nil if the set
+// is complete or a request is pending. The caller sends it; the host need not be a peer yet.
+func (n *Node) RequestRecords(now time.Time, host string) *msg.Pull {
 	const id = msg.SetRecords
 	if n.complete[id] || now.Sub(n.snapshotRequestedAt[id]) < snapshotTimeout {
-		return
-	}
-	to, ok := n.repairPeer(peers)
-	if !ok {
-		return
+		return nil
 	}
 	n.snapshotRequestedAt[id] = now
-	n.snapshots[id] = incomingSnapshot{from: to}
-	n.send(to, &msg.Pull{Set: id, All: true})
+	n.snapshots[id] = incomingSnapshot{from: host}
+	return &msg.Pull{Set: id, All: true}
 }
+
+// PeersIncomplete reports whether a peer that was asked for the record set did not have it
+// either: probably all hosts are starting.
+func (n *Node) PeersIncomplete() bool { return n.peersIncomplete }
