--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -173,9 +173,9 @@
 }
 
 // callContacts sends the entry of this host to the hosts of which only the address is known,
-// and requests their entries and, until this host has them, the records. Once each of them is known or no longer called, it pushes the
-// entry of this host again, because the earlier push reached only the hosts known at that
-// time. The caller holds the lock.
+// and requests their entries and, until this host has them, the records. Once each of them
+// is known or no longer called, it pushes the entry of this host again, because the earlier
+// push reached only the hosts known at that time. The caller holds the lock.
 func (c *Control) callContacts(now time.Time) {
 	if c.contacts.AllReached(c.isKnown, c.members.NoPeers()) {
 		c.replica.Resend(c.peers(), msg.SetHosts, config.Key{Kind: hostKind, Name: c.cfg.Host})
