control: a host that has served before reads the records from the platform before it contacts others

Cause: the restarted hosts contacted each other first, and the messages of a start of all keep hosts of 0.16 of a core busy for seconds; reading the records, which came after, came late. That costs three calls a restart again, and saves the write and the watches.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,8 +17,12 @@
 // Starting costs the platform little, since thousands of hosts may start at once: a host reads
 // the addresses of the others from a list that may be seconds old, writes its own record only
 // if that is not listed, and takes the records from a peer. Only the first hosts of each data
-// centre, and hosts that no peer has served in time, read the records from the platform. A
-// host that is listed has served before: it does not wait for peers that are starting too.
+// centre, and hosts that no peer has served in time, read the records from the platform.
+//
+// A host whose record is listed has served before, and callers wait for it. It reads the
+// records from the platform at once, before it contacts any other host: when all hosts restart
+// together, no peer has the records, and the messages between them keep small hosts busy for
+// seconds.
 
 const (
 	// lonelyListings is the number of cached lists without another host after which a host
@@ -29,9 +34,6 @@
 	lonelyListInterval = 800 * time.Millisecond
 	// peerRecordsTimeout is how long a new host waits for the records from its peers.
 	peerRecordsTimeout = 2 * time.Second
-	// restartRecordsTimeout is how long a host that has served before waits for them,
-	// because callers wait with it. It does not wait at all for peers that are starting too.
-	restartRecordsTimeout = 400 * time.Millisecond
 	// peerRecordsMaxAge is the age up to which a peer's records count as current. The peer
 	// reports the time since they were last known to be; it exceeds the longest wait of a
 	// watch.
@@ -49,20 +51,21 @@
 	if err != nil {
 		return 0, err
 	}
-	restarted := c.addListedHosts(page)
-	if !restarted {
-		if err := c.writeOwnRecord(ctx); err != nil {
-			return 0, err
-		}
+	if c.listsOwnRecord(page) {
+		return c.readRecords(ctx)
+	}
+	if err := c.writeOwnRecord(ctx); err != nil {
+		return 0, err
 	}
-	for n := 1; !restarted && page.Cached && n < lonelyListings && c.lonely(); n++ {
+	c.addListedHosts(page)
+	for n := 1; page.Cached && n < lonelyListings && c.lonely(); n++ {
 		sleep.For(ctx, lonelyListInterval/2+time.Duration(rand.Int64N(int64(lonelyListInterval))))
 		if page, err = c.store.ListCached(ctx, feed); err != nil {
 			return 0, err
 		}
 		c.addListedHosts(page)
 	}
-	if !c.lonely() && !c.listedFirst() && c.awaitPeerRecords(ctx, restarted) {
+	if !c.lonely() && !c.listedFirst() && c.awaitPeerRecords(ctx) {
 		return 0, nil
 	}
 	return c.readRecords(ctx)
@@ -82,20 +85,23 @@
 	return page.Revision, nil
 }
 
-// addListedHosts adds the hosts of a list to the contacts, and reports whether the list
-// contains a record of this host that can be left in place.
-func (c *Control) addListedHosts(page objects.Page) (ownListed bool) {
+// listsOwnRecord reports whether a list contains a record of this host that can be left in
+// place.
+func (c *Control) listsOwnRecord(page objects.Page) bool {
+	isOwn := func(o objects.Object) bool {
+		key := record.Key{Kind: record.KindHost, Name: c.cfg.Host}
+		return o.Key() == key && c.isCurrentOwnRecord(key, o.Value)
+	}
+	return slices.ContainsFunc(page.Objects, isOwn)
+}
+
+// addListedHosts adds the hosts of a list to the contacts.
+func (c *Control) addListedHosts(page objects.Page) {
 	all := hostListings(page.Objects)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.addHostRecords(all)
 	c.addContacts(all)
-	for _, l := range all {
-		if l.name == c.cfg.Host && c.canKeepRecord(l.Host) {
-			ownListed = true
-		}
-	}
-	return ownListed
 }
 
 // lonely reports whether no other host of this data centre is known or listed.
@@ -131,31 +137,19 @@
 // awaitPeerRecords waits until a peer has sent all records, current ones as far as it knows,
 // and reports whether that was so in time. Replication requests them as long as they are
 // missing.
-func (c *Control) awaitPeerRecords(ctx context.Context, restarted bool) bool {
-	timeout := peerRecordsTimeout
-	if restarted {
-		timeout = restartRecordsTimeout
-	}
+func (c *Control) awaitPeerRecords(ctx context.Context) bool {
 	// Hosts that start together should not all fall back to the platform together.
-	timeout += time.Duration(rand.Int64N(int64(timeout / 2)))
+	timeout := peerRecordsTimeout + time.Duration(rand.Int64N(int64(peerRecordsTimeout/2)))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for !c.hasCurrentRecords() {
-		if restarted && c.peersIncomplete() || !sleep.For(ctx, joinPollInterval) {
+		if !sleep.For(ctx, joinPollInterval) {
 			return false
 		}
 	}
 	return true
 }
 
-// peersIncomplete reports whether a peer that was asked for the records does not have them
-// either.
-func (c *Control) peersIncomplete() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.replica.PeersIncomplete()
-}
-
 // hasCurrentRecords reports whether this host has all records and a peer, or the platform,
 // has confirmed them within peerRecordsMaxAge.
 func (c *Control) hasCurrentRecords() bool {
@@ -213,11 +207,9 @@
 		return false
 	}
 	h, ok := r.Spec.(*record.Host)
-	return ok && c.canKeepRecord(h)
-}
-
-// canKeepRecord is isCurrentOwnRecord for a decoded record.
-func (c *Control) canKeepRecord(h *record.Host) bool {
+	if !ok {
+		return false
+	}
 	age := time.Duration(int64(c.cfg.Incarnation)-int64(h.Incarnation)) * time.Millisecond
 	return h.DC == c.cfg.DC && h.Peer == c.cfg.PeerAddr && h.Admin == c.cfg.AdminAddr && age >= 0 && age < unknownHostRetention
 }
--- a/internal/core/config/node.go
+++ b/internal/core/config/node.go
@@ -71,7 +71,6 @@
 	pendingPulls        map[pullKey]time.Time
 	nextRepair          time.Time
 	nextReturnRepair    time.Time
-	peersIncomplete     bool
 	snapshotRequestedAt [msg.SetCount]time.Time
 	snapshots           [msg.SetCount]incomingSnapshot
 	relayQueue          relayQueue
@@ -372,7 +371,3 @@
 	n.snapshots[id] = incomingSnapshot{from: host}
 	return &msg.Pull{Set: id, All: true}
 }
-
-// PeersIncomplete reports whether a peer that was asked for the record set did not have it
-// either: probably all hosts are starting.
-func (n *Node) PeersIncomplete() bool { return n.peersIncomplete }
--- a/internal/core/config/step.go
+++ b/internal/core/config/step.go
@@ -174,7 +174,6 @@
 		return
 	}
 	if !m.Complete {
-		n.peersIncomplete = true
 		n.snapshotRequestedAt[m.Set] = n.now.Add(incompleteRetry - snapshotTimeout)
 		return
 	}
--- a/internal/mesh/start_test.go
+++ b/internal/mesh/start_test.go
@@ -196,10 +196,10 @@
 	return mostAfter, allAfter
 }
 
-// After a loss of power, hosts take the records from each other: only two in each data centre
-// read them from the platform. If a host waited for seconds after it had asked another one
-// that had just started too, callers would wait with it, and the more hosts there are, the
-// smaller the part of them that can answer at first.
+// The hosts of a new fleet take the records from each other: only two in each data centre read
+// them from the platform. A host must not wait for seconds after it has asked another one that
+// has just started too: the more hosts there are, the smaller the part of them that can answer
+// at first.
 func TestRecordsSpreadQuicklyWhenAllHostsStart(t *testing.T) {
 	for _, hosts := range []int{24, 354} {
 		mostAfter, allAfter := recordsSpread(hosts, 1)
