control: a restarted host reads one list of all hosts, not two

Change: the write of the own record tells whether the host has served before; then it reads the current list alone. Costs a refused write a restart again. Measured: TestStartTakesFewPlatformCalls only.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,13 +15,12 @@
 
 // Starting costs the platform little, since thousands of hosts may start at once: a host reads
 // the addresses of the others from a list that may be seconds old, writes its own record only
-// if that is not listed, and takes the records from a peer. Only the first hosts of each data
+// if there is none, and takes the records from a peer. Only the first hosts of each data
 // centre, and hosts that no peer has served in time, read the records from the platform.
 //
-// A host whose record is listed has served before, and callers wait for it. It reads the
-// records from the platform at once, before it contacts any other host: when all hosts restart
-// together, no peer has the records, and the messages between them keep small hosts busy for
-// seconds.
+// A host that has a record has served before, and callers wait for it. It reads the records
+// from the platform at once, and no other list: when all hosts restart together, the lists
+// of all hosts that they read, each as long as the fleet is large, fill the platform's link.
 
 const (
 	// lonelyListings is the number of cached lists without another host after which a host
@@ -46,15 +44,16 @@
 // stored, and waits until this host has all records. It returns the revision from which to
 // watch the feeds, 0 if the records came from a peer.
 func (c *Control) join(ctx context.Context) (int64, error) {
-	feed := c.store.FeedOf(record.KindHost)
-	page, err := c.store.ListCached(ctx, feed)
+	restarted, err := c.writeOwnRecord(ctx)
 	if err != nil {
 		return 0, err
 	}
-	if c.listsOwnRecord(page) {
+	if restarted {
 		return c.readRecords(ctx)
 	}
-	if err := c.writeOwnRecord(ctx); err != nil {
+	feed := c.store.FeedOf(record.KindHost)
+	page, err := c.store.ListCached(ctx, feed)
+	if err != nil {
 		return 0, err
 	}
 	c.addListedHosts(page)
@@ -85,16 +84,6 @@
 	return page.Revision, nil
 }
 
-// listsOwnRecord reports whether a list contains a record of this host that can be left in
-// place.
-func (c *Control) listsOwnRecord(page objects.Page) bool {
-	isOwn := func(o objects.Object) bool {
-		key := record.Key{Kind: record.KindHost, Name: c.cfg.Host}
-		return o.Key() == key && c.isCurrentOwnRecord(key, o.Value)
-	}
-	return slices.ContainsFunc(page.Objects, isOwn)
-}
-
 // addListedHosts adds the hosts of a list to the contacts.
 func (c *Control) addListedHosts(page objects.Page) {
 	all := hostListings(page.Objects)
@@ -170,27 +159,27 @@
 // writeOwnRecord writes the Host record of this host. It first tries to create it, which
 // usually succeeds and takes one call. Otherwise it replaces the record of an earlier
 // process, unless that can be left in place.
-func (c *Control) writeOwnRecord(ctx context.Context) error {
+func (c *Control) writeOwnRecord(ctx context.Context) (restarted bool, err error) {
 	key := record.Key{Kind: record.KindHost, Name: c.cfg.Host}
 	value, err := record.Marshal(key, &record.Host{DC: c.cfg.DC, Peer: c.cfg.PeerAddr, Admin: c.cfg.AdminAddr, Incarnation: c.cfg.Incarnation})
 	if err != nil {
-		return err
+		return false, err
 	}
 	isOwn := func(stored []byte) bool { return c.isCurrentOwnRecord(key, stored) }
 	_, err = c.store.Put(ctx, key, value, 0)
 	var conflict *objects.ConflictError
 	switch {
 	case err == nil:
-		return nil
+		return false, nil
 	case !errors.As(err, &conflict):
-		return err
+		return false, err
 	case isOwn(conflict.Current.Value):
 		// The record was written by an earlier attempt whose response was lost, or by an
 		// earlier process at the same address.
-		return nil
+		return true, nil
 	}
 	_, err = objects.PutConfirmed(ctx, c.store, key, value, conflict.Current.Version, isOwn)
-	return err
+	return true, err
 }
 
 // isCurrentOwnRecord reports whether a stored Host record can be left in place. It must have
