guard: log the rate limit that an instance states in its responses

Change: the dialect names the header, the guard parses it and logs each change (event 311) and shows it in the state dump. No decision uses it yet. Measured: internal/guard, internal/event and internal/docscheck pass.

--- a/internal/core/header/header.go
+++ b/internal/core/header/header.go
@@ -28,6 +28,10 @@
 	// TargetMarker is the response header present in every successful (2xx) response of a
 	// target. A successful response without it did not come from the target.
 	TargetMarker string
+	// RateLimit is the response header by which an instance states how many requests per
+	// second it accepts from all hosts together, as a decimal number. The limit applies
+	// until a response lacks the header.
+	RateLimit string
 	// Team is the header that tells a target the caller's team, if teams authenticate
 	// with keys. A value sent by the caller itself is removed.
 	Team string
@@ -43,6 +47,7 @@
 		CallerService:    "Radishhoist-Caller-Service",
 		ExpectedInstance: "Radishhoist-Expected-Instance",
 		NotRun:           "Radishhoist-Not-Run",
+		RateLimit:        "Radishhoist-Rate-Limit",
 		Team:             Team,
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -44,6 +44,7 @@
 	InstanceEstimateChanged = Event{308, "instance estimate turned", slog.LevelInfo}
 	InstanceEnded           = Event{309, "instance ended", slog.LevelWarn}
 	RequestStopped          = Event{310, "request stopped", slog.LevelWarn}
+	InstanceLimitChanged    = Event{311, "instance limit changed", slog.LevelInfo}
 	AnnounceRefused         = Event{305, "announce refused", slog.LevelWarn}
 	RecordApplied           = Event{400, "record applied", slog.LevelInfo}
 	RecordRefused           = Event{401, "record refused", slog.LevelError}
@@ -70,7 +71,7 @@
 		Started, Ready, Draining, Drained, DrainTimeout, StartFailed, Reloaded, ReloadRefused, SettingsWarning,
 		RequestFailed, RequestAnswered, ResponseAborted, LinkLost, PathExcluded, PathRestored, PeerRefused,
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
-		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped,
+		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged,
 		RecordApplied, RecordRefused, PlatformUnavailable, PlatformAvailable, WatchStarted, WatchStopped, RecordSetLoaded,
 		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -103,6 +103,9 @@
 		return result{failed: !errors.Is(err, errFrontGone), aborted: errors.Is(err, errFrontGone)}, callVerdict(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.Status != http.StatusMisdirectedRequest {
+		x.inst.observeRateLimit(time.Now(), started, resp.Header)
+	}
 	res, failure := classifyResponse(resp, m, x.guard.cfg.Dialect)
 	res.status = resp.Status
 	if resp.Status == http.StatusMisdirectedRequest && failure != nil {
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -65,6 +65,10 @@
 	maxConns          int
 	softwareVersion   string
 	leaving           bool
+	// rateLimit is the rate limit that the instance stated last, in requests per second, 0
+	// if none, and rateLimitAt when it was received.
+	rateLimit   float64
+	rateLimitAt time.Time
 	// stopped reports that a planned stop covers the instance.
 	stopped bool
 	// closed reports that the instance never accepts requests again: it was removed, or
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -20,6 +20,9 @@
 	Queued    int     `json:"queued"`
 	ServiceMS float64 `json:"serviceMS"`
 	Leaving   bool    `json:"leaving"`
+	// RateLimit is the rate limit that the instance states, in requests per second, 0 if
+	// none.
+	RateLimit float64 `json:"rateLimit,omitempty"`
 	// FailureEstimate is the estimated probability that the instance currently fails most
 	// requests.
 	FailureEstimate float64 `json:"sick"`
@@ -50,6 +53,7 @@
 		ShedShare:       i.shedShare.At(time.Now()),
 		RetryBudgetLeft: int(i.guard.retryBudgets.remaining(time.Now(), i.service)),
 		Leaving:         i.unavailable(),
+		RateLimit:       i.rateLimit,
 		Health:          i.detector.Health().String(), Evidence: i.detector.Evidence(),
 		PeerSamples: i.reference.At(time.Now()).Count, Counts: i.counts,
 	}
