fleetsim: instances that state a rate limit; a test that fails

Change: instances of the emulator state a limit, daemons restart and freeze, and a test counts what hosts send that have passed on a response with the limit, at 24 and 984 hosts, with a restart, a freeze and a partition of the instance's host, and with another instance at the address.

--- a/internal/fleetsim/callers.go
+++ b/internal/fleetsim/callers.go
@@ -26,6 +26,7 @@
 			}()
 		}
 	}
+	f.scheduleHostFaults()
 	for _, l := range f.scenario.Losses {
 		time.AfterFunc(l.At, func() { f.crashInstances(l) })
 	}
@@ -126,7 +127,14 @@
 	r.RequestURI = path
 	r.Header.Set("X-Request-Id", id)
 	w := httptest.NewRecorder()
-	h.front.ServeHTTP(w, r)
+	f.beginRequest(h, id)
+	time.Sleep(h.freezeTimeLeft())
+	d := h.daemon()
+	if d == nil {
+		return http.StatusBadGateway, ""
+	}
+	d.front.ServeHTTP(w, r)
+	f.recordPassedOn(h, w.Header())
 	var p verdict.Problem
 	if w.Header().Get("Content-Type") == verdict.ProblemType {
 		if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil {
--- a/internal/fleetsim/crash.go
+++ b/internal/fleetsim/crash.go
@@ -73,6 +73,9 @@
 	return i.incarnation
 }
 
+// currentName returns the name of the current incarnation.
+func (i *instance) currentName() string { return fmt.Sprintf("%s.%d", i.name, i.currentIncarnation()) }
+
 // crash crashes an incarnation of the instance and closes its connections; the instance
 // restarts after RestartDelay. It returns false if that incarnation has crashed already.
 func (i *instance) crash(incarnation int) bool {
@@ -82,11 +85,16 @@
 		return false
 	}
 	i.down = true
+	i.closeConns()
+	time.AfterFunc(i.host.fleet.scenario.RestartDelay, i.restart)
+	return true
+}
+
+// closeConns closes all connections. The caller must hold i.mu.
+func (i *instance) closeConns() {
 	for nc := range i.conns {
 		_ = nc.Close()
 	}
-	time.AfterFunc(i.host.fleet.scenario.RestartDelay, i.restart)
-	return true
 }
 
 // crashInstances crashes instances of a service, whatever requests they run.
@@ -114,10 +122,19 @@
 func (i *instance) announce() {
 	i.mu.Lock()
 	i.incarnation++
-	name := fmt.Sprintf("%s.%d", i.name, i.incarnation)
 	i.mu.Unlock()
+	i.refreshAnnouncement()
+}
+
+// refreshAnnouncement announces the current incarnation again. Nobody receives it while the
+// host is down.
+func (i *instance) refreshAnnouncement() {
+	d := i.host.daemon()
+	if d == nil {
+		return
+	}
 	warm := int64(0)
-	err := i.host.guard.Announce(time.Now(), name, guard.Announcement{
+	err := d.guard.Announce(time.Now(), i.currentName(), guard.Announcement{
 		Service: i.service.Name, Address: "10.0.0.1:80", Slots: i.service.Slots, Version: i.version, WarmUpLeftMS: &warm,
 	})
 	if err != nil {
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -38,8 +38,6 @@
 type host struct {
 	fleet    *fleet
 	name, dc string
-	front    *front.Front
-	guard    *guard.Guard
 	instance *instance
 	// localHosts are the names of the other hosts of the data centre, remoteHosts those of each
 	// other data centre.
@@ -47,6 +45,9 @@
 	remoteHosts [][]string
 
 	mu sync.Mutex
+	// current is the running daemon, nil while the host is down. starts counts the daemons.
+	current *daemon
+	starts  int
 	// reportLimiter selects the recipients of load reports within the rate limit.
 	reportLimiter *loadreport.Limiter
 }
@@ -66,6 +67,9 @@
 	result Result
 	// arrivedIDs are the IDs of the requests that have reached an instance.
 	arrivedIDs map[string]bool
+	// origins are the requests in progress by ID, informed what hosts have passed on.
+	origins  map[string]origin
+	informed map[informedKey]time.Duration
 }
 
 // Run simulates a scenario and returns what was observed. It must be called within a bubble of
@@ -76,11 +80,14 @@
 	f := &fleet{
 		scenario: &s, ctx: ctx, start: time.Now().Add(s.WarmUp), rng: rand.New(rand.NewPCG(s.Seed, s.Seed+1)),
 		arrivedIDs: make(map[string]bool),
+		origins:    make(map[string]origin),
+		informed:   make(map[informedKey]time.Duration),
 		byName:     make(map[string]*host),
 		result: Result{
 			ByKind: make(map[string]Outcome), Instances: make(map[string]*InstanceStats),
 			Retries: make(map[string][]time.Duration), RequestTimes: make(map[string][]time.Duration),
 			CrashingRequests: make(map[string]*CrashStats),
+			RateLimited:      make(map[string]*RateLimitStats),
 		},
 	}
 	for _, c := range s.CrashingRequests {
@@ -118,12 +125,18 @@
 func (f *fleet) updateDirectories() {
 	all := make([]*directory.Host, 0, len(f.hosts))
 	for _, h := range f.hosts {
-		all = append(all, &directory.Host{Name: h.name, DC: h.dc, PeerAddr: h.name, Incarnation: 1, Alive: true, Instances: h.guard.Instances()})
+		described := &directory.Host{Name: h.name, DC: h.dc, PeerAddr: h.name}
+		if d, incarnation := h.daemonWithIncarnation(); d != nil {
+			described.Incarnation, described.Alive, described.Instances = incarnation, true, d.guard.Instances()
+		}
+		all = append(all, described)
 	}
 	for _, h := range f.hosts {
-		d := directory.Build(f.compiledRecords, all)
-		h.front.SetDirectory(d)
-		h.guard.Apply(d)
+		if current := h.daemon(); current != nil {
+			d := directory.Build(f.compiledRecords, all)
+			current.front.SetDirectory(d)
+			current.guard.Apply(d)
+		}
 	}
 }
 
@@ -153,23 +166,7 @@
 	stats := &InstanceStats{Service: s.Name}
 	f.result.Instances[name] = stats
 	h.instance = &instance{host: h, name: name, version: version, service: s, stats: stats, requestRNG: f.newRand(), healthRNG: f.newRand(), conns: make(map[net.Conn]struct{})}
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	dialect := header.Default()
-	h.guard = guard.New(guard.Config{
-		Host: h.name, QueuePerSlot: queuePerSlot, GrantTTL: grantTTL, TargetIdleTimeout: targetIdle, Dialect: dialect,
-		Dial: func(context.Context, string) (net.Conn, error) { return h.instance.connect() },
-	}, guard.Limits{AnnounceExpiry: time.Hour, RetryReserve: f.scenario.RetryReserve, RetryWindow: f.scenario.RetryWindow},
-		log, allowAllFence{}, guard.Hooks{
-			Changed: func() {}, LoadReport: h.sendLoadReport,
-			Crashed: func(c crash.Crash) { h.broadcast(func(other *host) { other.guard.ApplyCrash(c) }) },
-			Cleared: func(crashID string, fp crash.Fingerprint) {
-				h.broadcast(func(other *host) { other.guard.ApplyClearance(crashID, fp) })
-			},
-		})
-	h.front = front.New(front.Config{
-		Host: h.name, DC: h.dc, BufferBodyBytes: 1 << 10, MaxConns: 1 << 10, Service: s.Name, Dialect: dialect,
-	}, front.Limits{MaxBodyBytes: 1 << 20}, log, peers{h}, h.guard, nil)
-	h.front.SetLoadQuerier(h)
+	h.startDaemon()
 	h.instance.announce()
 	return h
 }
@@ -197,13 +194,58 @@
 	return f.scenario.RemoteDelay
 }
 
+// daemon is one run of the processes of a host.
+type daemon struct {
+	front *front.Front
+	guard *guard.Guard
+}
+
+// daemon returns the running daemon, nil while the host is down.
+func (h *host) daemon() *daemon {
+	d, _ := h.daemonWithIncarnation()
+	return d
+}
+
+func (h *host) daemonWithIncarnation() (*daemon, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current, uint64(h.starts)
+}
+
+// startDaemon starts a daemon that knows nothing of earlier ones.
+func (h *host) startDaemon() {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	dialect := header.Default()
+	g := guard.New(guard.Config{
+		Host: h.name, QueuePerSlot: queuePerSlot, GrantTTL: grantTTL, TargetIdleTimeout: targetIdle, Dialect: dialect,
+		Dial: func(context.Context, string) (net.Conn, error) { return h.instance.connect() },
+	}, guard.Limits{AnnounceExpiry: time.Hour, RetryReserve: h.fleet.scenario.RetryReserve, RetryWindow: h.fleet.scenario.RetryWindow},
+		log, allowAllFence{}, guard.Hooks{
+			Changed: func() {}, LoadReport: h.sendLoadReport,
+			Crashed: func(c crash.Crash) { h.broadcast(func(d *daemon) { d.guard.ApplyCrash(c) }) },
+			Cleared: func(crashID string, fp crash.Fingerprint) {
+				h.broadcast(func(d *daemon) { d.guard.ApplyClearance(crashID, fp) })
+			},
+		})
+	fr := front.New(front.Config{
+		Host: h.name, DC: h.dc, BufferBodyBytes: 1 << 10, MaxConns: 1 << 10, Service: h.instance.service.Name, Dialect: dialect,
+	}, front.Limits{MaxBodyBytes: 1 << 20}, log, peers{h}, g, nil)
+	fr.SetLoadQuerier(h)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.current = &daemon{front: fr, guard: g}
+	h.starts++
+}
+
 func (h *host) runTicks() {
 	ticker := time.NewTicker(guardTickInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case now := <-ticker.C:
-			h.guard.Tick(now)
+			if d := h.daemon(); d != nil && h.freezeTimeLeft() == 0 {
+				d.guard.Tick(now)
+			}
 		case <-h.fleet.ctx.Done():
 			return
 		}
@@ -215,7 +257,7 @@
 // which forwards it there.
 func (h *host) sendLoadReport(report *msg.LoadReport, to loadreport.Scope) {
 	report = h.withTrueHealth(report)
-	h.front.HandleLoadReport(report)
+	h.deliver(func(d *daemon) { d.front.HandleLoadReport(report) })
 	now := time.Now()
 	var forwarders []string
 	h.mu.Lock()
@@ -224,43 +266,54 @@
 	}
 	recipients := h.reportLimiter.SelectLocal(now, h.localHosts, to)
 	h.mu.Unlock()
-	h.sendTo(recipients, func(other *host) { other.front.HandleLoadReport(report) })
+	h.sendTo(recipients, func(other *host) { other.deliver(func(d *daemon) { d.front.HandleLoadReport(report) }) })
 	h.sendTo(forwarders, func(other *host) { other.forwardLoadReport(report) })
 }
 
 // forwardLoadReport receives a load report from another data centre and forwards it to the hosts of
 // its own.
 func (h *host) forwardLoadReport(report *msg.LoadReport) {
-	h.front.HandleLoadReport(report)
+	h.deliver(func(d *daemon) { d.front.HandleLoadReport(report) })
 	h.mu.Lock()
 	recipients := h.reportLimiter.SelectLocal(time.Now(), h.localHosts, loadreport.ToAll)
 	h.mu.Unlock()
-	h.sendTo(recipients, func(other *host) { other.front.HandleLoadReport(report) })
+	h.sendTo(recipients, func(other *host) { other.deliver(func(d *daemon) { d.front.HandleLoadReport(report) }) })
 }
 
 // SendLoadQuery implements front.LoadQuerier.
 func (h *host) SendLoadQuery(address string, q *msg.LoadQuery) {
 	h.sendTo([]string{address}, func(other *host) {
-		load, ok := other.guard.Load(q.Service, q.Instance)
+		d := other.daemon()
+		if d == nil {
+			return
+		}
+		load, ok := d.guard.Load(q.Service, q.Instance)
 		if !ok {
 			return
 		}
 		other.instance.setTrueHealth(&load)
 		reply := &msg.LoadReply{ID: q.ID, Index: q.Index, Load: load}
-		other.sendTo([]string{h.name}, func(front *host) { front.front.HandleLoadReply(reply) })
+		other.sendTo([]string{h.name}, func(asking *host) { asking.deliver(func(d *daemon) { d.front.HandleLoadReply(reply) }) })
 	})
 }
 
 // broadcast delivers a message to all other hosts, with the delay of one forwarding host. Hosts on the
 // other side of a partition receive it with the first repair after the partition.
-func (h *host) broadcast(deliver func(*host)) {
+func (h *host) broadcast(deliver func(*daemon)) {
 	for _, other := range h.fleet.hosts {
 		if other != h {
-			time.AfterFunc(h.fleet.partitionTimeLeft(h, other)+h.fleet.delay(h, other)+h.fleet.scenario.LocalDelay, func() { deliver(other) })
+			time.AfterFunc(h.fleet.partitionTimeLeft(h, other)+h.fleet.delay(h, other)+h.fleet.scenario.LocalDelay, func() { other.deliver(deliver) })
 		}
 	}
 }
 
+// deliver passes a message to the daemon, unless the host is down.
+func (h *host) deliver(message func(*daemon)) {
+	if d := h.daemon(); d != nil {
+		message(d)
+	}
+}
+
 func (h *host) sendTo(names []string, deliver func(*host)) {
 	for _, name := range names {
 		other := h.fleet.byName[name]
@@ -313,7 +366,7 @@
 // Open implements front.Peers.
 func (p peers) Open(_ context.Context, address string) (wire.Stream, *wire.Conn, error) {
 	to, ok := p.from.fleet.byName[address]
-	if !ok || p.from.fleet.partitionTimeLeft(p.from, to) > 0 {
+	if !ok || to.daemon() == nil || p.from.fleet.partitionTimeLeft(p.from, to) > 0 {
 		return nil, nil, io.EOF
 	}
 	local, remote := wire.Pipe()
@@ -323,11 +376,13 @@
 
 func (h *host) serve(s wire.Stream) {
 	first, err := s.Recv(h.fleet.ctx)
-	if err != nil {
+	time.Sleep(h.freezeTimeLeft())
+	d := h.daemon()
+	if err != nil || d == nil {
 		s.Close()
 		return
 	}
-	h.guard.Serve(s, first)
+	d.guard.Serve(s, first)
 }
 
 // delayedStream adds the network delay to messages in both directions. In a scenario with a health
--- a/internal/fleetsim/oracle.go
+++ b/internal/fleetsim/oracle.go
@@ -46,6 +46,6 @@
 	}
 	i.setTrueHealth(&report.Load)
 	for _, h := range i.host.fleet.hosts {
-		h.front.HandleLoadReport(&msg.LoadReport{Loads: []msg.InstanceLoad{report}})
+		h.deliver(func(d *daemon) { d.front.HandleLoadReport(&msg.LoadReport{Loads: []msg.InstanceLoad{report}}) })
 	}
 }
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -98,6 +98,11 @@
 	RestartDelay     time.Duration
 	// Losses crash instances independently of requests.
 	Losses []InstanceLoss
+	// RateLimits make instances state a rate limit.
+	RateLimits []RateLimit
+	// HostRestarts and HostFreezes disturb the daemons of hosts; their instances go on.
+	HostRestarts []HostRestart
+	HostFreezes  []HostFreeze
 	// Partitions separate data centres from the others.
 	Partitions []Partition
 	// RetryPercent and RetryReserve are the retry budget of a service in RetryWindow.
@@ -139,6 +144,9 @@
 	RequestTimes map[string][]time.Duration
 	// CrashingRequests are the statistics of each crashing request, by path.
 	CrashingRequests map[string]*CrashStats
+	// RateLimited are the statistics of instances that stated a rate limit, by the name of
+	// their incarnation.
+	RateLimited map[string]*RateLimitStats
 }
 
 // CrashStats are the observations of one crashing request.
