guard: an instance gets no more requests than the rate it states

What callers saw: instances in need went on being sent up to 24 requests in 4 s where 16 were allowed, and failed or refused them. Cause: no process read the rate that an instance states in its responses, so that slots, load and failure estimate alone decided; the class is a capacity that only the instance knows and that all hosts share. Change: the guard, through which all requests to the instance pass, admits starts by a token bucket of the stated rate; grants that are not used return their token. Its wait is part of the load that fronts see, so that they choose others; what cannot start in time is refused at once (target-limit), and its wait enters Retry-After only where no instance has another reason. A process that does not know yet whether a limit applies sends 3 requests and one each 2 s until the first response: a restart of the host loses the limit, and the instance's hosts are not excused by it. A response without the header lifts the limit only if its request was sent after the limit was received, since responses overtake each other. Why it holds at any size: one place counts all starts. Bound in 4 s, one restart included: 4 L + 2 max(L, 1) + 3, where 6 L + 5 are allowed.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -78,6 +78,8 @@
 	QueuePerSlot int
 	// GrantTTL is how long a grant remains valid if it is not used by a Run.
 	GrantTTL time.Duration
+	// RateLimit is the initial rate limit, of which the whole burst is available.
+	RateLimit RateLimit
 }
 
 // state is the lifecycle state of a queued or admitted request.
@@ -126,12 +128,16 @@
 	ranks       [rankCount]rankQueue
 	queued      int
 	serviceTime time.Duration
+	rateLimit   tokenBucket
 	draining    bool
 }
 
 // NewQueue returns an empty Queue.
 func NewQueue(cfg Config) *Queue {
-	return &Queue{cfg: cfg, tickets: make(map[ID]*ticket), serviceTime: initialServiceTime}
+	return &Queue{
+		cfg: cfg, tickets: make(map[ID]*ticket), serviceTime: initialServiceTime,
+		rateLimit: tokenBucket{limit: cfg.RateLimit, tokens: cfg.RateLimit.Burst},
+	}
 }
 
 // BusySlots returns the number of slots in use, by running requests or by grants.
@@ -225,7 +231,7 @@
 		r.ExpectedServiceTime = q.serviceTime
 	}
 	t := &ticket{Request: r}
-	if q.busy < q.cfg.Slots && q.queued == 0 {
+	if q.queued == 0 && q.mayStart(now) {
 		q.tickets[r.ID] = t
 		return []Decision{q.assignSlot(now, t)}
 	}
@@ -236,7 +242,7 @@
 	// refused at once. With AllowLate, late requests are limited to one per slot, because
 	// any others would wait only to be refused later.
 	if missesDeadline || t.late && (!r.AllowLate || q.countLate(now) >= q.cfg.Slots) {
-		return []Decision{{ID: r.ID, Action: Refuse, Reason: verdict.ReasonQueueFull, RetryAfter: max(wait, minRetryAfter)}}
+		return []Decision{{ID: r.ID, Action: Refuse, Reason: q.waitReason(now, wait), RetryAfter: max(wait, minRetryAfter)}}
 	}
 	return q.enqueue(t, wait)
 }
@@ -341,7 +347,7 @@
 // assignFreeSlots assigns free slots to waiting requests, and refuses those that come up
 // for a slot but can no longer meet their deadline. It appends the decisions to out.
 func (q *Queue) assignFreeSlots(now time.Time, out []Decision) []Decision {
-	for q.busy < q.cfg.Slots && q.queued > 0 {
+	for q.queued > 0 && q.mayStart(now) {
 		t := q.popNext(now)
 		if now.Add(t.ExpectedServiceTime).After(t.Deadline) {
 			out = append(out, q.refuse(t, verdict.ReasonDeadline, q.serviceTime))
@@ -355,6 +361,7 @@
 // assignSlot assigns a free slot to a request, by a grant if the request asks for one.
 func (q *Queue) assignSlot(now time.Time, t *ticket) Decision {
 	q.busy++
+	q.rateLimit.take()
 	if t.Reserve {
 		t.state = granted
 		t.expires = now.Add(q.cfg.GrantTTL)
@@ -366,6 +373,9 @@
 
 // releaseSlot removes a granted or running request and releases its slot.
 func (q *Queue) releaseSlot(t *ticket) {
+	if t.state == granted {
+		q.rateLimit.giveBack()
+	}
 	delete(q.tickets, t.ID)
 	q.busy--
 }
--- /dev/null
+++ b/internal/core/admit/ratelimit.go
@@ -0,0 +1,79 @@
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+// RateLimit limits the rate at which requests start. The zero value is no limit.
+type RateLimit struct {
+	// PerSecond is the number of requests that may start per second, and Burst the number
+	// that may start at once after a pause.
+	PerSecond, Burst float64
+}
+
+// tokenBucket enforces a RateLimit. Each start takes one token.
+type tokenBucket struct {
+	limit  RateLimit
+	tokens float64
+	// updatedAt is when tokens was last computed.
+	updatedAt time.Time
+}
+
+// set replaces the limit. A limit that follows none begins without tokens: more requests may
+// have started before than it allows.
+func (b *tokenBucket) set(now time.Time, limit RateLimit) {
+	b.refill(now)
+	if b.unlimited() {
+		b.tokens = 0
+	}
+	b.limit = limit
+	b.tokens = min(b.tokens, limit.Burst)
+}
+
+func (b *tokenBucket) unlimited() bool { return b.limit == RateLimit{} }
+
+func (b *tokenBucket) refill(now time.Time) {
+	if elapsed := now.Sub(b.updatedAt); elapsed > 0 {
+		b.tokens = min(b.tokens+elapsed.Seconds()*b.limit.PerSecond, b.limit.Burst)
+		b.updatedAt = now
+	}
+}
+
+// wait returns how long it takes until n tokens are available.
+func (b *tokenBucket) wait(now time.Time, n int) time.Duration {
+	if b.unlimited() {
+		return 0
+	}
+	b.refill(now)
+	missing := float64(n) - b.tokens
+	if missing <= tokenTolerance {
+		return 0
+	}
+	return time.Duration(math.Ceil(missing / b.limit.PerSecond * float64(time.Second)))
+}
+
+// tokenTolerance absorbs rounding errors, so that a token is available when wait has passed.
+const tokenTolerance = 1e-6
+
+// take takes one token, and giveBack returns the token of a request that did not start.
+func (b *tokenBucket) take()     { b.tokens-- }
+func (b *tokenBucket) giveBack() { b.tokens++ }
+
+// SetRateLimit changes the rate limit. Requests that have started or hold a grant are not
+// affected.
+func (q *Queue) SetRateLimit(now time.Time, limit RateLimit) []Decision {
+	q.rateLimit.set(now, limit)
+	return q.assignFreeSlots(now, nil)
+}
+
+// RateLimitWait returns how long the rate limit delays the next request to be offered, behind
+// those that are waiting.
+func (q *Queue) RateLimitWait(now time.Time) time.Duration {
+	return q.rateLimit.wait(now, q.queued+1)
+}
+
+// mayStart reports whether a slot and the rate limit allow a request to start.
+func (q *Queue) mayStart(now time.Time) bool {
+	return q.busy < q.cfg.Slots && q.rateLimit.wait(now, 1) == 0
+}
--- /dev/null
+++ b/internal/core/admit/ratelimit_test.go
@@ -0,0 +1,95 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+// For any sequence of operations, no more requests start in any span than the burst and the
+// rate allow. Grants that are not used take nothing from it.
+func TestStartsStayWithinRateLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newTestQueue(rapid.IntRange(1, 8).Draw(t, "slots"))
+		limit := RateLimit{PerSecond: rapid.Float64Range(0.2, 20).Draw(t, "rate")}
+		limit.Burst = max(limit.PerSecond, 1)
+		now, next := base, ID(0)
+		q.SetRateLimit(now, limit)
+		var starts []time.Time
+		record := func(ds []Decision) {
+			for _, d := range ds {
+				if d.Action == Start {
+					starts = append(starts, now)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			id := ID(rapid.IntRange(1, int(next)+1).Draw(t, "id"))
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
+			case 0, 1:
+				next++
+				r := request(next, 0)
+				r.Reserve = rapid.Bool().Draw(t, "reserve")
+				record(q.Offer(now, r))
+			case 2:
+				record([]Decision{q.Run(now, id)})
+			case 3:
+				_, ds := q.Cancel(now, id)
+				record(ds)
+				record(q.Done(now, id, 0))
+			case 4:
+				record(q.Tick(now))
+			}
+		}
+		for a := range starts {
+			for b := a; b < len(starts); b++ {
+				span := starts[b].Sub(starts[a]) + newTestQueue(1).cfg.GrantTTL
+				assert.Assert(t, float64(b-a+1) <= limit.Burst+limit.PerSecond*span.Seconds()+2*tokenTolerance)
+			}
+		}
+	})
+}
+
+func TestExpiredGrantReturnsItsStart(t *testing.T) {
+	q := newTestQueue(4)
+	q.SetRateLimit(base, RateLimit{PerSecond: 0.5, Burst: 1})
+	now := base.Add(2 * time.Second)
+	r := request(1, 0)
+	r.Reserve = true
+	assert.Equal(t, q.Offer(now, r)[0].Action, Grant)
+	now = now.Add(time.Second)
+	q.Tick(now)
+	assert.Equal(t, q.Offer(now, request(2, 0))[0].Action, Start)
+}
+
+// A request that cannot start in time is refused at once, with the time until its turn.
+func TestRateLimitedRequestIsRefusedAtOnce(t *testing.T) {
+	q := newTestQueue(4)
+	q.SetRateLimit(base, RateLimit{PerSecond: 0.5, Burst: 1})
+	r := request(1, 0)
+	r.Deadline = base.Add(time.Second)
+	d := q.Offer(base, r)[0]
+	assert.Equal(t, d.Action, Refuse)
+	assert.Equal(t, d.Reason, verdict.ReasonTargetLimit)
+	assert.Equal(t, d.RetryAfter, 2*time.Second)
+	r = request(2, 0)
+	r.Deadline = base.Add(5 * time.Second)
+	assert.Equal(t, q.Offer(base, r)[0].Action, Wait)
+	assert.Equal(t, q.RateLimitWait(base), 4*time.Second)
+	assert.Equal(t, len(q.Tick(base.Add(1900*time.Millisecond))), 0)
+	assert.Equal(t, q.Tick(base.Add(2 * time.Second))[0].Action, Start)
+}
+
+func TestLiftedRateLimitStartsWaitingRequests(t *testing.T) {
+	q := newTestQueue(2)
+	q.SetRateLimit(base, RateLimit{PerSecond: 0.5, Burst: 1})
+	for id := range ID(2) {
+		assert.Equal(t, q.Offer(base, request(id, 0))[0].Action, Wait)
+	}
+	assert.Equal(t, len(q.SetRateLimit(base, RateLimit{})), 2)
+}
--- a/internal/core/admit/wait.go
+++ b/internal/core/admit/wait.go
@@ -1,6 +1,10 @@
 package admit
 
-import "time"
+import (
+	"time"
+
+	"github.com/radishhoist/radishhoist/verdict"
+)
 
 // meetsObjective reports whether the request meets its objective if it starts now.
 func (t *ticket) meetsObjective(now time.Time) bool {
@@ -42,19 +46,29 @@
 	return wait
 }
 
-// queueingDelay returns the expected wait of an incoming request, given its late flag. It
-// adds one mean service time, for a slot to become free, to the expected service times
-// of the requests that run before it, and divides the sum by the number of slots.
+// queueingDelay returns the expected wait of an incoming request, given its late flag: for a
+// slot or for the rate limit, whichever is longer. The wait for a slot is one mean service
+// time, for one to become free, plus the expected service times of the requests that run
+// before it, divided by the number of slots.
 func (q *Queue) queueingDelay(now time.Time, incoming *ticket) time.Duration {
-	ahead := q.serviceTime
+	ahead, requestsAhead := q.serviceTime, 0
 	for rank := incoming.rank(); rank < rankCount; rank++ {
 		q.ranks[rank].each(func(t *ticket) {
 			if rank > incoming.rank() || t.precedes(now, incoming) {
 				ahead += t.ExpectedServiceTime
+				requestsAhead++
 			}
 		})
 	}
-	return ahead / time.Duration(max(q.cfg.Slots, 1))
+	return max(ahead/time.Duration(max(q.cfg.Slots, 1)), q.rateLimit.wait(now, requestsAhead+1))
+}
+
+// waitReason returns the reason to refuse a request because of its expected wait.
+func (q *Queue) waitReason(now time.Time, wait time.Duration) verdict.Reason {
+	if limited := q.RateLimitWait(now); limited > 0 && limited >= wait {
+		return verdict.ReasonTargetLimit
+	}
+	return verdict.ReasonQueueFull
 }
 
 // precedes reports whether a waiting request runs before an incoming one of the same
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -72,14 +72,33 @@
 		if fail.Verdict != verdict.NotRun && combined.Verdict != verdict.Ran {
 			combined.Verdict = fail.Verdict
 		}
-		combined.RetryAfterMS = max(combined.RetryAfterMS, fail.RetryAfterMS)
 	}
+	combined.RetryAfterMS = e.retryAfterMS()
 	if combined.RetryAfterMS == 0 && combined.Reason != verdict.ReasonCancelled {
 		combined.RetryAfterMS = defaultRetryAfter.Milliseconds()
 	}
 	return &combined
 }
 
+// retryAfterMS is the longest time given by a refusal. The wait for the rate limit of an instance
+// counts only where all refusals name one, and then the shortest: the service may have
+// another instance without a limit.
+func (e *execution) retryAfterMS() int64 {
+	longest, shortestLimit := int64(0), int64(0)
+	for _, fail := range e.failures {
+		switch {
+		case fail.Reason != verdict.ReasonTargetLimit:
+			longest = max(longest, fail.RetryAfterMS)
+		case shortestLimit == 0 || fail.RetryAfterMS < shortestLimit:
+			shortestLimit = fail.RetryAfterMS
+		}
+	}
+	if longest == 0 {
+		return shortestLimit
+	}
+	return longest
+}
+
 // reportedFailure is the failure reported to the caller: the last one that is not a refusal
 // by the retry budget, since such a refusal does not say why a retry was needed.
 func (e *execution) reportedFailure() *verdict.Error {
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -135,6 +135,10 @@
 	for priority, work := range i.queue.QueuedWork() {
 		waitingMS[priority] = uint32(work.Milliseconds())
 	}
+	// A wait for the rate limit delays a request of any priority, like work that occupies all
+	// slots.
+	rateLimitWait := i.queue.RateLimitWait(now)
+	waitingMS[admit.Priorities-1] += uint32(rateLimitWait.Milliseconds()) * uint32(i.slots)
 	return msg.Load{
 		WaitingMS: waitingMS,
 		Slots:     uint32(i.slots), Running: uint32(i.queue.BusySlots()), Queued: uint32(i.queue.Queued()),
@@ -162,7 +166,7 @@
 // enough or, if its health is in doubt, has no recent failure. The caller must hold
 // i.mu.
 func (i *instance) wantsWork(now time.Time) bool {
-	if i.unavailable() || i.queue.BusySlots()+i.queue.Queued() > 0 {
+	if i.unavailable() || i.queue.BusySlots()+i.queue.Queued() > 0 || i.queue.RateLimitWait(now) > 0 {
 		return false
 	}
 	if i.failureEstimate.SickForSelection(now, i.guard.model) < trialFailureThreshold {
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -69,6 +69,8 @@
 	// if none, and rateLimitAt when it was received.
 	rateLimit   float64
 	rateLimitAt time.Time
+	// rateLimitKnown reports that a response has shown whether there is a limit.
+	rateLimitKnown bool
 	// stopped reports that a planned stop covers the instance.
 	stopped bool
 	// closed reports that the instance never accepts requests again: it was removed, or
@@ -124,6 +126,11 @@
 		params = p
 	}
 	processCtx, cancelProcess := context.WithCancel(context.Background())
+	queueConfig := g.queueConfig(a.Slots)
+	statesRateLimit := g.cfg.Dialect.RateLimit != ""
+	if statesRateLimit {
+		queueConfig.RateLimit = unknownRateLimit
+	}
 	return &instance{
 		guard: g, name: name, hash: NameHash(name), processCtx: processCtx, cancelProcess: cancelProcess,
 		service: a.Service, address: a.Address, started: now,
@@ -131,7 +138,7 @@
 			Address: a.Address, MaxConns: a.connections(), IdleTimeout: g.cfg.TargetIdleTimeout,
 			DialTimeout: dialTimeout, Dial: g.cfg.Dial, EchoesRequestID: g.cfg.Dialect.EchoesRequestID,
 		}),
-		queue:    admit.NewQueue(g.queueConfig(a.Slots)),
+		queue: admit.NewQueue(queueConfig), rateLimitKnown: !statesRateLimit,
 		detector: detect.NewDetector(params),
 		waiters:  make(map[admit.ID]*waiter),
 		slots:    a.Slots, maxConns: a.connections(), softwareVersion: a.Version, lastAnnounced: now,
--- a/internal/guard/ratelimit.go
+++ b/internal/guard/ratelimit.go
@@ -7,13 +7,14 @@
 	"strconv"
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/core/admit"
 	"github.com/radishhoist/radishhoist/internal/event"
 )
 
-// observeRateLimit applies the rate limit that a response of the instance states.
-// requestSentAt is when its request was sent: a response without a limit lifts an earlier one
-// only if its request was sent after that limit was received, because responses may overtake
-// each other.
+// observeRateLimit applies the rate limit that a response of the instance states. A value that
+// is no decimal number changes nothing. requestSentAt is when the request was sent: a response
+// without a limit lifts an earlier one only if its request was sent after that limit was
+// received, because responses may overtake each other.
 func (i *instance) observeRateLimit(now, requestSentAt time.Time, h http.Header) {
 	limit, stated, valid := parseRateLimit(h, i.guard.cfg.Dialect.RateLimit)
 	i.mu.Lock()
@@ -24,12 +25,31 @@
 	if stated {
 		i.rateLimitAt = now
 	}
-	if limit == i.rateLimit {
+	if i.rateLimitKnown && limit == i.rateLimit {
 		return
 	}
-	event.Log(i.guard.log, event.InstanceLimitChanged, slog.String("instance", i.name), slog.String("service", i.service),
-		slog.Float64("limit", limit), slog.Float64("was", i.rateLimit))
-	i.rateLimit = limit
+	if limit != i.rateLimit {
+		event.Log(i.guard.log, event.InstanceLimitChanged, slog.String("instance", i.name), slog.String("service", i.service),
+			slog.Float64("limit", limit), slog.Float64("was", i.rateLimit))
+	}
+	i.rateLimit, i.rateLimitKnown = limit, true
+	i.deliver(i.queue.SetRateLimit(now, queueRateLimit(limit)))
+}
+
+// unknownRateLimit applies until the first response of an instance, which may have stated a
+// limit to an earlier process on this host.
+var unknownRateLimit = admit.RateLimit{PerSecond: 0.5, Burst: 3}
+
+// rateLimitBurst is the time whose requests may be sent at once to an instance that states a
+// rate limit.
+const rateLimitBurst = time.Second
+
+// queueRateLimit returns the limit of the queue for a stated one, 0 if none is stated.
+func queueRateLimit(perSecond float64) admit.RateLimit {
+	if perSecond == 0 {
+		return admit.RateLimit{}
+	}
+	return admit.RateLimit{PerSecond: perSecond, Burst: max(perSecond*rateLimitBurst.Seconds(), 1)}
 }
 
 // minRateLimit is the lowest rate limit that is applied, in requests per second. An instance
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -66,6 +66,7 @@
 	ReasonUnknownTarget    Reason = "unknown-target"
 	ReasonTargetDown       Reason = "target-down"
 	ReasonTargetShed       Reason = "target-shed"
+	ReasonTargetLimit      Reason = "target-limit"
 	ReasonRetryBudget      Reason = "retry-budget"
 	ReasonTargetBroke      Reason = "target-broke"
 	ReasonTargetCrashed    Reason = "target-ended"
