--- a/internal/core/header/header.go
+++ b/internal/core/header/header.go
@@ -32,6 +32,9 @@
 	// second it accepts from all hosts together, as a decimal number. The limit applies
 	// until a response lacks the header.
 	RateLimit string
+	// Leaving is the response header by which an instance states, with any value, that it is
+	// shutting down and wants no new requests.
+	Leaving string
 	// Team is the header that tells a target the caller's team, if teams authenticate
 	// with keys. A value sent by the caller itself is removed.
 	Team string
@@ -48,6 +51,7 @@
 		ExpectedInstance: "Radishhoist-Expected-Instance",
 		NotRun:           "Radishhoist-Not-Run",
 		RateLimit:        "Radishhoist-Rate-Limit",
+		Leaving:          "Radishhoist-Leaving",
 		Team:             Team,
 	}
 }
--- a/internal/fleetsim/callers.go
+++ b/internal/fleetsim/callers.go
@@ -27,6 +27,7 @@
 		}
 	}
 	f.scheduleHostFaults()
+	f.scheduleLeavings()
 	for _, l := range f.scenario.Losses {
 		time.AfterFunc(l.At, func() { f.crashInstances(l) })
 	}
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -70,6 +70,8 @@
 	// origins are the requests in progress by ID, informed what hosts have passed on.
 	origins  map[string]origin
 	informed map[informedKey]time.Duration
+	// informedOfLeaving is when hosts first passed on that an instance is leaving.
+	informedOfLeaving map[informedKey]time.Duration
 }
 
 // Run simulates a scenario and returns what was observed. It must be called within a bubble of
@@ -79,15 +81,17 @@
 	defer cancel()
 	f := &fleet{
 		scenario: &s, ctx: ctx, start: time.Now().Add(s.WarmUp), rng: rand.New(rand.NewPCG(s.Seed, s.Seed+1)),
-		arrivedIDs: make(map[string]bool),
-		origins:    make(map[string]origin),
-		informed:   make(map[informedKey]time.Duration),
-		byName:     make(map[string]*host),
+		arrivedIDs:        make(map[string]bool),
+		origins:           make(map[string]origin),
+		informed:          make(map[informedKey]time.Duration),
+		informedOfLeaving: make(map[informedKey]time.Duration),
+		byName:            make(map[string]*host),
 		result: Result{
 			ByKind: make(map[string]Outcome), Instances: make(map[string]*InstanceStats),
 			Retries: make(map[string][]time.Duration), RequestTimes: make(map[string][]time.Duration),
 			CrashingRequests: make(map[string]*CrashStats),
 			RateLimited:      make(map[string]*RateLimitStats),
+			LateArrivals:     make(map[string]int),
 		},
 	}
 	for _, c := range s.CrashingRequests {
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -126,7 +126,7 @@
 			return
 		}
 		status := i.run(r)
-		text := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\n%sContent-Length: 2\r\n\r\nok", status, r.Header.Get("X-Request-Id"), i.statedRateLimit())
+		text := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\n%sContent-Length: 2\r\n\r\nok", status, r.Header.Get("X-Request-Id"), i.statedRateLimit()+i.statedLeaving())
 		if _, err := nc.Write([]byte(text)); err != nil {
 			return
 		}
@@ -209,6 +209,7 @@
 	defer f.mu.Unlock()
 	i.stats.Arrivals = append(i.stats.Arrivals, now)
 	f.recordLimitedArrival(i, id, now)
+	f.recordLateArrival(i, id)
 	if f.arrivedIDs[id] {
 		f.result.Retries[kind.Service] = append(f.result.Retries[kind.Service], now)
 	}
--- a/internal/fleetsim/ratelimit.go
+++ b/internal/fleetsim/ratelimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -72,39 +73,42 @@
 	f.origins[id] = origin{h.name, f.now()}
 }
 
-// recordPassedOn records that a host has passed on a response that states a rate limit.
+// recordPassedOn records what an instance stated in a response that a host has passed on.
 func (f *fleet) recordPassedOn(h *host, response http.Header) {
-	if response.Get(header.Default().RateLimit) == "" {
-		return
-	}
 	key := informedKey{h.name, response.Get(header.Target)}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, ok := f.informed[key]; !ok {
+	if _, ok := f.informed[key]; !ok && response.Get(header.Default().RateLimit) != "" {
 		f.informed[key] = f.now()
 	}
+	if _, ok := f.informedOfLeaving[key]; !ok && response.Get(header.Default().Leaving) != "" {
+		f.informedOfLeaving[key] = f.now()
+	}
 }
 
 // forgetPassedOn excuses a host that has restarted.
 func (f *fleet) forgetPassedOn(h *host) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for key := range f.informed {
-		if key.host == h.name {
-			delete(f.informed, key)
-		}
-	}
+	fromHost := func(key informedKey, _ time.Duration) bool { return key.host == h.name }
+	maps.DeleteFunc(f.informed, fromHost)
+	maps.DeleteFunc(f.informedOfLeaving, fromHost)
+}
+
+// isAmongFirst reports whether the instance is one of the first n of a service.
+func (i *instance) isAmongFirst(service string, n int) bool {
+	index, err := strconv.Atoi(strings.TrimPrefix(i.name, i.service.Name+"-"))
+	return err == nil && i.service.Name == service && index < n
 }
 
 // rateLimit returns the limit that the instance states now, and false if it states none.
 func (i *instance) rateLimit() (RateLimit, bool) {
 	now := i.host.fleet.now()
-	index, err := strconv.Atoi(strings.TrimPrefix(i.name, i.service.Name+"-"))
-	if err != nil || i.currentIncarnation() > 1 {
+	if i.currentIncarnation() > 1 {
 		return RateLimit{}, false
 	}
 	k := slices.IndexFunc(i.host.fleet.scenario.RateLimits, func(l RateLimit) bool {
-		return l.Service == i.service.Name && index < l.Instances && now >= l.At && now < l.At+l.Duration
+		return i.isAmongFirst(l.Service, l.Instances) && now >= l.At && now < l.At+l.Duration
 	})
 	if k < 0 {
 		return RateLimit{}, false
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -100,6 +100,8 @@
 	Losses []InstanceLoss
 	// RateLimits make instances state a rate limit.
 	RateLimits []RateLimit
+	// Leavings make instances state that they are leaving.
+	Leavings []Leaving
 	// HostRestarts and HostFreezes disturb the daemons of hosts; their instances go on.
 	HostRestarts []HostRestart
 	HostFreezes  []HostFreeze
@@ -147,6 +149,11 @@
 	// RateLimited are the statistics of instances that stated a rate limit, by the name of
 	// their incarnation.
 	RateLimited map[string]*RateLimitStats
+	// LateArrivals are the requests that reached an instance although their host had passed
+	// on that it is leaving, by the name of its incarnation.
+	LateArrivals map[string]int
+	// LeavingResponses is the number of responses by which instances stated it.
+	LeavingResponses int
 }
 
 // CrashStats are the observations of one crashing request.
