guard, front: an instance that says in a response that it is leaving gets no more requests

What callers saw: requests went to instances that had already said that they leave, until an announcement said so too; where none came, until they were gone. Change: the guard refuses requests from the first such response on, for that start of the instance, whatever a delayed announcement says, and tells all hosts as for any leaving instance.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -211,6 +211,9 @@
 			return a.rejectResponse(verdict.ReasonResponseMismatch, "the response carries the id of another request")
 		}
 		a.state.HandleResponseStart()
+		if a.front.statesLeaving(m) {
+			a.req.state.recordLeaving(time.Now(), a.target)
+		}
 		a.response = newResponse(a, m)
 	case *msg.Data:
 		return a.handleData(m)
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -31,6 +31,9 @@
 	// latencies are the recent service times by route, since routes of one service differ
 	// in service time.
 	latencies map[string]*latency
+	// leaving are the instances that have stated in a response to this host that they are
+	// leaving, by target.key.
+	leaving map[string]leavingMark
 }
 
 // target is an instance in one version of the directory, with this front's observations of
@@ -60,6 +63,9 @@
 	// latencyRatio is the instance's service time relative to that of other instances on
 	// the same routes; 0 before its first response.
 	latencyRatio float64
+	// leaving reports that the instance has stated in a response to this host that it is
+	// leaving.
+	leaving bool
 }
 
 // candidateSets divides the targets of a service as decided by eject.Select, which ejects
@@ -104,7 +110,7 @@
 	for name, svc := range d.Services {
 		st, ok := s.byName[name]
 		if !ok {
-			st = &serviceState{latencies: make(map[string]*latency)}
+			st = &serviceState{latencies: make(map[string]*latency), leaving: make(map[string]leavingMark)}
 			s.byName[name] = st
 		}
 		st.update(svc, p, cfg)
@@ -116,17 +122,20 @@
 	defer st.mu.Unlock()
 	old := make(map[string]*target, len(st.targets))
 	for _, t := range st.targets {
-		old[t.Name+"@"+t.Host.Name] = t
+		old[t.key()] = t
 	}
+	now := time.Now()
+	st.expireLeaving(now)
 	st.targets = make([]*target, 0, len(svc.Targets))
 	for _, t := range svc.Targets {
 		current := &target{Target: t, hash: guard.NameHash(t.Name), observed: &observations{}}
-		if previous, ok := old[t.Name+"@"+t.Host.Name]; ok && previous.StartedMS == t.StartedMS {
+		if previous, ok := old[current.key()]; ok && previous.StartedMS == t.StartedMS {
 			current.observed = previous.observed
 		}
+		current.observed.leaving = st.isLeaving(current)
 		st.targets = append(st.targets, current)
 	}
-	st.refreshCandidates(time.Now(), svc, p, cfg)
+	st.refreshCandidates(now, svc, p, cfg)
 }
 
 // candidateMaxAge is the maximum age of the candidate sets. Paths fail and recover without
--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -130,7 +130,12 @@
 	default:
 		inst.close()
 	}
+	sameStart := known && !outcome.Restarted
+	previous := inst
 	inst = newInstance(g, name, a, now)
+	if sameStart && previous.statedLeaving() {
+		inst.markLeavingStated()
+	}
 	if g.draining {
 		inst.drain()
 	}
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -105,6 +105,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	if resp.Status != http.StatusMisdirectedRequest {
 		x.inst.observeRateLimit(time.Now(), started, resp.Header)
+		x.inst.observeLeaving(resp.Header)
 	}
 	res, failure := classifyResponse(resp, m, x.guard.cfg.Dialect)
 	res.status = resp.Status
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"sync"
 	"time"
 
@@ -65,6 +66,9 @@
 	maxConns          int
 	softwareVersion   string
 	leaving           bool
+	// leavingStated reports that the instance has stated in a response that it is leaving.
+	// No later announcement of the same start revokes that.
+	leavingStated bool
 	// rateLimit is the rate limit that the instance stated last, in requests per second, 0
 	// if none, and rateLimitAt when it was received.
 	rateLimit   float64
@@ -171,6 +175,36 @@
 	return i.setWarmUp(now, a) || changed
 }
 
+// observeLeaving applies a response in which the instance states that it is leaving.
+func (i *instance) observeLeaving(h http.Header) {
+	name := i.guard.cfg.Dialect.Leaving
+	if name == "" || h.Get(name) == "" || !i.markLeavingStated() {
+		return
+	}
+	event.Log(i.guard.log, event.InstanceLeaving, slog.String("instance", i.name), slog.Bool("leaving", true), slog.String("from", "response"))
+	i.guard.onChanged()
+}
+
+// markLeavingStated refuses further requests. It returns false if they are refused for this
+// reason already.
+func (i *instance) markLeavingStated() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.leavingStated {
+		return false
+	}
+	i.leavingStated = true
+	i.updateQueue()
+	return true
+}
+
+// statedLeaving reports whether the instance has stated in a response that it is leaving.
+func (i *instance) statedLeaving() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.leavingStated
+}
+
 // setWarmUp applies the announced warm-up time and reports whether it changed enough
 // to be published. The caller must hold i.mu.
 func (i *instance) setWarmUp(now time.Time, a Announcement) bool {
@@ -222,7 +256,9 @@
 
 // unavailable reports that the instance accepts no new requests. The caller must hold
 // i.mu.
-func (i *instance) unavailable() bool { return i.leaving || i.stopped || i.closed || i.terminated }
+func (i *instance) unavailable() bool {
+	return i.leaving || i.leavingStated || i.stopped || i.closed || i.terminated
+}
 
 // close is drain for an instance that is removed; it also closes idle connections.
 func (i *instance) close() {
