objects, control: log that the platform has been restored from an earlier state

Cause: no line shows that the platform's revisions went back, so that logs could not tell reused revisions from missed events (incident of the configuration lost in a restore). Change: responses carry the platform's count of restorations, from a header that the adapter names; a watcher logs a change of it with the revisions before and after (event 411). Nothing is decided by it yet. Calls return one Response in place of status and body.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -114,6 +114,8 @@
 	builtAt          time.Time
 	statusReports    map[string]receivedReport
 	statusReportedAt time.Time
+	// platformHistory is the position of this host in the platform's histories.
+	platformHistory platformHistory
 	// contacts are the hosts of which only the address is known.
 	contacts *contact.Contacts
 	watching bool
--- a/internal/control/pages.go
+++ b/internal/control/pages.go
@@ -60,12 +60,38 @@
 // lock.
 func (c *Control) applyPage(page objects.Page, hosts []hostListing) {
 	c.logUndecodable(page)
+	c.observeHistory(page)
 	c.forgetDeletedHostRecords(page.Objects)
 	c.addHostRecords(hosts)
 	c.addContacts(hosts)
 	c.flush(time.Now())
 }
 
+// platformHistory is what is known of the platform's restorations from earlier states.
+type platformHistory struct {
+	// known reports that the platform has responded.
+	known bool
+	// number counts the restorations, and revision is the newest revision read since the last
+	// one.
+	number, revision int64
+}
+
+// observeHistory logs that the platform has been restored since its last response. The caller
+// holds the lock.
+func (c *Control) observeHistory(page objects.Page) {
+	h := &c.platformHistory
+	switch {
+	case !h.known || page.History > h.number:
+		if h.known {
+			event.Log(c.log, event.PlatformRestored, slog.Int64("history", page.History), slog.Int64("was", h.number),
+				slog.Int64("revision", page.Revision), slog.Int64("wasRevision", h.revision))
+		}
+		*h = platformHistory{known: true, number: page.History, revision: page.Revision}
+	case page.History == h.number:
+		h.revision = max(h.revision, page.Revision)
+	}
+}
+
 // decodedPage is the decoded content of a page. Pages are decoded without the lock, because
 // the time for parsing and compression grows with the fleet. Control messages wait for the
 // lock, and requests on the same connection wait for these.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,7 @@
 	PlatformCallEnded       = Event{408, "platform call ended", slog.LevelWarn}
 	PlatformPause           = Event{409, "platform pause", slog.LevelInfo}
 	RecordNotWritten        = Event{410, "record not written", slog.LevelWarn}
+	PlatformRestored        = Event{411, "platform restored", slog.LevelWarn}
 	HostJoined              = Event{500, "host joined", slog.LevelInfo}
 	HostSuspect             = Event{501, "host suspect", slog.LevelWarn}
 	HostDead                = Event{502, "host dead", slog.LevelWarn}
@@ -73,7 +74,7 @@
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
 		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged,
 		RecordApplied, RecordRefused, PlatformUnavailable, PlatformAvailable, WatchStarted, WatchStopped, RecordSetLoaded,
-		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten,
+		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten, PlatformRestored,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
 	}
 }
--- a/internal/objects/api.go
+++ b/internal/objects/api.go
@@ -33,6 +33,9 @@
 	Undecodable []error `json:"-"`
 	// Cached reports that the page may be seconds old.
 	Cached bool `json:"-"`
+	// History is the number of times that the platform has been restored from an earlier
+	// state, 0 if it does not count them.
+	History int64 `json:"-"`
 }
 
 // Store is the interface to the platform. Client implements it over HTTP.
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -20,9 +20,15 @@
 // NewClient returns a client for the object API at base, such as
 // "http://127.0.0.1:7000"; see NewTransport for watchWait.
 func NewClient(base string, watchWait time.Duration) *Client {
-	return &Client{Transport: NewTransport(base, watchWait)}
+	t := NewTransport(base, watchWait)
+	t.HistoryHeader = HistoryHeader
+	return &Client{Transport: t}
 }
 
+// HistoryHeader is the header in the responses of Radishhoist's own object API with the
+// number of times that the platform has been restored from an earlier state.
+const HistoryHeader = "Radishhoist-History"
+
 func objectPath(key record.Key) string {
 	return "/v1/objects/" + url.PathEscape(string(key.Kind)) + "/" + url.PathEscape(key.Name)
 }
@@ -46,14 +52,14 @@
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key record.Key) (Object, error) {
 	var obj Object
-	status, body, err := c.Call(ctx, 0, c.Request().Get(objectPath(key)))
+	resp, err := c.Call(ctx, 0, c.Request().Get(objectPath(key)))
 	if err != nil {
 		return obj, err
 	}
-	if status == http.StatusNotFound {
+	if resp.Status == http.StatusNotFound {
 		return obj, &NotFoundError{Key: key}
 	}
-	return obj, Decode(status, body, &obj)
+	return obj, resp.Decode(&obj)
 }
 
 // List implements Store.
@@ -63,11 +69,12 @@
 	for _, k := range kinds {
 		query.Kinds = append(query.Kinds, string(k))
 	}
-	status, body, err := c.Call(ctx, 0, c.Request().Get("/v1/objects").QueryStruct(query))
+	resp, err := c.Call(ctx, 0, c.Request().Get("/v1/objects").QueryStruct(query))
 	if err != nil {
 		return page, err
 	}
-	return page, Decode(status, body, &page)
+	page.History = resp.History
+	return page, resp.Decode(&page)
 }
 
 // Put implements Store.
@@ -84,17 +91,17 @@
 
 func (c *Client) write(ctx context.Context, req *sling.Sling, ifVersion int64) (Object, error) {
 	var obj Object
-	status, body, err := c.Call(ctx, 0, req)
+	resp, err := c.Call(ctx, 0, req)
 	if err != nil {
 		return obj, err
 	}
-	if status == http.StatusConflict {
-		if err := Decode(http.StatusOK, body, &obj); err != nil {
+	if resp.Status == http.StatusConflict {
+		if err := resp.DecodeBody(&obj); err != nil {
 			return obj, err
 		}
 		return Object{}, &ConflictError{Current: obj, IfVersion: ifVersion}
 	}
-	return obj, Decode(status, body, &obj)
+	return obj, resp.Decode(&obj)
 }
 
 // Feeds implements Store. A single feed covers all kinds.
@@ -114,12 +121,13 @@
 	var page Page
 	wait := time.Duration(waitFactor) * c.WatchWait
 	query := watchQuery{After: after, WaitMS: wait.Milliseconds()}
-	status, body, err := c.Call(ctx, wait, c.Request().Get("/v1/watch").QueryStruct(query))
+	resp, err := c.Call(ctx, wait, c.Request().Get("/v1/watch").QueryStruct(query))
 	if err != nil {
 		return page, err
 	}
-	if status == http.StatusGone {
+	if resp.Status == http.StatusGone {
 		return page, &CompactedError{After: after}
 	}
-	return page, Decode(status, body, &page)
+	page.History = resp.History
+	return page, resp.Decode(&page)
 }
--- a/internal/objects/fetch.go
+++ b/internal/objects/fetch.go
@@ -31,12 +31,6 @@
 	maxResponseSize = 256 << 20
 )
 
-// response is a response whose body has been read completely.
-type response struct {
-	status int
-	body   []byte
-}
-
 // fetch is one call with its attempts. A late read is retried on a new connection while
 // the earlier attempts continue, and the first complete response is used. A platform that
 // was unresponsive never responds to the requests received during that time, while a slow
@@ -54,7 +48,7 @@
 
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
-	response response
+	response Response
 	err      error
 }
 
@@ -63,7 +57,7 @@
 }
 
 // do makes the call. hold is the time for which it asks the platform to wait for changes.
-func (f *fetch) do(ctx context.Context, hold time.Duration) (response, error) {
+func (f *fetch) do(ctx context.Context, hold time.Duration) (Response, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	isRead := f.request.Method == http.MethodGet
@@ -92,9 +86,9 @@
 				retry.Reset(RetryInterval)
 			}
 		case <-expiry.C:
-			return response{}, errors.Errorf("no data received for %s in any of %d attempts", timeout, f.attempts)
+			return Response{}, errors.Errorf("no data received for %s in any of %d attempts", timeout, f.attempts)
 		case <-ctx.Done():
-			return response{}, ctx.Err()
+			return Response{}, ctx.Err()
 		}
 	}
 }
@@ -117,17 +111,17 @@
 	}()
 }
 
-func (f *fetch) attempt(ctx context.Context) (response, error) {
+func (f *fetch) attempt(ctx context.Context) (Response, error) {
 	resp, err := f.transport.httpClient.Do(f.request.Clone(ctx))
 	if err != nil {
 		// The other idle connections may have failed together with this one.
 		f.transport.httpClient.CloseIdleConnections()
-		return response{}, err
+		return Response{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	f.signalProgress()
 	body, err := io.ReadAll(io.LimitReader(progressReader{f, resp.Body}, maxResponseSize))
-	return response{resp.StatusCode, body}, err
+	return Response{Status: resp.StatusCode, Body: body, History: f.transport.history(resp.Header)}, err
 }
 
 // signalProgress tells do that data has arrived. It does not block.
--- a/internal/objects/transport.go
+++ b/internal/objects/transport.go
@@ -25,6 +25,9 @@
 type Transport struct {
 	// WatchWait is the time for which the platform is asked to hold a watch open.
 	WatchWait time.Duration
+	// HistoryHeader is the response header with the number of times that the platform has
+	// been restored from an earlier state, empty if the platform does not count them.
+	HistoryHeader string
 
 	base       *sling.Sling
 	httpClient *http.Client
@@ -67,24 +70,32 @@
 // Request returns a request builder for one call.
 func (t *Transport) Request() *sling.Sling { return t.base.New() }
 
-// Call makes one call and returns the status and body of the response. hold is the time
+// Response is the response to a call.
+type Response struct {
+	Status int
+	Body   []byte
+	// History is the value of Transport.HistoryHeader, 0 if there is none.
+	History int64
+}
+
+// Call makes one call. hold is the time
 // for which the call asks the platform to wait for changes, 0 for none. Transport failures,
 // server errors and status 429 are returned as *UnavailableError.
-func (t *Transport) Call(ctx context.Context, hold time.Duration, req *sling.Sling) (int, []byte, error) {
+func (t *Transport) Call(ctx context.Context, hold time.Duration, req *sling.Sling) (Response, error) {
 	r, err := req.Request()
 	if err != nil {
-		return 0, nil, errors.Wrap(err, "build platform request")
+		return Response{}, errors.Wrap(err, "build platform request")
 	}
 	tracker := t.trackCall(r, hold)
 	f := newFetch(t, r)
 	resp, err := f.do(ctx, hold)
 	if err == nil {
-		err = statusError(resp.status)
+		err = statusError(resp.Status)
 	} else {
 		err = &UnavailableError{Cause: err}
 	}
 	tracker.finish(f.attempts, err)
-	return resp.status, resp.body, err
+	return resp, err
 }
 
 // statusError returns the error for a status with which the platform reports that it
@@ -98,11 +109,16 @@
 }
 
 // Decode unmarshals the response to a call that is expected to have succeeded.
-func Decode(status int, body []byte, into any) error {
-	if status != http.StatusOK && status != http.StatusCreated {
-		return errors.Errorf("unexpected platform response: status %d: %s", status, truncate(body))
+func (r Response) Decode(into any) error {
+	if r.Status != http.StatusOK && r.Status != http.StatusCreated {
+		return errors.Errorf("unexpected platform response: status %d: %s", r.Status, truncate(r.Body))
 	}
-	return errors.Wrap(json.Unmarshal(body, into), "decode platform response")
+	return r.DecodeBody(into)
+}
+
+// DecodeBody is Decode for any status.
+func (r Response) DecodeBody(into any) error {
+	return errors.Wrap(json.Unmarshal(r.Body, into), "decode platform response")
 }
 
 // maxErrorBody limits how much of a response body an error includes, in bytes.
