--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -125,6 +125,13 @@
 	return p.Revision
 }
 
+// Restore goes back to the state after the first n events. Later revisions are given out
+// again.
+func (p *Platform) Restore(n int) {
+	p.Events = p.Events[:n]
+	p.Revision = int64(n)
+}
+
 // list returns the newest entry of every record that has not been deleted.
 func (p *Platform) list() []msg.Entry {
 	newest := make(map[string]msg.Entry)
--- a/internal/standin/platformd/server.go
+++ b/internal/standin/platformd/server.go
@@ -116,6 +116,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		w.Header().Set("Content-Type", recorder.Header().Get("Content-Type"))
+		w.Header().Set(objects.HistoryHeader, strconv.FormatInt(s.Store.History(), 10))
 		w.WriteHeader(recorder.Code)
 		_, _ = w.Write(recorder.Body.Bytes())
 	}
--- a/internal/standin/platformd/store.go
+++ b/internal/standin/platformd/store.go
@@ -4,6 +4,8 @@
 package platformd
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 
@@ -24,6 +26,15 @@
 	compacted int64
 	// changed is closed and replaced at every successful write.
 	changed chan struct{}
+	// history counts the restorations.
+	history int64
+}
+
+// Checkpoint is a copy of a Store at one time.
+type Checkpoint struct {
+	revision, compacted int64
+	objects             map[record.Key]objects.Object
+	events              []objects.Object
 }
 
 // NewStore returns an empty Store.
@@ -31,6 +42,30 @@
 	return &Store{objects: make(map[record.Key]objects.Object), changed: make(chan struct{})}
 }
 
+// Checkpoint returns a copy of the current state.
+func (s *Store) Checkpoint() Checkpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Checkpoint{revision: s.revision, compacted: s.compacted, objects: maps.Clone(s.objects), events: slices.Clone(s.events)}
+}
+
+// Restore replaces the state by an earlier one. What was written since is lost, and the
+// revisions after the earlier state are given out again.
+func (s *Store) Restore(c Checkpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.compacted = c.revision, c.compacted
+	s.objects, s.events = maps.Clone(c.objects), slices.Clone(c.events)
+	s.history++
+}
+
+// History returns the number of restorations.
+func (s *Store) History() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history
+}
+
 // Get returns an object and whether it exists.
 func (s *Store) Get(key record.Key) (objects.Object, bool) {
 	s.mu.Lock()
