objects, control: versions increase across restorations of the platform

What callers saw: requests handled by configuration 26 until 26.0 s although 28, 30 and 33 had been acknowledged from 21.8 s on. Cause: versions were the platform's revisions. Restored from a copy some seconds old, it gave revisions out again, and what had one not above that of the lost configuration was taken for old by every host. A watch from such a revision waits for changes that have passed. The class: an outer counter taken for one that never goes back. Change: a version combines the number of restorations, which all responses carry, with the revision. A watch whose response is from another history than its start is answered like one whose events are gone, with a list; after a failed call the first watch does not wait, since the revision may have been reached again. A write whose condition is from before the restoration is a conflict. Records that the list no longer has are not taken for deleted.

--- a/internal/control/pages.go
+++ b/internal/control/pages.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/core/config"
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/objects"
@@ -27,7 +28,7 @@
 	decoded := decodePage(page)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.replica.LoadList(c.peers(), decoded.entries, page.Revision, nil)
+	c.replica.LoadList(c.peers(), decoded.list(page), nil)
 	c.dirty = true
 	c.confirmed.confirmAll(began, platformSource)
 	c.applyPage(page, decoded.hosts)
@@ -40,7 +41,7 @@
 	decoded := decodePage(page)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.replica.LoadList(c.peers(), decoded.entries, page.Revision, covers)
+	c.replica.LoadList(c.peers(), decoded.list(page), covers)
 	c.dirty = true
 	c.confirmed.confirm(feed, began, platformSource)
 	c.applyPage(page, decoded.hosts)
@@ -104,6 +105,11 @@
 	return decodedPage{entries: toEntries(page.Objects), hosts: hostListings(page.Objects)}
 }
 
+// list returns the entries of a page that is a list.
+func (d *decodedPage) list(page objects.Page) config.List {
+	return config.List{Entries: d.entries, Revision: page.Revision, HistoryStart: objects.VersionAt(page.History, 0)}
+}
+
 func toEntries(all []objects.Object) []msg.Entry {
 	var out []msg.Entry
 	for _, obj := range all {
--- a/internal/control/records.go
+++ b/internal/control/records.go
@@ -5,6 +5,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/objects"
 	"github.com/radishhoist/radishhoist/record"
 )
 
@@ -29,7 +30,8 @@
 // confirmations that did not come from another host.
 const platformSource = "platform"
 
-// apply activates a record, removes a deleted one, or rejects an invalid one. from is the
+// apply activates a record, removes a deleted one, or rejects an invalid one. An older state of
+// a record, from a platform that has been restored, does not replace a newer one. from is the
 // host that sent the entry, empty if this host read it from the platform or wrote it.
 func (s *recordSet) apply(log *slog.Logger, e msg.Entry, from string) {
 	if from == "" {
@@ -59,6 +61,11 @@
 		return
 	}
 	r.Version = e.Version
+	if last, ok := s.active[key]; ok && objects.HistoryOf(r.Version) > objects.HistoryOf(last.Version) && record.Supersedes(last.Spec, r.Spec) {
+		event.Log(log, event.RecordKept, slog.String("record", key.String()), slog.Int64("version", e.Version),
+			slog.Int64("inForce", last.Version), slog.String("from", from))
+		return
+	}
 	s.active[key] = r
 	delete(s.rejected, key)
 	event.Log(log, event.RecordApplied, slog.String("record", key.String()),
--- a/internal/control/restore_test.go
+++ b/internal/control/restore_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/radishhoist/radishhoist/internal/objects"
 	"github.com/radishhoist/radishhoist/internal/standin/platformd"
 	"github.com/radishhoist/radishhoist/record"
 )
@@ -78,3 +79,37 @@
 		}
 	}
 }
+
+// newRestoredControl returns a Control with a Configuration from before a restoration in force.
+func newRestoredControl(t *testing.T, label string) *Control {
+	t.Helper()
+	c, _ := newTestControl(t)
+	c.ApplyObject(configurationObject(t, label, objects.VersionAt(1, 32)))
+	return c
+}
+
+func configurationObject(t *testing.T, label string, version int64) objects.Object {
+	t.Helper()
+	key := record.Key{Kind: record.KindConfiguration, Name: "main"}
+	value, err := record.Marshal(key, &record.Configuration{Label: label, Routes: []record.NamedRoute{}, Services: []record.NamedService{}})
+	assert.NilError(t, err)
+	return objects.Object{Kind: key.Kind, Name: key.Name, Version: version, Value: value}
+}
+
+// Guards against a process that returns to an older configuration because a restored platform
+// stores it under a newer version.
+func TestOlderConfigurationOfRestoredPlatformIsNotApplied(t *testing.T) {
+	inForce := func(c *Control) string {
+		return c.records.active[record.Key{Kind: record.KindConfiguration, Name: "main"}].Spec.(*record.Configuration).Label
+	}
+	c := newRestoredControl(t, "26")
+	c.ApplyObject(configurationObject(t, "22", objects.VersionAt(2, 29)))
+	assert.Equal(t, inForce(c), "26")
+	c.ApplyObject(configurationObject(t, "26", objects.VersionAt(2, 30)))
+	assert.Equal(t, inForce(c), "26")
+	c.ApplyObject(configurationObject(t, "28", objects.VersionAt(2, 31)))
+	assert.Equal(t, inForce(c), "28")
+	// Within a history the platform's version decides.
+	c.ApplyObject(configurationObject(t, "27", objects.VersionAt(2, 32)))
+	assert.Equal(t, inForce(c), "27")
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -84,6 +84,10 @@
 	// fromList is true if the last response was a list, and onlyHosts if it contained Host
 	// records and nothing else.
 	fromList, onlyHosts bool
+	// failed is true if the last call failed. The platform may have been restored since from
+	// an earlier state in which the feed has reached the same revision again. A watch from
+	// there would only return with the next change, or at the end of its wait.
+	failed bool
 }
 
 // followFeeds follows all feeds until this host is no longer a watcher. Each feed has its own
@@ -121,6 +125,7 @@
 			// The events after the list just read have already been discarded. This counts as
 			// a failure, because lists and watches could otherwise alternate without a pause.
 		}
+		p.failed = err != nil
 		if err != nil {
 			c.pauseAfterFailure(ctx, feed, &retry, began, err)
 			continue
@@ -148,7 +153,11 @@
 		p.revision, p.canWatch, p.fromList, p.onlyHosts = page.Revision, true, true, false
 		return nil
 	}
-	page, err := c.store.Watch(ctx, feed, p.revision, c.waitFactor())
+	waitFactor := c.waitFactor()
+	if p.failed {
+		waitFactor = objects.NoWait
+	}
+	page, err := c.store.Watch(ctx, feed, p.revision, waitFactor)
 	if err != nil {
 		return err
 	}
--- a/internal/core/config/node.go
+++ b/internal/core/config/node.go
@@ -156,20 +156,30 @@
 	}
 }
 
-// LoadList applies a complete list from the platform at a revision. Entries that are not
-// listed and not newer than the revision were deleted without notice: they become
-// tombstones. covers reports for which kinds the list is complete; nil means all kinds,
+// List is a complete list from the platform.
+type List struct {
+	Entries []msg.Entry
+	// Revision is the version up to which the list is current, and HistoryStart a version
+	// greater than all from before the platform's last restoration from an earlier state.
+	Revision, HistoryStart int64
+}
+
+// LoadList applies a list. Entries that are not listed and not newer than its revision were
+// deleted without notice: they become tombstones. Those from before the last restoration are
+// kept, because the platform may have lost them. covers reports for which kinds the list is complete; nil means all kinds,
 // which makes the set complete.
-func (n *Node) LoadList(peers Peers, entries []msg.Entry, revision int64, covers func(kind string) bool) {
+func (n *Node) LoadList(peers Peers, l List, covers func(kind string) bool) {
 	s := n.sets[msg.SetRecords]
+	entries := l.Entries
 	listed := make(map[Key]bool, len(entries))
 	for _, e := range entries {
 		listed[Key{e.Kind, e.Name}] = true
 	}
 	s.Each(func(e msg.Entry) {
 		covered := covers == nil || covers(e.Kind)
-		if covered && !e.Deleted && e.Version <= revision && !listed[Key{e.Kind, e.Name}] {
-			entries = append(entries, msg.Entry{Kind: e.Kind, Name: e.Name, Version: revision, Deleted: true})
+		known := e.Version >= l.HistoryStart && e.Version <= l.Revision
+		if covered && known && !e.Deleted && !listed[Key{e.Kind, e.Name}] {
+			entries = append(entries, msg.Entry{Kind: e.Kind, Name: e.Name, Version: l.Revision, Deleted: true})
 		}
 	})
 	n.applyAndPush(peers, msg.SetRecords, "", entries)
--- a/internal/core/config/node_test.go
+++ b/internal/core/config/node_test.go
@@ -102,10 +102,10 @@
 func TestPartialListKeepsOtherKinds(t *testing.T) {
 	n := newTestNode(1)
 	route := msg.Entry{Kind: "Route", Name: "r", Version: 3}
-	n.LoadList(Peers{}, []msg.Entry{entry("main", 5, 10), route}, 5, nil)
+	n.LoadList(Peers{}, List{Entries: []msg.Entry{entry("main", 5, 10), route}, Revision: 5}, nil)
 	assert.Assert(t, n.Complete())
 	onlyRoutes := func(kind string) bool { return kind == "Route" }
-	n.LoadList(Peers{}, nil, 9, onlyRoutes)
+	n.LoadList(Peers{}, List{Revision: 9}, onlyRoutes)
 	set := n.Set(msg.SetRecords)
 	deleted, _ := set.Get(Key{"Route", "r"})
 	assert.Assert(t, deleted.Deleted && deleted.Version == 9)
@@ -113,6 +113,6 @@
 	assert.Assert(t, !kept.Deleted)
 
 	fresh := newTestNode(2)
-	fresh.LoadList(Peers{}, []msg.Entry{route}, 5, onlyRoutes)
+	fresh.LoadList(Peers{}, List{Entries: []msg.Entry{route}, Revision: 5}, onlyRoutes)
 	assert.Assert(t, !fresh.Complete())
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,7 @@
 	PlatformPause           = Event{409, "platform pause", slog.LevelInfo}
 	RecordNotWritten        = Event{410, "record not written", slog.LevelWarn}
 	PlatformRestored        = Event{411, "platform restored", slog.LevelWarn}
+	RecordKept              = Event{412, "record kept", slog.LevelInfo}
 	HostJoined              = Event{500, "host joined", slog.LevelInfo}
 	HostSuspect             = Event{501, "host suspect", slog.LevelWarn}
 	HostDead                = Event{502, "host dead", slog.LevelWarn}
@@ -74,7 +75,7 @@
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
 		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged,
 		RecordApplied, RecordRefused, PlatformUnavailable, PlatformAvailable, WatchStarted, WatchStopped, RecordSetLoaded,
-		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten, PlatformRestored,
+		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten, PlatformRestored, RecordKept,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
 	}
 }
--- a/internal/lab/capacity_test.go
+++ b/internal/lab/capacity_test.go
@@ -89,7 +89,7 @@
 	entries, _ := generateParsedRecords(b)
 	rng := rand.New(rand.NewPCG(1, 1))
 	full := config.NewNode(config.DefaultConfig(), rng)
-	full.LoadList(config.Peers{}, entries, int64(len(entries)), nil)
+	full.LoadList(config.Peers{}, config.List{Entries: entries, Revision: int64(len(entries))}, nil)
 	full.Take()
 	peers := config.Peers{Local: []string{"full"}}
 	sent := 0
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,7 @@
 	"github.com/radishhoist/radishhoist/internal/core/contact"
 	"github.com/radishhoist/radishhoist/internal/core/member"
 	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/objects"
 )
 
 // Step is the resolution of virtual time.
@@ -78,10 +80,12 @@
 	// OnApplied, if set, is called for every entry that the replica applies.
 	OnApplied func(config.Applied)
 
-	version         int64
-	instances       int
-	watchedRevision int64
-	watching        bool
+	version   int64
+	instances int
+	// watchedHistory and watchedRevision are the position up to which the host has read the
+	// platform's events.
+	watchedHistory, watchedRevision int64
+	watching                        bool
 }
 
 // Traffic counts messages and their bytes.
@@ -105,8 +109,9 @@
 // Platform simulates the object API. Events are all changes of records, in order.
 type Platform struct {
 	Unavailable bool
-	Revision    int64
-	Events      []msg.Entry
+	// History counts the restorations from earlier states. Revision is the number of Events.
+	History, Revision int64
+	Events            []msg.Entry
 	// Reads counts list and watch operations.
 	Reads int
 }
@@ -117,31 +122,33 @@
 		return 0
 	}
 	p.Revision++
-	e := msg.Entry{Kind: "Route", Name: name, Version: p.Revision, Deleted: deleted}
+	e := msg.Entry{Kind: "Route", Name: name, Version: objects.VersionAt(p.History, p.Revision), Deleted: deleted}
 	if !deleted {
 		e.Value = make([]byte, size)
 	}
 	p.Events = append(p.Events, e)
-	return p.Revision
+	return e.Version
 }
 
 // Restore goes back to the state after the first n events. Later revisions are given out
 // again.
 func (p *Platform) Restore(n int) {
-	p.Events = p.Events[:n]
+	p.Events = slices.Clone(p.Events[:n])
 	p.Revision = int64(n)
+	p.History++
 }
 
 // list returns the newest entry of every record that has not been deleted.
-func (p *Platform) list() []msg.Entry {
+func (p *Platform) list() config.List {
 	newest := make(map[string]msg.Entry)
 	for _, e := range p.Events {
 		newest[e.Name] = e
 	}
-	var out []msg.Entry
+	out := config.List{Revision: objects.VersionAt(p.History, p.Revision), HistoryStart: objects.VersionAt(p.History, 0)}
 	for _, e := range p.Events {
 		if n := newest[e.Name]; n.Version == e.Version && !n.Deleted {
-			out = append(out, e)
+			e.Version = objects.VersionAt(p.History, objects.RevisionOf(e.Version))
+			out.Entries = append(out.Entries, e)
 		}
 	}
 	return out
@@ -326,15 +333,15 @@
 		return
 	}
 	switch {
-	case !h.watching:
+	case !h.watching || h.watchedHistory != m.Platform.History:
 		m.Platform.Reads++
 		h.watching = true
-		h.Replica.LoadList(h.replicationPeers(), m.Platform.list(), m.Platform.Revision, nil)
+		h.Replica.LoadList(h.replicationPeers(), m.Platform.list(), nil)
 	case h.watchedRevision < m.Platform.Revision:
 		m.Platform.Reads++
 		h.Replica.Publish(h.replicationPeers(), msg.SetRecords, m.Platform.Events[h.watchedRevision:])
 	}
-	h.watchedRevision = m.Platform.Revision
+	h.watchedHistory, h.watchedRevision = m.Platform.History, m.Platform.Revision
 }
 
 // rank returns the position of a host among the live hosts of its data centre, ordered by the hash of
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -62,7 +62,7 @@
 // expectedVersions returns the versions of the records that the platform holds.
 func expectedVersions(p *Platform) map[string]int64 {
 	out := map[string]int64{}
-	for _, e := range p.list() {
+	for _, e := range p.list().Entries {
 		out[e.Name] = e.Version
 	}
 	return out
--- a/internal/mesh/start_test.go
+++ b/internal/mesh/start_test.go
@@ -175,7 +175,7 @@
 		}
 		m.StartWithHostList(h)
 		if i < readersPerDC*dcs {
-			h.Replica.LoadList(h.replicationPeers(), m.Platform.list(), m.Platform.Revision, nil)
+			h.Replica.LoadList(h.replicationPeers(), m.Platform.list(), nil)
 		}
 	}
 	for allAfter == 0 && m.Now.Sub(start) < limit {
--- a/internal/objects/api.go
+++ b/internal/objects/api.go
@@ -23,8 +23,8 @@
 func (o Object) Key() record.Key { return record.Key{Kind: o.Kind, Name: o.Name} }
 
 // Page is the result of a list or a watch: the objects, and the revision up to which they
-// are current. The version of an object is the revision of its last change. Revisions
-// increase across all objects.
+// are current. The version of an object is the revision of its last change, see VersionAt.
+// Revisions increase across all objects.
 type Page struct {
 	Revision int64    `json:"revision"`
 	Objects  []Object `json:"objects"`
@@ -62,8 +62,9 @@
 	// platform. The result may be seconds old; Page.Cached reports whether it may.
 	ListCached(ctx context.Context, feed Feed) (Page, error)
 	// Watch waits for changes in a feed after a revision. It asks the platform to
-	// hold the call for waitFactor times the configured wait. An empty page means that
-	// the wait ended without a change. After *CompactedError, the caller must list again.
+	// hold the call for waitFactor times the configured wait; NoWait asks for a response at
+	// once. An empty page means that the wait ended without a change. After
+	// *CompactedError, the caller must list again.
 	Watch(ctx context.Context, feed Feed, after int64, waitFactor int) (Page, error)
 	// Observe sets the callback for calls that are late or fail. It must be called
 	// before the first call, and the callback must not block.
@@ -72,6 +73,9 @@
 	Close()
 }
 
+// NoWait is the wait factor of a watch that does not wait for changes.
+const NoWait = 0
+
 // Feed identifies a stream of changes to objects of certain kinds.
 type Feed string
 
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -51,57 +51,89 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key record.Key) (Object, error) {
-	var obj Object
 	resp, err := c.Call(ctx, 0, c.Request().Get(objectPath(key)))
 	if err != nil {
-		return obj, err
+		return Object{}, err
 	}
 	if resp.Status == http.StatusNotFound {
-		return obj, &NotFoundError{Key: key}
+		return Object{}, &NotFoundError{Key: key}
+	}
+	return c.decodeObject(resp)
+}
+
+// decodeObject decodes a response that holds a single object.
+func (c *Client) decodeObject(resp Response) (Object, error) {
+	var obj Object
+	err := resp.Decode(&obj)
+	obj.setHistory(resp.History)
+	return obj, err
+}
+
+// decodePage decodes the response to a list or watch.
+func (c *Client) decodePage(resp Response) (Page, error) {
+	page := Page{History: resp.History}
+	if err := resp.Decode(&page); err != nil {
+		return page, err
+	}
+	page.Revision = VersionAt(resp.History, page.Revision)
+	for i := range page.Objects {
+		page.Objects[i].setHistory(resp.History)
+	}
+	return page, nil
+}
+
+// setHistory replaces the revision in Version by the version. An object that does not exist
+// has version 0.
+func (o *Object) setHistory(history int64) {
+	if o.Version != 0 {
+		o.Version = VersionAt(history, o.Version)
 	}
-	return obj, resp.Decode(&obj)
 }
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, kinds ...record.Kind) (Page, error) {
-	var page Page
 	query := listQuery{}
 	for _, k := range kinds {
 		query.Kinds = append(query.Kinds, string(k))
 	}
 	resp, err := c.Call(ctx, 0, c.Request().Get("/v1/objects").QueryStruct(query))
 	if err != nil {
-		return page, err
+		return Page{}, err
 	}
-	page.History = resp.History
-	return page, resp.Decode(&page)
+	return c.decodePage(resp)
 }
 
 // Put implements Store.
 func (c *Client) Put(ctx context.Context, key record.Key, value []byte, ifVersion int64) (Object, error) {
-	req := c.Request().Put(objectPath(key)).QueryStruct(versionQuery{ifVersion}).Body(bytesReader(value))
-	return c.write(ctx, req, ifVersion)
+	return c.write(ctx, key, ifVersion, func(condition versionQuery) *sling.Sling {
+		return c.Request().Put(objectPath(key)).QueryStruct(condition).Body(bytesReader(value))
+	})
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, key record.Key, ifVersion int64) (Object, error) {
-	req := c.Request().Delete(objectPath(key)).QueryStruct(versionQuery{ifVersion})
-	return c.write(ctx, req, ifVersion)
+	return c.write(ctx, key, ifVersion, func(condition versionQuery) *sling.Sling {
+		return c.Request().Delete(objectPath(key)).QueryStruct(condition)
+	})
 }
 
-func (c *Client) write(ctx context.Context, req *sling.Sling, ifVersion int64) (Object, error) {
-	var obj Object
-	resp, err := c.Call(ctx, 0, req)
+func (c *Client) write(ctx context.Context, key record.Key, ifVersion int64, request func(versionQuery) *sling.Sling) (Object, error) {
+	if c.IsOutdated(ifVersion) {
+		return Object{}, OutdatedConflict(ctx, c, key, ifVersion)
+	}
+	resp, err := c.Call(ctx, 0, request(versionQuery{RevisionOf(ifVersion)}))
 	if err != nil {
-		return obj, err
+		return Object{}, err
 	}
 	if resp.Status == http.StatusConflict {
-		if err := resp.DecodeBody(&obj); err != nil {
-			return obj, err
+		var current Object
+		if err := resp.DecodeBody(&current); err != nil {
+			return Object{}, err
 		}
-		return Object{}, &ConflictError{Current: obj, IfVersion: ifVersion}
+		current.setHistory(resp.History)
+		return Object{}, &ConflictError{Current: current, IfVersion: ifVersion}
 	}
-	return obj, resp.Decode(&obj)
+	return c.decodeObject(resp)
 }
 
 // Feeds implements Store. A single feed covers all kinds.
@@ -118,16 +150,14 @@
 
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, _ Feed, after int64, waitFactor int) (Page, error) {
-	var page Page
 	wait := time.Duration(waitFactor) * c.WatchWait
-	query := watchQuery{After: after, WaitMS: wait.Milliseconds()}
+	query := watchQuery{After: RevisionOf(after), WaitMS: wait.Milliseconds()}
 	resp, err := c.Call(ctx, wait, c.Request().Get("/v1/watch").QueryStruct(query))
 	if err != nil {
-		return page, err
+		return Page{}, err
 	}
-	if resp.Status == http.StatusGone {
-		return page, &CompactedError{After: after}
+	if resp.Status == http.StatusGone || resp.History != HistoryOf(after) {
+		return Page{}, &CompactedError{After: after}
 	}
-	page.History = resp.History
-	return page, resp.Decode(&page)
+	return c.decodePage(resp)
 }
--- a/internal/objects/transport.go
+++ b/internal/objects/transport.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -31,6 +32,8 @@
 
 	base       *sling.Sling
 	httpClient *http.Client
+	// latestHistory is the latest history of a response.
+	latestHistory atomic.Int64
 	// httpTransport is the transport of httpClient and holds its connections.
 	httpTransport *http.Transport
 	// report is called for calls that are late or fail. It may be nil.
@@ -90,6 +93,7 @@
 	f := newFetch(t, r)
 	resp, err := f.do(ctx, hold)
 	if err == nil {
+		t.observeHistory(resp.History)
 		err = statusError(resp.Status)
 	} else {
 		err = &UnavailableError{Cause: err}
--- a/record/configuration.go
+++ b/record/configuration.go
@@ -7,7 +7,8 @@
 // that it no longer lists are removed. It coexists with Service and Route records:
 // a route in either may refer to a service in the other.
 type Configuration struct {
-	// Label is an optional name that the author gives to this version of the set.
+	// Label is an optional name that the author gives to this version of the set. Labels
+	// that are whole numbers must increase: see Supersedes.
 	Label    string         `json:"label,omitempty"`
 	Routes   []NamedRoute   `json:"routes"`
 	Services []NamedService `json:"services"`
