control: the watchers write records again that a restored platform has lost

What operators would see: after a restore from a copy, the block of a request that crashes its targets is gone with the next restart of all processes, an epoch of a key shard is given out twice, and hosts that joined last are not found by new ones. Cause: the product writes a record once and takes the platform's acknowledgement for lasting. Change: once a list from after a restoration has been read, a watcher writes the records in force that are not in it: a create, so that what is stored by then stays; a shard map with lower epochs is replaced under its own version.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -213,6 +213,7 @@
 	start(c.writeStatus)
 	start(c.removeStaleRecords)
 	start(c.storeCrashers)
+	start(c.restoreLost)
 	<-ctx.Done()
 	_ = c.udp.Close()
 	wg.Wait()
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -38,6 +38,8 @@
 		Directory:  directory,
 		Instances:  noInstances,
 		LoadReport: func(*msg.LoadReport) {},
+		Crashed:    func(crash.Crash) {},
+		Unblocked:  func(crash.Fingerprint) {},
 	}, store, slog.New(slog.NewTextHandler(io.Discard, nil)))
 }
 
--- a/internal/control/pages.go
+++ b/internal/control/pages.go
@@ -31,6 +31,9 @@
 	c.replica.LoadList(c.peers(), decoded.list(page), nil)
 	c.dirty = true
 	c.confirmed.confirmAll(began, platformSource)
+	for _, feed := range c.store.Feeds() {
+		c.observeList(feed, page)
+	}
 	c.applyPage(page, decoded.hosts)
 }
 
@@ -44,6 +47,7 @@
 	c.replica.LoadList(c.peers(), decoded.list(page), covers)
 	c.dirty = true
 	c.confirmed.confirm(feed, began, platformSource)
+	c.observeList(feed, page)
 	c.applyPage(page, decoded.hosts)
 }
 
@@ -75,6 +79,21 @@
 	// number counts the restorations, and revision is the newest revision read since the last
 	// one.
 	number, revision int64
+	// listed is the history of the last list of each feed.
+	listed map[objects.Feed]int64
+}
+
+// observeList records that a feed has been listed. Host records that a list from after a
+// restoration does not have are lost. The caller holds the lock.
+func (c *Control) observeList(feed objects.Feed, page objects.Page) {
+	h := &c.platformHistory
+	if page.History > h.listed[feed] && feed == c.store.FeedOf(record.KindHost) {
+		clear(c.hostRecords)
+	}
+	if h.listed == nil {
+		h.listed = make(map[objects.Feed]int64)
+	}
+	h.listed[feed] = page.History
 }
 
 // observeHistory logs that the platform has been restored since its last response. The caller
@@ -87,7 +106,7 @@
 			event.Log(c.log, event.PlatformRestored, slog.Int64("history", page.History), slog.Int64("was", h.number),
 				slog.Int64("revision", page.Revision), slog.Int64("wasRevision", h.revision))
 		}
-		*h = platformHistory{known: true, number: page.History, revision: page.Revision}
+		h.known, h.number, h.revision = true, page.History, page.Revision
 	case page.History == h.number:
 		h.revision = max(h.revision, page.Revision)
 	}
--- a/internal/control/restore_test.go
+++ b/internal/control/restore_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/objects"
 	"github.com/radishhoist/radishhoist/internal/standin/platformd"
 	"github.com/radishhoist/radishhoist/record"
@@ -113,3 +115,74 @@
 	c.ApplyObject(configurationObject(t, "27", objects.VersionAt(2, 32)))
 	assert.Equal(t, inForce(c), "27")
 }
+
+// put creates a record in the platform, without a host.
+func (w *watcherTest) put(key record.Key, spec record.Spec, ifVersion int64) {
+	w.t.Helper()
+	value, err := record.Marshal(key, spec)
+	assert.NilError(w.t, err)
+	_, ok := w.platform.Store.Put(key, value, ifVersion)
+	assert.Assert(w.t, ok)
+}
+
+// stored returns a record as the platform stores it, nil if it does not.
+func (w *watcherTest) stored(key record.Key) record.Spec {
+	w.t.Helper()
+	obj, ok := w.platform.Store.Get(key)
+	if !ok {
+		return nil
+	}
+	r, err := record.Parse(obj.Value)
+	assert.NilError(w.t, err)
+	return r.Spec
+}
+
+// Guards against records of the fleet that stay lost after the platform has been restored: a
+// blocked request, an owner of keys, the address of a host.
+func TestRecordsLostByPlatformAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startWatcherTest(t, testMaxRetryInterval)
+		defer w.stop()
+		w.control.mu.Lock()
+		w.control.hosts["a"] = &directory.Host{Name: "a", DC: "dc", PeerAddr: "127.0.0.1:0"}
+		w.control.mu.Unlock()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go w.control.restoreLost(ctx)
+		time.Sleep(3 * time.Second)
+		shards := record.Key{Kind: record.KindShardMap, Name: "plans"}
+		epoch := func(n uint64) *record.ShardMap {
+			return &record.ShardMap{Guards: []string{"a"}, Shards: []record.Shard{{Owner: "a", Epoch: n}}, Nonce: fmt.Sprint(n)}
+		}
+		crasher := record.Key{Kind: record.KindCrasher, Name: "00000000000000aa"}
+		deleted := record.Key{Kind: record.KindCrasher, Name: "00000000000000bb"}
+		blocked := &record.Crasher{Request: "GET /x", Crashes: []record.InstanceCrash{{ID: "c", Service: "plans", Version: "1", Host: "a", AtMS: time.Now().UnixMilli()}}}
+		own := record.Key{Kind: record.KindHost, Name: "a"}
+		assert.Assert(t, w.stored(own) != nil)
+		w.put(shards, epoch(4), 0)
+		current, _ := w.platform.Store.Get(shards)
+		checkpoint := w.platform.Store.Checkpoint()
+		w.put(shards, epoch(5), current.Version)
+		w.put(crasher, blocked, 0)
+		w.put(deleted, blocked, 0)
+		time.Sleep(2 * time.Second)
+		obj, _ := w.platform.Store.Get(deleted)
+		_, ok := w.platform.Store.Delete(deleted, obj.Version)
+		assert.Assert(t, ok)
+		time.Sleep(2 * time.Second)
+
+		w.platform.Store.Restore(checkpoint)
+		time.Sleep(10 * time.Second)
+		assert.DeepEqual(t, w.stored(shards), epoch(5))
+		assert.Assert(t, w.stored(crasher) != nil, "the block of a request is lost")
+		assert.Assert(t, w.stored(deleted) == nil, "a deleted record is back")
+		calls := w.platform.Counts().Writes
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, w.platform.Counts().Writes, calls, "writes go on although nothing is lost")
+
+		w.platform.Store.Restore(platformd.NewStore().Checkpoint())
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, w.stored(own) != nil, "the host's address is lost")
+		assert.DeepEqual(t, w.stored(shards), epoch(5))
+	})
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -59,6 +59,7 @@
 	RecordNotWritten        = Event{410, "record not written", slog.LevelWarn}
 	PlatformRestored        = Event{411, "platform restored", slog.LevelWarn}
 	RecordKept              = Event{412, "record kept", slog.LevelInfo}
+	RecordRestored          = Event{413, "record restored", slog.LevelInfo}
 	HostJoined              = Event{500, "host joined", slog.LevelInfo}
 	HostSuspect             = Event{501, "host suspect", slog.LevelWarn}
 	HostDead                = Event{502, "host dead", slog.LevelWarn}
@@ -75,7 +76,7 @@
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
 		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged,
 		RecordApplied, RecordRefused, PlatformUnavailable, PlatformAvailable, WatchStarted, WatchStopped, RecordSetLoaded,
-		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten, PlatformRestored, RecordKept,
+		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten, PlatformRestored, RecordKept, RecordRestored,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
 	}
 }
