soak, target stand-in: instances that state a rate limit, or that they are leaving

Cause: nothing in the soak stated anything in its responses, so that a fleet that ignores it passed. Change: two faults, from a random source of their own so that the other faults of a seed stay as they are, and two invariants, counted by the stand-in itself over all hosts.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -51,9 +51,13 @@
 	Runs map[string]int
 	// Crashes are the times at which the crashing request crashed an instance.
 	Crashes []time.Duration
-	Acked   []AckedChange
-	Samples []Sample
-	Length  time.Duration
+	// OverRateLimit is the largest number of requests by which an instance got more than the
+	// rate limit that it stated allows. ArrivalsWhileLeaving is the number of requests that
+	// instances got although they had stated that they are leaving.
+	OverRateLimit, ArrivalsWhileLeaving int
+	Acked                               []AckedChange
+	Samples                             []Sample
+	Length                              time.Duration
 	// ApplyWithin is the time within which an acknowledged change must be in force at every host.
 	ApplyWithin time.Duration
 }
@@ -81,6 +85,8 @@
 	RecoversAfterFaults = "requests are served after the faults have ended"
 	BoundedCrashes      = "a request that has crashed three instances crashes at most three more"
 	NoOtherBlocked      = "no other request is refused as crashing its targets"
+	WithinRateLimit     = "an instance gets no more requests than the rate limit it states allows"
+	NothingWhileLeaving = "an instance that states that it is leaving gets no requests 2 s later"
 )
 
 const (
@@ -104,6 +110,7 @@
 	}
 	out = append(out, o.checkVersions()...)
 	out = append(out, o.checkCrashes()...)
+	out = append(out, o.checkStatements()...)
 	return append(out, o.checkRecovery()...)
 }
 
@@ -185,6 +192,18 @@
 	return []Violation{{BoundedCrashes, late[maxLateCrashes], fmt.Sprintf("%d instances crashed later than %.3f s, %d in total", len(late), known.Seconds(), len(o.Crashes))}}
 }
 
+// checkStatements checks that hosts heed what instances state in their responses.
+func (o *Observations) checkStatements() []Violation {
+	var out []Violation
+	if o.OverRateLimit > 0 {
+		out = append(out, Violation{WithinRateLimit, o.Length, fmt.Sprintf("%d requests too many", o.OverRateLimit)})
+	}
+	if o.ArrivalsWhileLeaving > 0 {
+		out = append(out, Violation{NothingWhileLeaving, o.Length, fmt.Sprintf("%d requests", o.ArrivalsWhileLeaving)})
+	}
+	return out
+}
+
 // checkVersions checks the samples of record versions: no process returns to an older version, and
 // every acknowledged change is in force in time. A late change is reported once per process.
 func (o *Observations) checkVersions() []Violation {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -59,6 +59,8 @@
 		{RecoversAfterFaults, func(r *Observations) { r.Requests[3].Served, r.Requests[3].Status = false, 502 }},
 		{RecoversAfterFaults, func(r *Observations) { r.Requests = r.Requests[:3] }},
 		{NoOtherBlocked, func(r *Observations) { r.Requests[2].Blocked = true }},
+		{WithinRateLimit, func(r *Observations) { r.OverRateLimit = 1 }},
+		{NothingWhileLeaving, func(r *Observations) { r.ArrivalsWhileLeaving = 1 }},
 		{BoundedCrashes, func(r *Observations) { r.Crashes = append(r.Crashes, 25*second, 26*second, 27*second, 28*second) }},
 	} {
 		r := passingRun()
@@ -114,5 +116,5 @@
 		}
 		assert.Assert(t, overlapping > 0)
 	}
-	assert.Equal(t, len(counts), len(faultKinds))
+	assert.Equal(t, len(counts), len(faultKinds)+len(addedFaultKinds))
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -211,7 +211,7 @@
 	case CutSilent, CutReset, CutSlow:
 		n.platformProxy.setMode(f.Kind)
 		return func() { n.platformProxy.setMode("") }
-	case TargetFails, TargetSlow, TargetCuts:
+	case TargetFails, TargetSlow, TargetCuts, TargetLimits, TargetLeaves:
 		_ = n.target.SetBehaviour(behaviours[f.Kind])
 		return func() { _ = n.target.SetBehaviour(target.Behaviour{Mode: target.Good}) }
 	default:
@@ -224,6 +224,9 @@
 	TargetFails: {Mode: target.Errors, Share: 0.8},
 	TargetSlow:  {Mode: target.Slow, Factor: 20},
 	TargetCuts:  {Mode: target.Truncate, Share: 0.5},
+
+	TargetLimits: {Mode: target.Good, RateLimit: 2},
+	TargetLeaves: {Mode: target.Good, Leaving: true},
 }
 
 var platformFaults = map[FaultKind]platformd.Faults{
@@ -375,6 +378,8 @@
 		for mark, count := range runs.ByMark {
 			r.observed.Runs[mark] += count
 		}
+		r.observed.OverRateLimit = max(r.observed.OverRateLimit, runs.OverRateLimit)
+		r.observed.ArrivalsWhileLeaving += runs.ArrivalsWhileLeaving
 		for _, ms := range runs.CrashTimes {
 			r.observed.Crashes = append(r.observed.Crashes, time.UnixMilli(ms).Sub(r.startTime))
 		}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -40,6 +40,10 @@
 	TargetFails FaultKind = "target-fails"
 	TargetSlow  FaultKind = "target-slow"
 	TargetCuts  FaultKind = "target-cuts"
+	// TargetLimits makes a host's instance state a rate limit in its responses. TargetLeaves
+	// makes it state there that it is leaving, and start again at the end of the fault.
+	TargetLimits FaultKind = "target-limits"
+	TargetLeaves FaultKind = "target-leaves"
 )
 
 // faultKinds are all kinds of fault, for Schedule to select from.
@@ -48,6 +52,10 @@
 	TargetFails, TargetSlow, TargetCuts,
 }
 
+// addedFaultKinds are the kinds of fault for which Schedule has a random source of its own, so
+// that the other faults of a seed do not depend on them.
+var addedFaultKinds = []FaultKind{TargetLimits, TargetLeaves}
+
 // affectsPlatform reports whether the fault affects the platform rather than one host.
 func (k FaultKind) affectsPlatform() bool {
 	return k == PlatformSilent || k == PlatformRefuses || k == PlatformSlow
@@ -55,7 +63,7 @@
 
 // affectsTarget reports whether the fault affects an instance rather than a daemon.
 func (k FaultKind) affectsTarget() bool {
-	return k == TargetFails || k == TargetSlow || k == TargetCuts
+	return k == TargetFails || k == TargetSlow || k == TargetCuts || k == TargetLimits || k == TargetLeaves
 }
 
 // affectsDaemon reports whether the fault affects the daemon process of a host.
@@ -104,7 +112,7 @@
 		f := Fault{Kind: faultKinds[rng.IntN(len(faultKinds))], Host: rng.IntN(hosts), At: at}
 		f.Length = minFaultLength + time.Duration(rng.Int64N(int64(maxFaultLength-minFaultLength)))
 		if f.At >= length-faultFreeEnd-minFaultLength {
-			return out
+			return addFaults(out, seed, hosts, length)
 		}
 		f.Length = min(f.Length, length-faultFreeEnd-f.At)
 		if canAdd(out, f, hosts) {
@@ -113,6 +121,39 @@
 	}
 }
 
+// addFaults adds faults of addedFaultKinds to a schedule where its other faults allow it.
+func addFaults(out []Fault, seed uint64, hosts int, length time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	for at := firstFault; at < length-faultFreeEnd-minAddedFaultLength; at += time.Duration(rng.Int64N(int64(maxAddedFaultGap))) {
+		f := Fault{Kind: addedFaultKinds[rng.IntN(len(addedFaultKinds))], Host: rng.IntN(hosts), At: at}
+		f.Length = minAddedFaultLength + time.Duration(rng.Int64N(int64(maxAddedFaultLength-minAddedFaultLength)))
+		f.Length = min(f.Length, length-faultFreeEnd-f.At)
+		if canAdd(out, f, hosts) && canAddBefore(out, f) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+const (
+	// The added faults last longer than the others, because the effect of a statement is
+	// checked from 2 to 3 s after it.
+	minAddedFaultLength = 1500 * time.Millisecond
+	maxAddedFaultLength = 8 * time.Second
+	maxAddedFaultGap    = 3 * time.Second
+)
+
+// canAddBefore reports whether a fault ends early enough before the later ones of its
+// component.
+func canAddBefore(scheduled []Fault, f Fault) bool {
+	for _, later := range scheduled {
+		if later.At >= f.At && later.At <= f.End()+f.cooldown() && later.component() == f.component() && (f.Kind.affectsPlatform() || later.Host == f.Host) {
+			return false
+		}
+	}
+	return true
+}
+
 // canAdd reports whether a fault may be scheduled in addition to the earlier ones.
 func canAdd(before []Fault, f Fault, hosts int) bool {
 	down := 0
--- a/internal/standin/target/crash.go
+++ b/internal/standin/target/crash.go
@@ -34,6 +34,15 @@
 		return // another request has already crashed it
 	}
 	s.crashTimes = append(s.crashTimes, time.Now().UnixMilli())
+	s.startAgain()
+}
+
+// startAgain closes the port for the downtime and then starts another instance. The caller
+// must hold mu.
+func (s *Server) startAgain() {
+	if s.server == nil {
+		return
+	}
 	s.closeServer()
 	time.AfterFunc(cmp.Or(s.cfg.Downtime, defaultDowntime), s.restart)
 }
@@ -48,6 +57,8 @@
 		return
 	}
 	s.starts++
+	s.behaviour.Leaving = false
+	s.statements.reset()
 	server := &http.Server{Handler: s.mux, ReadHeaderTimeout: 5 * time.Second}
 	s.server = server
 	go func() { _ = server.Serve(l) }()
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -54,6 +54,12 @@
 	Factor   float64 `json:"factor,omitempty"`
 	Share    float64 `json:"share,omitempty"`
 	PeriodMS int64   `json:"periodMS,omitempty"`
+	// RateLimit is the rate limit that the stand-in states in its responses, in requests per
+	// second, 0 for none.
+	RateLimit float64 `json:"rateLimit,omitempty"`
+	// Leaving makes the stand-in state in its responses that it is leaving. It announces that
+	// only later. When Leaving is reset, it starts again under another name.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Config describes one stand-in.
@@ -93,6 +99,7 @@
 	// behaviourSince is when behaviour was set.
 	behaviourSince time.Time
 	leaving        bool
+	statements     statements
 	// runsByMark are the numbers of runs by the value of MarkHeader.
 	runsByMark map[string]int
 	totalRuns  int
@@ -146,6 +153,12 @@
 func (s *Server) SetBehaviour(b Behaviour) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.behaviour.Leaving && !b.Leaving {
+		s.startAgain()
+	}
+	if b.RateLimit != s.behaviour.RateLimit {
+		s.statements.resetLimit()
+	}
 	s.behaviour, s.behaviourSince = b, time.Now()
 }
 
@@ -158,6 +171,11 @@
 	// CrashTimes are the times at which a request with CrashPathSuffix crashed the
 	// stand-in, in Unix milliseconds.
 	CrashTimes []int64 `json:"ends,omitempty"`
+	// OverRateLimit is the largest number of requests in a window beyond what the stated rate
+	// limit allows. ArrivalsWhileLeaving is the number of requests that arrived although the
+	// stand-in had stated for some time that it is leaving.
+	OverRateLimit        int `json:"overRateLimit,omitempty"`
+	ArrivalsWhileLeaving int `json:"arrivalsWhileLeaving,omitempty"`
 	// PID is the id of the process that responds.
 	PID int `json:"pid"`
 }
@@ -167,6 +185,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := Runs{ByMark: make(map[string]int, len(s.runsByMark)), Total: s.totalRuns, MaxRunning: s.maxRunning, CrashTimes: s.crashTimes, PID: os.Getpid()}
+	out.OverRateLimit, out.ArrivalsWhileLeaving = s.statements.overLimit, s.statements.lateArrivals
 	for k, v := range s.runsByMark {
 		out.ByMark[k] = v
 	}
@@ -218,6 +237,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.totalRuns++
+	s.statements.observeArrival(time.Now(), s.behaviour)
 	s.running++
 	s.maxRunning = max(s.maxRunning, s.running)
 	if mark := r.Header.Get(MarkHeader); mark != "" {
@@ -260,6 +280,7 @@
 		id = "some-other-request"
 	}
 	w.Header().Set(header.RequestID, id)
+	s.state(w.Header())
 	if b.Mode == Errors && affected {
 		http.Error(w, "stand-in error", http.StatusInternalServerError)
 		return
@@ -292,7 +313,7 @@
 
 func (s *Server) announce(ctx context.Context) {
 	s.mu.Lock()
-	leaving, name, isDown := s.leaving, s.instanceName(), s.server == nil
+	leaving, name, isDown := s.leaving || s.statements.announcesLeaving(time.Now()), s.instanceName(), s.server == nil
 	s.mu.Unlock()
 	if s.cfg.Announce == "" || isDown {
 		return
