front, guard: a leaving stated to an older directory counts; the reported wait for a limit is bounded

Cause, by reading: a response that states the leaving and arrives after a new directory with a restarted host marked only the old target; a wait of minutes times many slots overflows the reported load, so that a limited instance could look idle. Change: the mark is applied to the targets of the current directory; at most one minute of wait is reported. Measured: TestLeavingIsRecordedForLaterDirectory, failing before; internal/front and internal/guard pass.

--- a/internal/fleetsim/leaving.go
+++ b/internal/fleetsim/leaving.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// withdraw tells the guard that the instance leaves.
+// withdraw withdraws the instance from the guard.
 func (i *instance) withdraw() {
 	i.host.deliver(func(d *daemon) { d.guard.Withdraw(time.Now(), i.currentName(), 0) })
 	time.AfterFunc(directoryDelay, i.host.fleet.updateDirectories)
--- a/internal/front/leaving.go
+++ b/internal/front/leaving.go
@@ -37,6 +37,12 @@
 	}
 	t.observed.leaving = true
 	st.leaving[t.key()] = leavingMark{at: now, incarnation: t.Host.Incarnation, startedMS: t.StartedMS}
+	for _, current := range st.targets {
+		// The directory may have changed since the request was sent.
+		if current.key() == t.key() {
+			current.observed.leaving = st.isLeaving(current)
+		}
+	}
 	st.candidates.computedAt = time.Time{}
 }
 
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -106,6 +106,10 @@
 	i.sendLoadReport(load, loadreport.ToFew)
 }
 
+// maxRateLimitWait is the longest wait for a rate limit that is reported. It exceeds every
+// objective, and its product with maxSlots fits into a uint32.
+const maxRateLimitWait = time.Minute
+
 // occupancy returns the number of running and queued requests.
 func occupancy(l msg.Load) int { return int(l.Running + l.Queued) }
 
@@ -137,7 +141,7 @@
 	}
 	// A wait for the rate limit delays a request of any priority, like work that occupies all
 	// slots.
-	rateLimitWait := i.queue.RateLimitWait(now)
+	rateLimitWait := min(i.queue.RateLimitWait(now), maxRateLimitWait)
 	waitingMS[admit.Priorities-1] += uint32(rateLimitWait.Milliseconds()) * uint32(i.slots)
 	return msg.Load{
 		WaitingMS: waitingMS,
