control: watchers look for lost records only after a restoration

Cause, by reading: once a platform had been restored, each watcher went through all records in force every second, for ever; 106,340 at the target size. Change: a list from after a restoration starts the search, and it ends when nothing is lost. Measured: TestRecordsLostByPlatformAreWrittenAgain and the rest of internal/control pass with the race detector.

--- a/internal/control/pages.go
+++ b/internal/control/pages.go
@@ -81,14 +81,19 @@
 	number, revision int64
 	// listed is the history of the last list of each feed.
 	listed map[objects.Feed]int64
+	// checkLost is set by a list from after a restoration until no lost record is left.
+	checkLost bool
 }
 
 // observeList records that a feed has been listed. Host records that a list from after a
 // restoration does not have are lost. The caller holds the lock.
 func (c *Control) observeList(feed objects.Feed, page objects.Page) {
 	h := &c.platformHistory
-	if page.History > h.listed[feed] && feed == c.store.FeedOf(record.KindHost) {
-		clear(c.hostRecords)
+	if page.History > h.listed[feed] {
+		h.checkLost = true
+		if feed == c.store.FeedOf(record.KindHost) {
+			clear(c.hostRecords)
+		}
 	}
 	if h.listed == nil {
 		h.listed = make(map[objects.Feed]int64)
--- a/internal/control/restore.go
+++ b/internal/control/restore.go
@@ -51,10 +51,12 @@
 func (c *Control) lostRecords() []lostRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.watching {
+	if !c.watching || !c.platformHistory.checkLost {
 		return nil
 	}
-	return append(c.lostReplicated(), c.lostHostRecords()...)
+	lost := append(c.lostReplicated(), c.lostHostRecords()...)
+	c.platformHistory.checkLost = len(lost) > 0
+	return lost
 }
 
 // lostReplicated returns the lost records of replicated kinds: those in force from before the
