soak, platform stand-in: the platform comes back from an earlier state

Change: half of the platform's outages end with the loss of its latest 5 writes; a sample has the number of the change in force besides the version, and both must be in time, which is stricter than before. The history in a response is bounded, so that versions never overflow.

--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"path/filepath"
 	"sync"
@@ -208,6 +209,11 @@
 	return putJSON(f.Platform+"/standin/faults", faults)
 }
 
+// RewindPlatform restores the platform stand-in as it was before its latest revisions.
+func (f *Fleet) RewindPlatform(revisions int) error {
+	return putJSON(f.Platform+"/standin/rewind", platformd.Rewind{Revisions: revisions})
+}
+
 // Put writes a record, replacing an existing one.
 func (f *Fleet) Put(ctx context.Context, key record.Key, spec record.Spec) error {
 	value, err := record.Marshal(key, spec)
@@ -239,6 +245,13 @@
 	return &s, getJSON("http://"+h.AdminAddress()+state.StatusPath, &s)
 }
 
+// Explain returns how the daemon would handle a request of a team.
+func (h *Host) Explain(method, target, team string) (*front.Explanation, error) {
+	var e front.Explanation
+	query := url.Values{"method": {method}, "url": {target}, "team": {team}}
+	return &e, getJSON("http://"+h.AdminAddress()+state.ExplainPath+"?"+query.Encode(), &e)
+}
+
 // Dump returns the complete state that the daemon reports.
 func (h *Host) Dump() (*state.Dump, error) {
 	var d state.Dump
--- a/internal/objects/history.go
+++ b/internal/objects/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 
@@ -19,6 +20,9 @@
 // in logs.
 const revisionsPerHistory = 1_000_000_000_000
 
+// maxHistory is the greatest history of which all versions fit into an int64.
+const maxHistory = math.MaxInt64/revisionsPerHistory - 1
+
 // VersionAt returns the version of a revision in a history. Without restorations it equals
 // the revision.
 func VersionAt(history, revision int64) int64 { return history*revisionsPerHistory + revision }
@@ -68,7 +72,7 @@
 	if err != nil || n < 0 {
 		return 0
 	}
-	return n
+	return min(n, maxHistory)
 }
 
 // observeHistory records the history of a response.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -32,7 +32,9 @@
 // AckedChange is a record change that the platform has acknowledged.
 type AckedChange struct {
 	Version int64
-	At      time.Duration
+	// Number counts the changes. Unlike versions, it is in the record itself.
+	Number int
+	At     time.Duration
 }
 
 // Sample is the record version in force at a host, as reported by one incarnation of its daemon.
@@ -41,6 +43,8 @@
 	Incarnation int
 	QueriedAt   time.Duration
 	Version     int64
+	// Number is the number of the change in force.
+	Number int
 }
 
 // Observations is the record of one run.
@@ -210,7 +214,7 @@
 	var out []Violation
 	type process struct{ host, incarnation int }
 	newest := make(map[process]int64)
-	late := make(map[process]int64)
+	late := make(map[process]int)
 	for _, s := range o.Samples {
 		key := process{s.Host, s.Incarnation}
 		if s.Version < newest[key] {
@@ -218,9 +222,11 @@
 		}
 		newest[key] = max(newest[key], s.Version)
 		due := o.newestDue(s.QueriedAt)
-		if s.Version < due.Version && late[key] < due.Version && !o.affectedByFault(s.Host, s.QueriedAt) {
-			late[key] = due.Version
-			out = append(out, Violation{AppliedInTime, s.QueriedAt, fmt.Sprintf("host %d has version %d; version %d was acknowledged at %.3f s", s.Host, s.Version, due.Version, due.At.Seconds())})
+		isLate := s.Version < due.Version || s.Number < due.Number
+		if isLate && late[key] < due.Number && !o.affectedByFault(s.Host, s.QueriedAt) {
+			late[key] = due.Number
+			out = append(out, Violation{AppliedInTime, s.QueriedAt, fmt.Sprintf("host %d has version %d, change %d; version %d, change %d was acknowledged at %.3f s",
+				s.Host, s.Version, s.Number, due.Version, due.Number, due.At.Seconds())})
 		}
 	}
 	return out
@@ -230,7 +236,7 @@
 func (o *Observations) newestDue(at time.Duration) AckedChange {
 	var newest AckedChange
 	for _, a := range o.Acked {
-		if a.At+o.ApplyWithin+clockSlack < at && a.Version > newest.Version {
+		if a.At+o.ApplyWithin+clockSlack < at && a.Number > newest.Number {
 			newest = a
 		}
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -28,12 +28,12 @@
 		},
 		Runs:    map[string]int{"a": 1, "b": 1, "d": 1},
 		Crashes: []time.Duration{15 * second, 16 * second, 17 * second, 19 * second, 22 * second},
-		Acked:   []AckedChange{{Version: 3, At: 2 * second}, {Version: 4, At: 20 * second}},
+		Acked:   []AckedChange{{Version: 3, Number: 1, At: 2 * second}, {Version: 4, Number: 2, At: 20 * second}},
 		Samples: []Sample{
-			{Host: 0, QueriedAt: 3 * second, Version: 2}, {Host: 0, QueriedAt: 5 * second, Version: 3},
-			{Host: 0, QueriedAt: 21 * second, Version: 3}, {Host: 0, QueriedAt: 23 * second, Version: 4},
+			{Host: 0, QueriedAt: 3 * second, Version: 2}, {Host: 0, QueriedAt: 5 * second, Version: 3, Number: 1},
+			{Host: 0, QueriedAt: 21 * second, Version: 3, Number: 1}, {Host: 0, QueriedAt: 23 * second, Version: 4, Number: 2},
 			// A restarted process may start without any records.
-			{Host: 1, Incarnation: 0, QueriedAt: 4 * second, Version: 3}, {Host: 1, Incarnation: 1, QueriedAt: 9 * second, Version: 0},
+			{Host: 1, Incarnation: 0, QueriedAt: 4 * second, Version: 3, Number: 1}, {Host: 1, Incarnation: 1, QueriedAt: 9 * second, Version: 0},
 		},
 	}
 }
@@ -55,6 +55,7 @@
 		{CompleteResponse, func(r *Observations) { delete(r.Runs, "a") }},
 		{GracefulStop, func(r *Observations) { r.Requests[1].Status, r.Requests[1].Served = 0, false }},
 		{AppliedInTime, func(r *Observations) { r.Samples[3].Version = 3 }},
+		{AppliedInTime, func(r *Observations) { r.Samples[3].Number = 1 }},
 		{MonotonicVersion, func(r *Observations) { r.Samples[2].Version = 2 }},
 		{RecoversAfterFaults, func(r *Observations) { r.Requests[3].Served, r.Requests[3].Status = false, 502 }},
 		{RecoversAfterFaults, func(r *Observations) { r.Requests = r.Requests[:3] }},
@@ -78,7 +79,7 @@
 // when its host's daemon is killed.
 func TestFaultsExcuseViolations(t *testing.T) {
 	r := passingRun()
-	r.Acked = []AckedChange{{Version: 5, At: 12 * second}}
+	r.Acked = []AckedChange{{Version: 5, Number: 3, At: 12 * second}}
 	r.Samples = []Sample{{Host: 0, QueriedAt: 14900 * time.Millisecond, Version: 3}}
 	assert.Equal(t, len(r.Check()), 0, "%v", r.Check())
 	r.Samples[0].QueriedAt = 15100 * time.Millisecond
@@ -116,5 +117,5 @@
 		}
 		assert.Assert(t, overlapping > 0)
 	}
-	assert.Equal(t, len(counts), len(faultKinds)+len(addedFaultKinds))
+	assert.Equal(t, len(counts), len(faultKinds)+len(addedFaultKinds)+1, "with PlatformRestored")
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -214,6 +214,12 @@
 	case TargetFails, TargetSlow, TargetCuts, TargetLimits, TargetLeaves:
 		_ = n.target.SetBehaviour(behaviours[f.Kind])
 		return func() { _ = n.target.SetBehaviour(target.Behaviour{Mode: target.Good}) }
+	case PlatformRestored:
+		_ = r.fleet.SetPlatformFaults(platformd.Faults{Outage: true})
+		return func() {
+			_ = r.fleet.RewindPlatform(lostRevisions)
+			_ = r.fleet.SetPlatformFaults(platformd.Faults{})
+		}
 	default:
 		_ = r.fleet.SetPlatformFaults(platformFaults[f.Kind])
 		return func() { _ = r.fleet.SetPlatformFaults(platformd.Faults{}) }
@@ -229,6 +235,10 @@
 	TargetLeaves: {Mode: target.Good, Leaving: true},
 }
 
+// lostRevisions is the number of writes that a restored platform has lost: some seconds of
+// changes, and records that hosts have written in between.
+const lostRevisions = 5
+
 var platformFaults = map[FaultKind]platformd.Faults{
 	PlatformSilent:  {Silent: true},
 	PlatformRefuses: {Outage: true},
@@ -263,23 +273,34 @@
 	for sleep.For(ctx, sampleInterval) {
 		incarnation, queriedAt := r.incarnation(host), r.elapsed()
 		status, err := r.nodes[host].host.Status()
+		if err != nil {
+			continue
+		}
+		explained, err := r.nodes[host].host.Explain(http.MethodGet, "http://soak/plans/7", changedTeam)
 		if err != nil || r.incarnation(host) != incarnation {
 			continue
 		}
 		r.mu.Lock()
-		r.observed.Samples = append(r.observed.Samples, Sample{Host: host, Incarnation: incarnation, QueriedAt: queriedAt, Version: status.Control.Newest})
+		r.observed.Samples = append(r.observed.Samples, Sample{Host: host, Incarnation: incarnation, QueriedAt: queriedAt, Version: status.Control.Newest, Number: int(explained.TeamRate) - changedRateBase})
 		r.mu.Unlock()
 	}
 }
 
+const (
+	// changedTeam is the team whose record the operator changes. Its rate is changedRateBase
+	// plus the number of the change.
+	changedTeam     = "soak"
+	changedRateBase = 1000
+)
+
 // writeChanges repeatedly writes a record to the platform, as an operator on another machine does,
 // bypassing the proxies. Only changes that the platform acknowledges must be in force in time.
 func (r *run) writeChanges(ctx context.Context) {
 	client := objects.NewClient(r.fleet.Platform, time.Second)
 	defer client.Close()
-	key := record.Key{Kind: record.KindTeam, Name: "soak"}
+	key := record.Key{Kind: record.KindTeam, Name: changedTeam}
 	for n := 1; sleep.For(ctx, changeInterval); n++ {
-		value, err := record.Marshal(key, &record.Team{Office: "soak", RatePerSecond: float64(1000 + n)})
+		value, err := record.Marshal(key, &record.Team{Office: "soak", RatePerSecond: float64(changedRateBase + n)})
 		if err != nil {
 			panic("soak: " + err.Error())
 		}
@@ -293,7 +314,7 @@
 			continue
 		}
 		r.mu.Lock()
-		r.observed.Acked = append(r.observed.Acked, AckedChange{Version: written.Version, At: r.elapsed()})
+		r.observed.Acked = append(r.observed.Acked, AckedChange{Version: written.Version, Number: n, At: r.elapsed()})
 		r.mu.Unlock()
 	}
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -44,6 +44,9 @@
 	// makes it state there that it is leaving, and start again at the end of the fault.
 	TargetLimits FaultKind = "target-limits"
 	TargetLeaves FaultKind = "target-leaves"
+	// PlatformRestored makes the platform refuse all calls and then come back from an
+	// earlier state.
+	PlatformRestored FaultKind = "platform-restored"
 )
 
 // faultKinds are all kinds of fault, for Schedule to select from.
@@ -58,7 +61,7 @@
 
 // affectsPlatform reports whether the fault affects the platform rather than one host.
 func (k FaultKind) affectsPlatform() bool {
-	return k == PlatformSilent || k == PlatformRefuses || k == PlatformSlow
+	return k == PlatformSilent || k == PlatformRefuses || k == PlatformSlow || k == PlatformRestored
 }
 
 // affectsTarget reports whether the fault affects an instance rather than a daemon.
@@ -121,9 +124,19 @@
 	}
 }
 
-// addFaults adds faults of addedFaultKinds to a schedule where its other faults allow it.
+// restoredShare is the share of the platform's outages from which it comes back in an earlier
+// state.
+const restoredShare = 0.5
+
+// addFaults makes some outages of the platform restorations, and adds faults of addedFaultKinds
+// where the others allow it.
 func addFaults(out []Fault, seed uint64, hosts int, length time.Duration) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 3))
+	for i, f := range out {
+		if (f.Kind == PlatformRefuses || f.Kind == PlatformSilent) && rng.Float64() < restoredShare {
+			out[i].Kind = PlatformRestored
+		}
+	}
 	for at := firstFault; at < length-faultFreeEnd-minAddedFaultLength; at += time.Duration(rng.Int64N(int64(maxAddedFaultGap))) {
 		f := Fault{Kind: addedFaultKinds[rng.IntN(len(addedFaultKinds))], Host: rng.IntN(hosts), At: at}
 		f.Length = minAddedFaultLength + time.Duration(rng.Int64N(int64(maxAddedFaultLength-minAddedFaultLength)))
--- a/internal/standin/platformd/server.go
+++ b/internal/standin/platformd/server.go
@@ -84,9 +84,26 @@
 		s.SetFaults(f)
 		writeJSON(w, http.StatusOK, f)
 	})
+	mux.HandleFunc("PUT /standin/rewind", s.rewind)
 	return mux
 }
 
+// Rewind is the body of PUT /standin/rewind, which restores the store as it was before its
+// latest revisions.
+type Rewind struct {
+	Revisions int `json:"revisions"`
+}
+
+func (s *Server) rewind(w http.ResponseWriter, r *http.Request) {
+	var body Rewind
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Store.Rewind(body.Revisions)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // withFaults counts a call and applies the injected faults to it.
 func (s *Server) withFaults(count *int64, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platformd/store.go
+++ b/internal/standin/platformd/store.go
@@ -59,6 +59,26 @@
 	s.history++
 }
 
+// Rewind restores the state before the latest n revisions, as far as all events are retained.
+func (s *Store) Rewind(n int) {
+	s.mu.Lock()
+	if s.compacted > 0 {
+		s.mu.Unlock()
+		return
+	}
+	c := Checkpoint{objects: make(map[record.Key]objects.Object), events: s.events[:max(len(s.events)-n, 0)]}
+	s.mu.Unlock()
+	for _, e := range c.events {
+		c.revision = e.Version
+		if e.Deleted {
+			delete(c.objects, e.Key())
+			continue
+		}
+		c.objects[e.Key()] = e
+	}
+	s.Restore(c)
+}
+
 // History returns the number of restorations.
 func (s *Store) History() int64 {
 	s.mu.Lock()
