guard: an instance that has just started gets requests in all its slots

Cause: the caution of a process that does not know yet whether an instance is limited applied to new instances as well, which have stated nothing to anybody. Measured: TestStartedInstanceGetsRequestsInAllSlots, failing before.

--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -68,6 +68,14 @@
 // isLeaving reports whether the instance wants no new requests.
 func (a *Announcement) isLeaving() bool { return a.Leaving || a.State == stateDraining }
 
+// maxFirstSequence is the highest sequence number of an announcement by which an instance that
+// has just started is recognised. Its first announcement may have been lost.
+const maxFirstSequence = 2
+
+// isFirst reports whether the instance has just started, so that no earlier process on this
+// host has known it.
+func (a *Announcement) isFirst() bool { return a.Sequence > 0 && a.Sequence <= maxFirstSequence }
+
 // connections returns the number of connections the instance accepts: the announced
 // one, or enough for its slots plus connections that are being closed or opened.
 func (a *Announcement) connections() int {
@@ -89,7 +97,7 @@
 	}
 	if created {
 		event.Log(g.log, event.InstanceAnnounced, slog.String("instance", name),
-			slog.String("service", a.Service), slog.String("address", a.Address), slog.Int("slots", a.Slots))
+			slog.String("service", a.Service), slog.String("address", a.Address), slog.Int("slots", a.Slots), slog.Uint64("sequence", a.Sequence))
 	}
 	if inst.refresh(now, a) || created {
 		g.onChanged()
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -131,8 +131,8 @@
 	}
 	processCtx, cancelProcess := context.WithCancel(context.Background())
 	queueConfig := g.queueConfig(a.Slots)
-	mayStateLimit := g.cfg.Dialect.RateLimit != ""
-	if mayStateLimit {
+	mayBeLimited := g.cfg.Dialect.RateLimit != "" && !a.isFirst()
+	if mayBeLimited {
 		queueConfig.RateLimit = unknownRateLimit
 	}
 	return &instance{
@@ -142,7 +142,7 @@
 			Address: a.Address, MaxConns: a.connections(), IdleTimeout: g.cfg.TargetIdleTimeout,
 			DialTimeout: dialTimeout, Dial: g.cfg.Dial, EchoesRequestID: g.cfg.Dialect.EchoesRequestID,
 		}),
-		queue: admit.NewQueue(queueConfig), rateLimitKnown: !mayStateLimit,
+		queue: admit.NewQueue(queueConfig), rateLimitKnown: !mayBeLimited,
 		detector: detect.NewDetector(params),
 		waiters:  make(map[admit.ID]*waiter),
 		slots:    a.Slots, maxConns: a.connections(), softwareVersion: a.Version, lastAnnounced: now,
--- a/internal/guard/ratelimit.go
+++ b/internal/guard/ratelimit.go
@@ -36,8 +36,8 @@
 	i.deliver(i.queue.SetRateLimit(now, queueRateLimit(limit)))
 }
 
-// unknownRateLimit applies until the first response of an instance, which may have stated a
-// limit to an earlier process on this host.
+// unknownRateLimit applies until the first response of an instance that has not just started:
+// it may have stated a limit to an earlier process on this host.
 var unknownRateLimit = admit.RateLimit{PerSecond: 0.5, Burst: 3}
 
 // rateLimitBurst is the time whose requests may be sent at once to an instance that states a
--- a/internal/guard/ratelimit_test.go
+++ b/internal/guard/ratelimit_test.go
@@ -84,3 +84,22 @@
 	i.observeRateLimit(now, now, limitHeader(""))
 	assert.Equal(t, i.queue.BusySlots(), 4)
 }
+
+// An instance that has just started has stated nothing to an earlier process.
+func TestStartedInstanceGetsRequestsInAllSlots(t *testing.T) {
+	now := time.Now()
+	g := newTestGuard(t, "127.0.0.1:1")
+	g.cfg.Dialect = header.Default()
+	for sequence, known := range map[uint64]bool{0: false, 1: true, 2: true, 3: false} {
+		i := newInstance(g, "n", Announcement{Service: "s", Address: "127.0.0.1:1", Slots: 8, Sequence: sequence}, now)
+		assert.Equal(t, i.rateLimitKnown, known, "sequence %d", sequence)
+		for range 8 {
+			i.queue.Offer(now, requestOf(now, &i.nextID))
+		}
+		want := 3
+		if known {
+			want = 8
+		}
+		assert.Equal(t, i.queue.BusySlots(), want, "sequence %d", sequence)
+	}
+}
