admit: requests wait while it is not known whether an instance is limited

What callers saw: 503, target-limit, for some of 20 requests that arrived together just after a daemon's start, although the next response would show that there is no limit. Cause: the limit that applies until the first response, 3 requests and one each 2 s, was also taken for the wait that a request has to expect, longer than its objective, and was reported to the fronts. Change: such a limit is provisional: it delays starts, and what waits for it waits as for a slot.

--- a/internal/core/admit/ratelimit.go
+++ b/internal/core/admit/ratelimit.go
@@ -10,6 +10,9 @@
 	// PerSecond is the number of requests that may start per second, and Burst the number
 	// that may start at once after a pause.
 	PerSecond, Burst float64
+	// Provisional limits are expected to be replaced with the next response. They delay
+	// starts, but requests are not refused for the wait that they would cause if they stayed.
+	Provisional bool
 }
 
 // tokenBucket enforces a RateLimit. Each start takes one token.
@@ -53,6 +56,14 @@
 	return time.Duration(math.Ceil(missing / b.limit.PerSecond * float64(time.Second)))
 }
 
+// expectedWait is wait, but 0 for a provisional limit.
+func (b *tokenBucket) expectedWait(now time.Time, n int) time.Duration {
+	if b.limit.Provisional {
+		return 0
+	}
+	return b.wait(now, n)
+}
+
 // tokenTolerance absorbs rounding errors, so that a token is available when wait has passed.
 const tokenTolerance = 1e-6
 
@@ -68,9 +79,9 @@
 }
 
 // RateLimitWait returns how long the rate limit delays the next request to be offered, behind
-// those that are waiting.
+// those that are waiting. A provisional limit does not count.
 func (q *Queue) RateLimitWait(now time.Time) time.Duration {
-	return q.rateLimit.wait(now, q.queued+1)
+	return q.rateLimit.expectedWait(now, q.queued+1)
 }
 
 // mayStart reports whether a slot and the rate limit allow a request to start.
--- a/internal/core/admit/ratelimit_test.go
+++ b/internal/core/admit/ratelimit_test.go
@@ -93,3 +93,24 @@
 	}
 	assert.Equal(t, len(q.SetRateLimit(base, RateLimit{})), 2)
 }
+
+// Guards against the refusal of requests that arrive together at an instance of which the next
+// response will show that it has no limit.
+func TestProvisionalLimitQueuesRequests(t *testing.T) {
+	q := NewQueue(Config{Slots: 4, QueuePerSlot: 4, RateLimit: RateLimit{PerSecond: 0.5, Burst: 3, Provisional: true}})
+	started := 0
+	for id := range ID(12) {
+		r := request(id, 0)
+		r.Deadline = base.Add(time.Second)
+		switch d := q.Offer(base, r)[0]; d.Action {
+		case Start:
+			started++
+		default:
+			assert.Equal(t, d.Action, Wait, "request %d", id)
+		}
+	}
+	assert.Equal(t, started, 3)
+	assert.Equal(t, q.RateLimitWait(base), time.Duration(0))
+	assert.Equal(t, len(q.Done(base, 0, 0)), 0, "a slot alone starts no further request")
+	assert.Equal(t, len(q.SetRateLimit(base, RateLimit{})), 2)
+}
--- a/internal/core/admit/wait.go
+++ b/internal/core/admit/wait.go
@@ -60,7 +60,7 @@
 			}
 		})
 	}
-	return max(ahead/time.Duration(max(q.cfg.Slots, 1)), q.rateLimit.wait(now, requestsAhead+1))
+	return max(ahead/time.Duration(max(q.cfg.Slots, 1)), q.rateLimit.expectedWait(now, requestsAhead+1))
 }
 
 // waitReason returns the reason to refuse a request because of its expected wait.
--- a/internal/guard/ratelimit.go
+++ b/internal/guard/ratelimit.go
@@ -38,7 +38,7 @@
 
 // unknownRateLimit applies until the first response of an instance that has not just started:
 // it may have stated a limit to an earlier process on this host.
-var unknownRateLimit = admit.RateLimit{PerSecond: 0.5, Burst: 3}
+var unknownRateLimit = admit.RateLimit{PerSecond: 0.5, Burst: 3, Provisional: true}
 
 // rateLimitBurst is the time whose requests may be sent at once to an instance that states a
 // rate limit.
