guard, announce: one rule for the first announcements of a start

Cause, by reading: the highest sequence by which a start is recognised stood twice, once for accepting announcements and once for the caution with a rate limit; a comment left out that a stated limit is raised to the lowest one applied. Change: Stamp.IsFirst serves both; behaviour is unchanged. Measured: internal/guard and internal/core/announce pass with the race detector; staticcheck is clean on both.

--- a/internal/core/announce/announce.go
+++ b/internal/core/announce/announce.go
@@ -54,6 +54,10 @@
 	Sequence uint64
 }
 
+// IsFirst reports whether the announcement is one of the first of its start. The very first
+// may have been lost.
+func (s Stamp) IsFirst() bool { return s.Sequence > 0 && s.Sequence <= maxFirstSequence }
+
 // entry is what is known about one instance.
 type entry struct {
 	address string
@@ -135,7 +139,7 @@
 	case stamp.StartedMS > e.latest.StartedMS:
 		return true
 	default:
-		return stamp.Sequence > 0 && stamp.Sequence <= maxFirstSequence || now.Sub(e.lastSeen) > holderTimeout
+		return stamp.IsFirst() || now.Sub(e.lastSeen) > holderTimeout
 	}
 }
 
--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -68,13 +68,10 @@
 // isLeaving reports whether the instance wants no new requests.
 func (a *Announcement) isLeaving() bool { return a.Leaving || a.State == stateDraining }
 
-// maxFirstSequence is the highest sequence number of an announcement by which an instance that
-// has just started is recognised. Its first announcement may have been lost.
-const maxFirstSequence = 2
-
-// isFirst reports whether the instance has just started, so that no earlier process on this
-// host has known it.
-func (a *Announcement) isFirst() bool { return a.Sequence > 0 && a.Sequence <= maxFirstSequence }
+// stamp returns the part of the announcement that orders the announcements of the instance.
+func (a *Announcement) stamp() announce.Stamp {
+	return announce.Stamp{StartedMS: a.StartedMS, Sequence: a.Sequence}
+}
 
 // connections returns the number of connections the instance accepts: the announced
 // one, or enough for its slots plus connections that are being closed or opened.
@@ -121,7 +118,7 @@
 		}
 		return nil, false, errors.Errorf("service: no Service record in force is named %q; use the name of an existing one", a.Service)
 	}
-	outcome := g.announcements.Apply(now, name, a.Address, announce.Stamp{StartedMS: a.StartedMS, Sequence: a.Sequence})
+	outcome := g.announcements.Apply(now, name, a.Address, a.stamp())
 	if !outcome.Accepted {
 		return nil, false, nil
 	}
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -131,7 +131,8 @@
 	}
 	processCtx, cancelProcess := context.WithCancel(context.Background())
 	queueConfig := g.queueConfig(a.Slots)
-	mayBeLimited := g.cfg.Dialect.RateLimit != "" && !a.isFirst()
+	// An instance that has just started has stated nothing to an earlier process.
+	mayBeLimited := g.cfg.Dialect.RateLimit != "" && !a.stamp().IsFirst()
 	if mayBeLimited {
 		queueConfig.RateLimit = unknownRateLimit
 	}
--- a/internal/guard/ratelimit.go
+++ b/internal/guard/ratelimit.go
@@ -56,7 +56,8 @@
 // that got no requests could not state that its limit has changed.
 const minRateLimit = 0.1
 
-// parseRateLimit returns the rate limit in a header, in requests per second. stated is false
+// parseRateLimit returns the rate limit in a header, in requests per second, raised to
+// minRateLimit. stated is false
 // if there is none. valid is false if it is not a decimal number of at least 0.
 func parseRateLimit(h http.Header, name string) (limit float64, stated, valid bool) {
 	value := ""
