admit: a grant reserves its start in the rate limit

A grant took a token when it was given; returned after the bucket had filled again, the token came on top of the burst. Capping it at the burst (tried) leaves the other case: the token of a grant keeps no room in the bucket, so it comes back although a full bucket would not have held it.

A grant now reserves a token, which stays in the bucket until its request starts. Revoke returns the reservations too, which it did not.

The check is stricter, without the life of a grant as an allowance, and a second property covers restarts.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -202,7 +202,7 @@
 	var out []Decision
 	for _, t := range q.tickets {
 		if t.state == granted {
-			q.busy--
+			q.releaseSlot(t)
 			out = append(out, q.refuse(t, verdict.ReasonGrantExpired, 0))
 		}
 	}
@@ -278,6 +278,7 @@
 		q.releaseSlot(t)
 		return Decision{ID: id, Action: Refuse, Reason: verdict.ReasonGrantExpired}
 	}
+	q.rateLimit.useReserved(now)
 	t.state = running
 	return Decision{ID: id, Action: Start}
 }
@@ -361,12 +362,13 @@
 // assignSlot assigns a free slot to a request, by a grant if the request asks for one.
 func (q *Queue) assignSlot(now time.Time, t *ticket) Decision {
 	q.busy++
-	q.rateLimit.take()
 	if t.Reserve {
+		q.rateLimit.reserve()
 		t.state = granted
 		t.expires = now.Add(q.cfg.GrantTTL)
 		return Decision{ID: t.ID, Action: Grant}
 	}
+	q.rateLimit.take()
 	t.state = running
 	return Decision{ID: t.ID, Action: Start}
 }
@@ -374,7 +376,7 @@
 // releaseSlot removes a granted or running request and releases its slot.
 func (q *Queue) releaseSlot(t *ticket) {
 	if t.state == granted {
-		q.rateLimit.giveBack()
+		q.rateLimit.release()
 	}
 	delete(q.tickets, t.ID)
 	q.busy--
--- a/internal/core/admit/ratelimit.go
+++ b/internal/core/admit/ratelimit.go
@@ -15,10 +15,16 @@
 	Provisional bool
 }
 
-// tokenBucket enforces a RateLimit. Each start takes one token.
+// tokenBucket enforces a RateLimit. Each start takes one token, and each grant reserves one,
+// which stays in the bucket until the grant is used: it takes up room there, so that a grant
+// that is not used leaves the bucket as if it had not been given.
 type tokenBucket struct {
-	limit  RateLimit
+	limit RateLimit
+	// tokens are the available tokens, without the reserved ones. It is negative if a lower
+	// limit has left room for fewer than are reserved.
 	tokens float64
+	// reserved is the number of tokens reserved by grants.
+	reserved int
 	// updatedAt is when tokens was last computed.
 	updatedAt time.Time
 }
@@ -31,14 +37,17 @@
 		b.tokens = 0
 	}
 	b.limit = limit
-	b.tokens = min(b.tokens, limit.Burst)
+	b.tokens = min(b.tokens, b.capacity())
 }
 
+// capacity is the number of available tokens at which the bucket is full.
+func (b *tokenBucket) capacity() float64 { return b.limit.Burst - float64(b.reserved) }
+
 func (b *tokenBucket) unlimited() bool { return b.limit == RateLimit{} }
 
 func (b *tokenBucket) refill(now time.Time) {
 	if elapsed := now.Sub(b.updatedAt); elapsed > 0 {
-		b.tokens = min(b.tokens+elapsed.Seconds()*b.limit.PerSecond, b.limit.Burst)
+		b.tokens = min(b.tokens+elapsed.Seconds()*b.limit.PerSecond, b.capacity())
 		b.updatedAt = now
 	}
 }
@@ -67,9 +76,26 @@
 // tokenTolerance absorbs rounding errors, so that a token is available when wait has passed.
 const tokenTolerance = 1e-6
 
-// take takes one token, and giveBack returns the token of a request that did not start.
-func (b *tokenBucket) take()     { b.tokens-- }
-func (b *tokenBucket) giveBack() { b.tokens++ }
+// take takes one token for a request that starts.
+func (b *tokenBucket) take() { b.tokens-- }
+
+// reserve reserves one token for a grant.
+func (b *tokenBucket) reserve() {
+	b.tokens--
+	b.reserved++
+}
+
+// useReserved takes the token of a grant whose request starts.
+func (b *tokenBucket) useReserved(now time.Time) {
+	b.refill(now)
+	b.reserved--
+}
+
+// release makes the token of a grant available that will not be used.
+func (b *tokenBucket) release() {
+	b.tokens++
+	b.reserved--
+}
 
 // SetRateLimit changes the rate limit. Requests that have started or hold a grant are not
 // affected.
--- a/internal/core/admit/ratelimit_test.go
+++ b/internal/core/admit/ratelimit_test.go
@@ -12,8 +12,17 @@
 
 // For any sequence of operations, no more requests start in any span than the burst and the
 // rate allow. Grants that are not used take nothing from it.
-func TestStartsStayWithinRateLimit(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+func TestStartsStayWithinRateLimit(t *testing.T) { rapid.Check(t, checkStarts(false)) }
+
+// The same, for an instance that restarts.
+func TestStartsStayWithinRateLimitAcrossRestarts(t *testing.T) { rapid.Check(t, checkStarts(true)) }
+
+func checkStarts(restarts bool) func(*rapid.T) {
+	lastOp := 4
+	if restarts {
+		lastOp = 5
+	}
+	return func(t *rapid.T) {
 		q := newTestQueue(rapid.IntRange(1, 8).Draw(t, "slots"))
 		limit := RateLimit{PerSecond: rapid.Float64Range(0.2, 20).Draw(t, "rate")}
 		limit.Burst = max(limit.PerSecond, 1)
@@ -30,7 +39,7 @@
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
 			id := ID(rapid.IntRange(1, int(next)+1).Draw(t, "id"))
-			switch rapid.IntRange(0, 4).Draw(t, "op") {
+			switch rapid.IntRange(0, lastOp).Draw(t, "op") {
 			case 0, 1:
 				next++
 				r := request(next, 0)
@@ -44,15 +53,49 @@
 				record(q.Done(now, id, 0))
 			case 4:
 				record(q.Tick(now))
+			case 5:
+				q.Revoke()
 			}
 		}
 		for a := range starts {
 			for b := a; b < len(starts); b++ {
-				span := starts[b].Sub(starts[a]) + newTestQueue(1).cfg.GrantTTL
+				span := starts[b].Sub(starts[a])
 				assert.Assert(t, float64(b-a+1) <= limit.Burst+limit.PerSecond*span.Seconds()+2*tokenTolerance)
 			}
 		}
-	})
+	}
+}
+
+// Guards against a grant that is returned after the bucket has filled again and so lifts the
+// tokens above the burst, or restores a token that the full bucket would not have held.
+func TestReturnedGrantDoesNotExceedBurst(t *testing.T) {
+	for _, startsBefore := range []ID{0, 1} {
+		q := newTestQueue(4)
+		q.SetRateLimit(base, RateLimit{PerSecond: 0.5, Burst: 1})
+		now := base.Add(2 * time.Second)
+		r := request(1, 0)
+		r.Reserve = true
+		assert.Equal(t, q.Offer(now, r)[0].Action, Grant)
+		now = now.Add(2 * time.Second)
+		started := ID(0)
+		for id := range startsBefore {
+			if q.Offer(now, request(10+id, 0))[0].Action == Start {
+				started++
+			}
+		}
+		_, ds := q.Cancel(now, 1)
+		for _, d := range ds {
+			if d.Action == Start {
+				started++
+			}
+		}
+		for id := ID(2); id < 6; id++ {
+			if q.Offer(now, request(id, 0))[0].Action == Start {
+				started++
+			}
+		}
+		assert.Equal(t, started, ID(1))
+	}
 }
 
 func TestExpiredGrantReturnsItsStart(t *testing.T) {
