--- a/cmd/radishhoistd/main.go
+++ b/cmd/radishhoistd/main.go
@@ -21,6 +21,7 @@
 
 func main() {
 	settings.Adapters = append(settings.Adapters, platform.AdapterName)
+	settings.OverloadTerms[platform.AdapterName] = platform.OverloadTerm
 	cmd := &cli.Command{
 		Name:  "radishhoistd",
 		Usage: "proxy daemon of one target host: front, guard and control",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -119,12 +119,30 @@
 	Preset     string
 	FloorShare float64
 	RetryShare float64
+
+	// Terms are the terms that the platform states to be in force, as it names them.
+	Terms []string
+	// Areas maps each data centre to its area. Traffic between areas is slow and expensive.
+	Areas map[string]string
+	// AreaLinkMbps is the capacity of the link between areas each way, in Mbit/s; 0 means
+	// that it is not known.
+	AreaLinkMbps int
+	// PipelineDepth is the maximum number of requests of one caller's connection that are
+	// handled at the same time.
+	PipelineDepth int
+	// FairShares divides the slots of a service among teams by weight, over all hosts.
+	// LearnRefusals judges instances that refuse requests by comparison with their service,
+	// and saves retry budget. LearnSpeed measures the speed of instances at their guards.
+	FairShares, LearnRefusals, LearnSpeed bool
+
+	fairShares, learnRefusals, learnSpeed toggle
 }
 
 // Default returns the default settings. Required keys such as addresses are empty.
 func Default() *Config {
 	c := staticDefaults()
 	c.deriveTimings()
+	c.resolveToggles()
 	return c
 }
 
@@ -180,6 +198,7 @@
 		problems = append(problems, fmt.Sprintf("%s: [listen] announce: %v; expected a loopback IP address and a port, for example 127.0.0.1:7700", path, err))
 	}
 	c.deriveTimings()
+	c.resolveToggles()
 	if err := c.checkPropagationDelay(); err != nil {
 		problems = append(problems, fmt.Sprintf("%s: [control] apply_within: %s is too short: %v; shorten or remove these keys, or set a longer apply_within", path, c.ApplyWithin, err))
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -39,6 +39,9 @@
 		{"bad time", validSettings + "[guard]\ngrant_life = 250\n", []string{`"250" is not a duration with a unit`, "10ms to 10s"}},
 		{"out of bounds", validSettings + "[control]\nwatchers_per_dc = 99\n", []string{"99 is out of bounds", "1 to 16"}},
 		{"two errors", strings.Replace(validSettings, "name = h1", "name = a b", 1) + "[log]\nlevel = loud\n", []string{"[host] name", "[log] level"}},
+		{"area without name", validSettings + "[peers]\nareas = a:north, b\n", []string{"[peers] areas", `"b" is not a pair of names`}},
+		{"data centre in two areas", validSettings + "[peers]\nareas = a:north, a:south\n", []string{`data centre "a" is in two areas`}},
+		{"bad toggle", validSettings + "[teams]\nfair_shares = on\n", []string{"[teams] fair_shares", "one of auto, yes, no"}},
 		{"bad URL", strings.Replace(validSettings, "http://127.0.0.1:7000", "127.0.0.1", 1), []string{"[platform] url"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -58,3 +61,37 @@
 		assert.Assert(t, k.doc != "" && k.unit != "" && k.bound != "" && k.expected != "", k.name)
 	}
 }
+
+// Guards against features that change the decisions of a deployment whose settings do not ask
+// for them.
+func TestFeaturesFollowFromTermsAndAreas(t *testing.T) {
+	const adapter, term = "test-adapter", "crowded"
+	Adapters, OverloadTerms[adapter] = append(Adapters, adapter), term
+	t.Cleanup(func() {
+		Adapters = Adapters[:len(Adapters)-1]
+		delete(OverloadTerms, adapter)
+	})
+	withAdapter := strings.Replace(validSettings, "[platform]\n", "[platform]\nadapter = "+adapter+"\n", 1)
+	for _, c := range []struct {
+		name, text                            string
+		fairShares, learnRefusals, learnSpeed bool
+	}{
+		{name: "nothing asked for", text: withAdapter},
+		{name: "other terms", text: withAdapter + "terms = base,drain\n"},
+		{name: "one area", text: withAdapter + "[peers]\nareas = a:north,b:north\n"},
+		{name: "the term of another adapter", text: validSettings + "terms = " + term + "\n"},
+		{name: "overload", text: withAdapter + "terms = base," + term + "\n", fairShares: true, learnRefusals: true},
+		{name: "several areas", text: withAdapter + "[peers]\nareas = a:north,b:south\n", learnRefusals: true, learnSpeed: true},
+		{name: "turned off", text: withAdapter + "terms = " + term + "\n[teams]\nfair_shares = no\n"},
+		{name: "turned on", text: validSettings + "[guard]\nlearn_speed = yes\n", learnSpeed: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cfg, err := Parse("f.ini", []byte(c.text))
+			assert.NilError(t, err)
+			assert.Equal(t, cfg.FairShares, c.fairShares)
+			assert.Equal(t, cfg.LearnRefusals, c.learnRefusals)
+			assert.Equal(t, cfg.LearnSpeed, c.learnSpeed)
+		})
+	}
+	assert.Equal(t, Default().PipelineDepth, 1)
+}
