front: instances of hosts that do not reply to load queries are avoided

A front asks the guards of twelve candidates before a choice. One that did not reply was judged by what it had reported before, so a frozen or cut-off host went on being chosen: 62 of 230 attempts in 2 s, 37 of them lost, most after 300 ms, and the retries that followed found no budget at healthy instances beside a free slot.

A missing reply now counts as a probability of loss: 0.3 when the choice is made, for hosts that can reply in time, 0.8 after 150 ms. It combines with the failure estimate, so that an instance known to fail most requests is not preferred. Trials do not go to hosts that have not replied for 150 ms. Two counters show unanswered queries and those that were only late.

The simulated hosts now answer load queries after a freeze, not during it. Leaving such candidates out altogether, tried before, breaks TestMissingReplyDelaysChoiceByTimeoutAtMost: it prefers an instance that fails most requests.

--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -92,6 +92,7 @@
 			CrashingRequests: make(map[string]*CrashStats),
 			RateLimited:      make(map[string]*RateLimitStats),
 			LateArrivals:     make(map[string]int),
+			FrozenInstances:  make(map[string]bool),
 		},
 	}
 	for _, c := range s.CrashingRequests {
@@ -287,20 +288,29 @@
 // SendLoadQuery implements front.LoadQuerier.
 func (h *host) SendLoadQuery(address string, q *msg.LoadQuery) {
 	h.sendTo([]string{address}, func(other *host) {
-		d := other.daemon()
-		if d == nil {
+		if left := other.freezeTimeLeft(); left > 0 {
+			time.AfterFunc(left, func() { other.replyToLoadQuery(h, q) })
 			return
 		}
-		load, ok := d.guard.Load(q.Service, q.Instance)
-		if !ok {
-			return
-		}
-		other.instance.setTrueHealth(&load)
-		reply := &msg.LoadReply{ID: q.ID, Index: q.Index, Load: load}
-		other.sendTo([]string{h.name}, func(asking *host) { asking.deliver(func(d *daemon) { d.front.HandleLoadReply(reply) }) })
+		other.replyToLoadQuery(h, q)
 	})
 }
 
+// replyToLoadQuery sends the load of an instance of this host to the host that asked.
+func (h *host) replyToLoadQuery(asking *host, q *msg.LoadQuery) {
+	d := h.daemon()
+	if d == nil {
+		return
+	}
+	load, ok := d.guard.Load(q.Service, q.Instance)
+	if !ok {
+		return
+	}
+	h.instance.setTrueHealth(&load)
+	reply := &msg.LoadReply{ID: q.ID, Index: q.Index, Load: load}
+	h.sendTo([]string{asking.name}, func(to *host) { to.deliver(func(d *daemon) { d.front.HandleLoadReply(reply) }) })
+}
+
 // broadcast delivers a message to all other hosts, with the delay of one forwarding host. Hosts on the
 // other side of a partition receive it with the first repair after the partition.
 func (h *host) broadcast(deliver func(*daemon)) {
--- a/internal/fleetsim/hostfaults.go
+++ b/internal/fleetsim/hostfaults.go
@@ -17,8 +17,11 @@
 	Host int
 }
 
-// scheduleHostFaults schedules the restarts of daemons.
+// scheduleHostFaults schedules the restarts of daemons and records the freezes.
 func (f *fleet) scheduleHostFaults() {
+	for _, fr := range f.scenario.HostFreezes {
+		f.result.FrozenInstances[f.hosts[fr.Host].instance.name] = true
+	}
 	for _, r := range f.scenario.HostRestarts {
 		time.AfterFunc(r.At, func() { f.hosts[r.Host].restartDaemon(r.Downtime) })
 	}
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -152,6 +152,8 @@
 	// LateArrivals are the requests that reached an instance although their host had passed
 	// on that it is leaving, by the name of its incarnation.
 	LateArrivals map[string]int
+	// FrozenInstances are the names of the instances whose host freezes.
+	FrozenInstances map[string]bool
 	// LeavingResponses is the number of responses by which instances stated it.
 	LeavingResponses int
 }
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -128,7 +128,7 @@
 	var best *target
 	lowest := 0.0
 	for _, t := range st.targets {
-		if !t.observed.wantsTrial(now) || !t.Usable() || !p.reachable(t.Host.Name) || !t.observed.eligibleForTrial(now, idempotent, retryable) {
+		if !t.observed.wantsTrial(now) || !t.Usable() || !p.reachable(t.Host.Name) || !t.observed.eligibleForTrial(now, idempotent, retryable) || t.unansweredLoss(now, "") > 0 {
 			continue
 		}
 		estimate := t.observed.failureEstimate.SickForSelection(now, failureModel) + trialEstimateJitter*rng.Float64()
--- a/internal/front/cost.go
+++ b/internal/front/cost.go
@@ -20,7 +20,7 @@
 		Slots: t.Slots, Running: int(t.observed.load.Running), QueuedWork: req.queuedAhead(now, t.observed.load),
 		LoadAge: now.Sub(t.observed.loadAt), Typical: typical, Pending: t.observed.pending, Service: t.serviceTime(expected),
 		RoundTrip: p.roundTrip(t.Host.Name), WarmUpProgress: warmUpProgress, Local: t.Host.DC == cfg.DC,
-		FailureProbability: t.observed.failureChance(now),
+		FailureProbability: 1 - (1-t.observed.failureChance(now))*(1-t.unansweredLoss(now, cfg.DC)),
 	}
 }
 
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -17,21 +17,26 @@
 	aborted         *metrics.Counter
 	budgetExhausted *metrics.Counter
 	trials          *metrics.Counter
-	duration        *metrics.Histogram
+	// unansweredQueries counts the load queries without a reply in time for their choice, and
+	// lateReplies the replies of hosts in this data centre that arrived after it.
+	unansweredQueries, lateReplies *metrics.Counter
+	duration                       *metrics.Histogram
 }
 
 func newCounters() counters {
 	set := metrics.NewSet()
 	return counters{
-		set:             set,
-		requests:        set.NewCounter("radishhoist_requests_total"),
-		answered:        set.NewCounter("radishhoist_answered_total"),
-		retries:         set.NewCounter("radishhoist_retries_total"),
-		hedges:          set.NewCounter("radishhoist_hedges_total"),
-		aborted:         set.NewCounter("radishhoist_aborted_total"),
-		budgetExhausted: set.NewCounter("radishhoist_repeats_unpaid_total"),
-		trials:          set.NewCounter("radishhoist_trials_total"),
-		duration:        set.NewHistogram("radishhoist_duration_seconds"),
+		set:               set,
+		requests:          set.NewCounter("radishhoist_requests_total"),
+		answered:          set.NewCounter("radishhoist_answered_total"),
+		retries:           set.NewCounter("radishhoist_retries_total"),
+		hedges:            set.NewCounter("radishhoist_hedges_total"),
+		aborted:           set.NewCounter("radishhoist_aborted_total"),
+		budgetExhausted:   set.NewCounter("radishhoist_repeats_unpaid_total"),
+		trials:            set.NewCounter("radishhoist_trials_total"),
+		unansweredQueries: set.NewCounter("radishhoist_load_queries_unanswered_total"),
+		lateReplies:       set.NewCounter("radishhoist_load_replies_late_total"),
+		duration:          set.NewHistogram("radishhoist_duration_seconds"),
 	}
 }
 
--- a/internal/front/loadquery.go
+++ b/internal/front/loadquery.go
@@ -107,6 +107,13 @@
 	return q, q.targets[i], true
 }
 
+// unanswered returns the number of targets that have not replied.
+func (l *loadQueries) unanswered(q *loadQuery) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return q.unanswered
+}
+
 // recordReply counts a reply whose load has been applied.
 func (l *loadQueries) recordReply(q *loadQuery) {
 	l.mu.Lock()
@@ -122,17 +129,22 @@
 	if !ok {
 		return
 	}
-	q.state.updateQueriedLoad(time.Now(), t, r.Load)
+	if late := q.state.updateQueriedLoad(time.Now(), t, r.Load); late && t.Host.DC == f.cfg.DC {
+		f.counts.lateReplies.Inc()
+	}
 	f.loadQueries.recordReply(q)
 }
 
 // updateQueriedLoad records the load of a reply. Replies do not ask for trials, so that an
-// earlier load report that does remains valid.
-func (st *serviceState) updateQueriedLoad(now time.Time, t *target, load msg.Load) {
+// earlier load report that does remains valid. late reports whether the choice that asked has
+// been made without it.
+func (st *serviceState) updateQueriedLoad(now time.Time, t *target, load msg.Load) (late bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	late = !t.observed.unansweredSince.IsZero() && now.Sub(t.observed.unansweredSince) > loadQueryTimeout
 	load.WantsTrial = t.observed.wantsTrial(now)
 	t.observed.updateLoad(now, load)
+	return late
 }
 
 // sampleCandidates returns the targets among which the next choice for a request is made,
@@ -150,6 +162,7 @@
 		return sampled
 	}
 	q := f.loadQueries.add(req.state, outdated)
+	req.state.recordQueries(now, outdated)
 	for i, t := range outdated {
 		f.loadQuerier.SendLoadQuery(t.Host.PeerAddr, &msg.LoadQuery{ID: q.id, Index: uint8(i), Service: t.Service, Instance: t.Name})
 	}
@@ -158,6 +171,7 @@
 	select {
 	case <-q.complete:
 	case <-timeout.C:
+		f.counts.unansweredQueries.Add(f.loadQueries.unanswered(q))
 	case <-ctx.Done():
 	}
 	return sampled
--- a/internal/front/loadquery_test.go
+++ b/internal/front/loadquery_test.go
@@ -41,8 +41,8 @@
 func newQueryingFront(hosts int) (*Front, *request, *scriptedGuards) {
 	f := &Front{
 		cfg: Config{Host: "front", DC: "dc"}, paths: newPaths(slog.Default()),
-		loadQueries: newLoadQueries(),
-		guard:       guard.New(guard.Config{Host: "front"}, guard.Limits{}, slog.Default(), nil, guard.Hooks{}),
+		loadQueries: newLoadQueries(), counts: newCounters(),
+		guard: guard.New(guard.Config{Host: "front"}, guard.Limits{}, slog.Default(), nil, guard.Hooks{}),
 	}
 	guards := &scriptedGuards{front: f, delays: map[string]time.Duration{}, loads: map[string]msg.Load{}}
 	f.SetLoadQuerier(guards)
@@ -142,3 +142,48 @@
 		assert.Assert(t, len(guards.asked) > maxLoadQueryRate)
 	})
 }
+
+// Guards against requests to a frozen or cut-off host, whose last report was the best one, while
+// an instance that replies has room.
+func TestHostWithoutReplyIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, req, guards := newQueryingFront(2)
+		guards.loads["h1"] = msg.Load{Slots: 4, Running: 2}
+		host, _ := chooseHost(f, req)
+		assert.Equal(t, host, "h0")
+		delete(guards.delays, "h0")
+		time.Sleep(2 * localLoadMaxAge)
+		host, _ = chooseHost(f, req)
+		assert.Equal(t, host, "h1")
+		assert.Equal(t, f.counts.unansweredQueries.Get(), uint64(1))
+		guards.delays["h0"] = loadQueryTimeout + time.Millisecond
+		time.Sleep(2 * localLoadMaxAge)
+		_, _ = chooseHost(f, req)
+		time.Sleep(loadQueryTimeout)
+		assert.Equal(t, f.counts.lateReplies.Get(), uint64(1))
+		host, _ = chooseHost(f, req)
+		assert.Equal(t, host, "h0", "it has replied again")
+	})
+}
+
+// A host of another data centre cannot reply within the time of one choice. It is avoided only
+// once it has left a query of an earlier choice unanswered for long.
+func TestRemoteHostWithoutReplyIsAvoidedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, req, guards := newQueryingFront(2)
+		req.state.targets[0].Host.DC = "far"
+		guards.delays["h0"] = 2 * loadQueryTimeout
+		guards.loads["h1"] = msg.Load{Slots: 4, FailureEstimate: 500}
+		_, _ = chooseHost(f, req)
+		time.Sleep(2 * remoteLoadMaxAge)
+		host, _ := chooseHost(f, req)
+		assert.Equal(t, host, "h0", "healthy by its last reply")
+		delete(guards.delays, "h0")
+		time.Sleep(2 * remoteLoadMaxAge)
+		host, _ = chooseHost(f, req)
+		assert.Equal(t, host, "h0")
+		time.Sleep(longUnanswered)
+		host, _ = chooseHost(f, req)
+		assert.Equal(t, host, "h1")
+	})
+}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -52,6 +52,9 @@
 	pending int
 	load    msg.Load
 	loadAt  time.Time
+	// unansweredSince is when the first load query was sent since the guard's load was last
+	// received; zero for none.
+	unansweredSince time.Time
 	// trialWantedAt is when its guard began to ask for a trial.
 	trialWantedAt time.Time
 	// failureEstimate is the guard's estimate of the probability that the instance is
@@ -262,7 +265,7 @@
 	if load.WantsTrial && !o.wantsTrial(now) {
 		o.trialWantedAt = now
 	}
-	o.load, o.loadAt = load, now
+	o.load, o.loadAt, o.unansweredSince = load, now, time.Time{}
 	o.failureEstimate = chance.EstimateAt(now, load.FailureProbability())
 	o.shedShare = chance.DecayingShareAt(now, float64(load.ShedShare)/msg.Thousandths)
 }
