front: pipelined requests of a caller run concurrently

Cause: see the package pipeline. Callers of the pipelined kinds waited for the sum of the service times of what they had sent.

Change: with [limits] pipeline_depth above 1 the front wraps its listener and its handler with package pipeline. What may overlap is idempotent by its route, on a host that does not drain. With 1 nothing is wrapped.

The tests of connections in internal/front and internal/daemon now run with depths 1 and 8; those and internal/docscheck, internal/settings and platform pass.

Found: a run of internal/pipeline under the race detector ended with "ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346" twice in about 60 runs. The cause is being looked for; no test failed otherwise.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -46,14 +46,18 @@
 	return web.URL
 }
 
-// startDaemons starts two daemons that use the given platform.
-func startDaemons(tb testing.TB, platform string) []*Daemon {
+// startDaemons starts two daemons that use the given platform, with changes of the default
+// settings.
+func startDaemons(tb testing.TB, platform string, changes ...func(*settings.Config)) []*Daemon {
 	tb.Helper()
 	var daemons []*Daemon
 	for i := range 2 {
 		cfg := settings.Default()
 		cfg.Host, cfg.DC, cfg.Platform = fmt.Sprintf("h%d", i), "dc", platform
 		cfg.DrainTimeout = 10 * time.Second
+		for _, change := range changes {
+			change(cfg)
+		}
 		daemons = append(daemons, startOnFreePorts(tb, cfg))
 	}
 	return daemons
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,7 +135,7 @@
 	d.front = front.New(front.Config{
 		Host: cfg.Host, DC: cfg.DC, BufferBodyBytes: cfg.BufferBodyBytes,
 		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxConns: cfg.ConnBound(),
-		HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout,
+		PipelineDepth: cfg.PipelineDepth, HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout,
 		Service: cfg.Service, Dialect: adapter.Dialect,
 	}, frontLimits(cfg), log, nil, d.guard, d.keys)
 	d.front.SetRateLimiter(d.teams)
--- a/internal/daemon/transfer_test.go
+++ b/internal/daemon/transfer_test.go
@@ -17,15 +17,17 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/guard"
+	"github.com/radishhoist/radishhoist/internal/settings"
 )
 
 // startTransferPair starts two daemons, the second of which has an instance with the given
-// handler. Requests to the first one pass through both.
-func startTransferPair(t *testing.T, handler http.HandlerFunc) (front, host *Daemon) {
+// handler. Requests to the first one pass through both. Changes apply to the default
+// settings.
+func startTransferPair(t *testing.T, handler http.HandlerFunc, changes ...func(*settings.Config)) (front, host *Daemon) {
 	t.Helper()
 	instance := httptest.NewServer(handler)
 	t.Cleanup(instance.Close)
-	daemons := startDaemons(t, startPlatform(t))
+	daemons := startDaemons(t, startPlatform(t), changes...)
 	stop := make(chan struct{})
 	var announcing sync.WaitGroup
 	announcing.Add(1)
@@ -190,12 +192,18 @@
 // response that closes the connection is sent again elsewhere, of whatever kind it is, and
 // must not have run.
 func TestRequestsBehindClosingResponseDoNotRun(t *testing.T) {
+	for _, depth := range pipelineDepths {
+		t.Run(fmt.Sprintf("pipeline depth %d", depth), func(t *testing.T) { testRequestsBehindClosingResponse(t, depth) })
+	}
+}
+
+func testRequestsBehindClosingResponse(t *testing.T, depth int) {
 	var third atomic.Int64
 	front, _ := startTransferPair(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/third" {
 			third.Add(1)
 		}
-	})
+	}, pipelined(depth))
 	for _, c := range []struct {
 		name, second string
 		drain        bool
@@ -225,11 +233,17 @@
 // A response may be sent before the request body has been read. The connection stays usable
 // for the next request, and the rest of the body is not taken for one.
 func TestConnectionIsKeptAfterResponseBeforeBody(t *testing.T) {
+	for _, depth := range pipelineDepths {
+		t.Run(fmt.Sprintf("pipeline depth %d", depth), func(t *testing.T) { testConnectionIsKept(t, depth) })
+	}
+}
+
+func testConnectionIsKept(t *testing.T, depth int) {
 	front, _ := startTransferPair(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			w.WriteHeader(http.StatusForbidden)
 		}
-	})
+	}, pipelined(depth))
 	conn, err := net.Dial("tcp", front.cfg.Load().Callers)
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/pipeline"
 	"github.com/radishhoist/radishhoist/record"
 )
 
@@ -19,9 +20,14 @@
 }
 
 // LimitListener wraps a listener. It bounds the number of connections and applies the header
-// and idle timeouts of the current configuration.
+// and idle timeouts of the current configuration. Its connections read pipelined requests
+// ahead if the settings allow that.
 func (f *Front) LimitListener(l net.Listener) net.Listener {
-	return &limitListener{Listener: l, front: f, sem: make(chan struct{}, f.cfg.MaxConns)}
+	limited := &limitListener{Listener: l, front: f, sem: make(chan struct{}, f.cfg.MaxConns)}
+	if f.pipeline == nil {
+		return limited
+	}
+	return f.pipeline.Listener(limited)
 }
 
 // Accept implements net.Listener.
@@ -56,6 +62,9 @@
 // trackConnState records a connection's state: a new one awaits its first header, an idle
 // one the next request and then that request's header.
 func trackConnState(nc net.Conn, state http.ConnState) {
+	if p, ok := nc.(*pipeline.Conn); ok {
+		nc = p.NetConn()
+	}
 	c, ok := nc.(*callerConn)
 	if !ok {
 		return
--- a/internal/front/conns_test.go
+++ b/internal/front/conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -21,16 +22,16 @@
 
 // serveFront serves callers on a loopback address with the given configuration limits. The
 // settings allow a minute for each timeout.
-func serveFront(t *testing.T, limits record.Limits) (*Front, string) {
+func serveFront(t *testing.T, limits record.Limits, pipelineDepth int) (*Front, string) {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	g := guard.New(guard.Config{Host: "h"}, guard.Limits{}, log, nil, guard.Hooks{Changed: func() {}, LoadReport: func(*msg.LoadReport, loadreport.Scope) {}})
-	f := New(Config{Host: "h", MaxConns: 8, HeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10, BufferBodyBytes: 1 << 10, Dialect: header.Default()},
+	f := New(Config{Host: "h", MaxConns: 8, HeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10, BufferBodyBytes: 1 << 10, PipelineDepth: pipelineDepth, Dialect: header.Default()},
 		Limits{MaxBodyBytes: 1 << 20}, log, nil, g, nil)
 	records := directory.Compile([]*record.Record{{
 		Key: record.Key{Kind: record.KindConfiguration, Name: "main"},
 		Spec: &record.Configuration{
-			Routes:   []record.NamedRoute{{Name: "r", Route: record.Route{PathPrefix: "/a/", Service: "s"}}},
+			Routes:   []record.NamedRoute{{Name: "r", Route: record.Route{PathPrefix: "/a/", Service: "s"}}, {Name: "unsafe", Route: record.Route{PathPrefix: "/unsafe/", Service: "s", Idempotent: "no"}}},
 			Services: []record.NamedService{{Name: "s"}},
 			Limits:   &limits,
 		},
@@ -44,6 +45,13 @@
 	return f, l.Addr().String()
 }
 
+// forEachPipelineDepth runs a test with pipelined requests one by one, and concurrently.
+func forEachPipelineDepth(t *testing.T, f func(t *testing.T, depth int)) {
+	for _, depth := range []int{1, 8} {
+		t.Run(fmt.Sprintf("pipeline depth %d", depth), func(t *testing.T) { f(t, depth) })
+	}
+}
+
 // timeUntilClosed waits until the other end closes the connection.
 func timeUntilClosed(t *testing.T, nc net.Conn) time.Duration {
 	t.Helper()
@@ -57,7 +65,11 @@
 // The settings allow a minute, but the configuration has much shorter timeouts. They apply
 // to the first header on a connection and to the wait for its next request.
 func TestConfigurationBoundsIdleTimeAndHeaderTime(t *testing.T) {
-	_, addr := serveFront(t, record.Limits{IdleTimeoutMS: 50, HeaderTimeoutMS: 100})
+	forEachPipelineDepth(t, testIdleTimeAndHeaderTime)
+}
+
+func testIdleTimeAndHeaderTime(t *testing.T, pipelineDepth int) {
+	_, addr := serveFront(t, record.Limits{IdleTimeoutMS: 50, HeaderTimeoutMS: 100}, pipelineDepth)
 	slow, err := net.Dial("tcp", addr)
 	assert.NilError(t, err)
 	_, err = slow.Write([]byte("GET /a/ HTTP/1.1\r\nHost:"))
@@ -77,7 +89,11 @@
 // The header and idle timeouts do not apply to the body: a body that takes longer than the
 // header timeout is read completely.
 func TestBodyMayTakeLongerThanHeaderTimeout(t *testing.T) {
-	_, addr := serveFront(t, record.Limits{IdleTimeoutMS: 50, HeaderTimeoutMS: 100})
+	forEachPipelineDepth(t, testBodyMayTakeLonger)
+}
+
+func testBodyMayTakeLonger(t *testing.T, pipelineDepth int) {
+	_, addr := serveFront(t, record.Limits{IdleTimeoutMS: 50, HeaderTimeoutMS: 100}, pipelineDepth)
 	nc, err := net.Dial("tcp", addr)
 	assert.NilError(t, err)
 	defer func() { _ = nc.Close() }()
@@ -92,7 +108,11 @@
 }
 
 func TestConfigurationBoundsSizes(t *testing.T) {
-	_, addr := serveFront(t, record.Limits{MaxHeaderBytes: 400, MaxBodyBytes: 10})
+	forEachPipelineDepth(t, testBoundsSizes)
+}
+
+func testBoundsSizes(t *testing.T, pipelineDepth int) {
+	_, addr := serveFront(t, record.Limits{MaxHeaderBytes: 400, MaxBodyBytes: 10}, pipelineDepth)
 	for _, c := range []struct {
 		name, request string
 		want          int
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -17,6 +17,7 @@
 	aborted         *metrics.Counter
 	budgetExhausted *metrics.Counter
 	trials          *metrics.Counter
+	pipelined       *metrics.Counter
 	duration        *metrics.Histogram
 }
 
@@ -31,6 +32,7 @@
 		aborted:         set.NewCounter("radishhoist_aborted_total"),
 		budgetExhausted: set.NewCounter("radishhoist_repeats_unpaid_total"),
 		trials:          set.NewCounter("radishhoist_trials_total"),
+		pipelined:       set.NewCounter("radishhoist_pipelined_requests_total"),
 		duration:        set.NewHistogram("radishhoist_duration_seconds"),
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/pipeline"
 	"github.com/radishhoist/radishhoist/internal/wire"
 )
 
@@ -34,6 +35,9 @@
 	MaxHeaderBytes int
 	// MaxConns is the maximum number of caller connections.
 	MaxConns int
+	// PipelineDepth is the maximum number of requests of one caller's connection that are
+	// handled at the same time. With 1 or less, each waits for the response before it.
+	PipelineDepth int
 	// HeaderTimeout is the time limit for reading a request header.
 	HeaderTimeout time.Duration
 	// IdleTimeout is how long an idle caller connection is kept open.
@@ -61,6 +65,9 @@
 	guard           *guard.Guard
 	idempotencyKeys IdempotencyKeys
 
+	// pipeline runs pipelined requests concurrently; nil if they are handled one by one.
+	pipeline *pipeline.Pipeline
+
 	limits      atomic.Pointer[Limits]
 	dir         atomic.Pointer[directory.Directory]
 	rateLimiter RateLimiter
@@ -86,6 +93,7 @@
 	f.dir.Store(&directory.Directory{})
 	f.services.byName = make(map[string]*serviceState)
 	f.counts, f.loadQueries = newCounters(), newLoadQueries()
+	f.pipeline = f.newPipeline()
 	return f
 }
 
@@ -143,7 +151,7 @@
 
 // Server returns the HTTP server for callers. The caller serves and shuts it down.
 func (f *Front) Server() *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: f.cfg.HeaderTimeout,
 		IdleTimeout:       f.cfg.IdleTimeout,
@@ -151,6 +159,10 @@
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 		ConnState:         trackConnState,
 	}
+	if f.pipeline != nil {
+		s.Handler, s.ConnContext = f.pipeline, f.pipeline.ConnContext
+	}
+	return s
 }
 
 // rng returns a random source for one request. Each request has its own, so that no lock is
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -114,13 +114,8 @@
 	}
 	req := &request{id: requestID(r), arrived: time.Now(), http: r}
 	req.nestedRetryChance, req.originIdle = f.guard.CallOrigin()
-	host := r.Host
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	req.route = dir.Routes.Match(strings.ToLower(host), rawPath(r), r.Method)
-	if req.route == nil {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoRoute, "no route matches "+r.Method+" "+host+r.URL.Path)
+	if req.route = matchRoute(dir, r); req.route == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoRoute, "no route matches "+r.Method+" "+hostname(r)+r.URL.Path)
 	}
 	service := pickWeightedService(f.rng(), req.route.WeightedServices())
 	var ok bool
@@ -149,6 +144,19 @@
 	return req, nil
 }
 
+// matchRoute returns the route of a request, or nil.
+func matchRoute(dir *directory.Directory, r *http.Request) *route.Route {
+	return dir.Routes.Match(strings.ToLower(hostname(r)), rawPath(r), r.Method)
+}
+
+// hostname is the request's host without a port.
+func hostname(r *http.Request) string {
+	if h, _, err := net.SplitHostPort(r.Host); err == nil {
+		return h
+	}
+	return r.Host
+}
+
 // pickWeightedService picks one of the services of a route at random by weight.
 func pickWeightedService(rng *rand.Rand, services []record.WeightedService) string {
 	sum := 0
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -14,6 +14,8 @@
 const (
 	// readAheadBytes is the free space made for a read ahead.
 	readAheadBytes = 4 << 10
+	// keptBytes is the largest buffer that is kept while it is empty.
+	keptBytes = 512
 	// headerSlopBytes is by how much net/http lets a request head exceed MaxHeaderBytes.
 	headerSlopBytes = 4 << 10
 )
@@ -116,7 +118,7 @@
 // consume removes n bytes from the start of the buffer.
 func (c *Conn) consume(n int) {
 	c.buf = append(c.buf[:0], c.buf[n:]...)
-	if len(c.buf) == 0 {
+	if len(c.buf) == 0 && cap(c.buf) > keptBytes {
 		c.buf = nil
 	}
 }
@@ -155,9 +157,12 @@
 		if len(c.buf) >= c.maxBuffered() {
 			return c.passRest(p)
 		}
-		if err := c.fill(); err != nil {
+		// Reading into p needs no free space in the buffer.
+		n, err := c.Conn.Read(p[:min(len(p), c.maxBuffered()-len(c.buf))])
+		if n == 0 {
 			return 0, err
 		}
+		c.buf = append(c.buf, p[:n]...)
 	}
 	limit := len(c.buf)
 	if end > 0 {
@@ -244,10 +249,10 @@
 	}
 	var err error
 	if len(c.buf) == 0 {
-		// The buffer is made when the first byte has arrived: most callers send none.
+		// A larger buffer is made once a byte has arrived: most callers send none.
 		var n int
 		if n, err = c.Conn.Read(scratch); n > 0 {
-			c.buf, err = append(make([]byte, 0, readAheadBytes), scratch[:n]...), nil
+			c.buf, err = append(c.buf, scratch[:n]...), nil
 		}
 	} else {
 		err = c.fill()
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -471,3 +471,39 @@
 		assert.Assert(t, cancelled.Err() != nil)
 	}
 }
+
+// BenchmarkOrdinaryRequest is a request on a kept connection, without pipelining.
+func BenchmarkOrdinaryRequest(b *testing.B) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") })
+	p := New(Config{
+		Depth: 8, MaxHeaderBytes: 64 << 10, Started: func() {},
+		MayOverlap: func(*http.Request) (int, bool) { return testRecordBytes, true },
+	}, h)
+	for _, c := range []struct {
+		name string
+		wrap bool
+	}{{"plain", false}, {"wrapped", true}} {
+		b.Run(c.name, func(b *testing.B) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(b, err)
+			s := &http.Server{Handler: h}
+			if c.wrap {
+				s, l = &http.Server{Handler: p, ConnContext: p.ConnContext}, p.Listener(l)
+			}
+			go func() { _ = s.Serve(l) }()
+			defer func() { _ = s.Close() }()
+			nc, err := net.Dial("tcp", l.Addr().String())
+			assert.NilError(b, err)
+			defer func() { _ = nc.Close() }()
+			request := "GET /a/b?c=d HTTP/1.1\r\nHost: host.example\r\nUser-Agent: a\r\nAccept: */*\r\nX-Request-Id: 0123456789abcdef\r\n\r\n"
+			response := make([]byte, 4<<10)
+			b.ReportAllocs()
+			for b.Loop() {
+				_, err = io.WriteString(nc, request)
+				assert.NilError(b, err)
+				_, err = nc.Read(response)
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
