--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -17,6 +17,7 @@
 	aborted         *metrics.Counter
 	budgetExhausted *metrics.Counter
 	trials          *metrics.Counter
+	pipelined       *metrics.Counter
 	// unansweredQueries counts the load queries without a reply in time for their choice, and
 	// lateReplies the replies of hosts in this data centre that arrived after it.
 	unansweredQueries, lateReplies *metrics.Counter
@@ -34,6 +35,7 @@
 		aborted:           set.NewCounter("radishhoist_aborted_total"),
 		budgetExhausted:   set.NewCounter("radishhoist_repeats_unpaid_total"),
 		trials:            set.NewCounter("radishhoist_trials_total"),
+		pipelined:         set.NewCounter("radishhoist_pipelined_requests_total"),
 		unansweredQueries: set.NewCounter("radishhoist_load_queries_unanswered_total"),
 		lateReplies:       set.NewCounter("radishhoist_load_replies_late_total"),
 		duration:          set.NewHistogram("radishhoist_duration_seconds"),
