--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -117,6 +117,22 @@
 	return max(left, 0)
 }
 
+// Wait returns the time until Hold is expected to permit a retry, because earlier ones have
+// left the window, and false if that is not expected. It assumes that requests keep
+// arriving as in the current window.
+func (b *Budget) Wait(now time.Time, minRemaining float64) (time.Duration, bool) {
+	missing := 1 + minRemaining*b.allowance(now) - b.Available(now)
+	interval := max(b.limits.Window/bucketsPerWindow, time.Millisecond)
+	untilNext := interval - now.Sub(b.created)%interval
+	for k := range bucketCount + 1 {
+		if missing <= 0 {
+			return max(untilNext+time.Duration(k-1)*interval, 0), true
+		}
+		missing -= b.buckets[(b.newestBucket+1+int64(k))%bucketCount].retries
+	}
+	return 0, false
+}
+
 // allowance returns the number of retries allowed in the window. It ignores the requests
 // of the oldest bucket, which the window covers only partly.
 func (b *Budget) allowance(now time.Time) float64 {
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -109,3 +109,21 @@
 	}
 	assert.Equal(t, b.Available(now), 0.0, "calls of first runs must not add to the allowance either")
 }
+
+// The wait ends when enough earlier retries have left the window, not before.
+func TestWaitIsUntilRetryIsPermitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget(time.Unix(0, 0), Limits{Reserve: 4, Window: 10 * time.Second})
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 40).Draw(t, "retries") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "gapMS")) * time.Millisecond)
+			b.Take(now)
+		}
+		keep := rapid.Float64Range(0, 0.7).Draw(t, "keep")
+		wait, ok := b.Wait(now, keep)
+		assert.Assert(t, ok, "all retries leave the window")
+		before := *b
+		assert.Equal(t, before.Hold(now.Add(wait-time.Nanosecond), keep), wait == 0)
+		assert.Assert(t, b.Hold(now.Add(wait), keep))
+	})
+}
