guard: count all refusals and order retries with LearnRefusals

Cause: a guard counted a refusal only with a free slot, so that the share of a full instance fell and fronts preferred it. Retries got the last budget first come first served, and a host that had paused its retries reported budget that it did not grant.

Change: with Config.LearnRefusals all refusals count, retries get scarce budget in the order of package refusal, a refusal says when there is budget again, and a paused host reports none. Without it every decision is as before. radishhoist_instance_shed_total tells refusals with a free slot from others.

TestGuardsTogetherStayWithinRetryBudget now draws either order, and passes.

--- a/internal/guard/counters.go
+++ b/internal/guard/counters.go
@@ -52,5 +52,14 @@
 	c.set.GetOrCreateCounter(`radishhoist_instance_ended_total{outcome="` + outcome + `"}`).Inc()
 }
 
+// shed counts a request that the instance refused, by whether it had a free slot.
+func (c *counters) shed(free bool) {
+	slot := "none"
+	if free {
+		slot = "free"
+	}
+	c.set.GetOrCreateCounter(`radishhoist_instance_shed_total{slot="` + slot + `"}`).Inc()
+}
+
 // Metrics returns the guard's metrics for the admin endpoint.
 func (g *Guard) Metrics() *metrics.Set { return g.counts.set }
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -15,7 +15,7 @@
 	i.mu.Lock()
 	switch {
 	case r.shed:
-		i.shedShare.Observe(now, i.hadFreeSlot(now))
+		i.shedShare.Observe(now, i.countsAsShed(now))
 	case r.aborted:
 		i.lastAborted = now
 	default:
@@ -148,7 +148,7 @@
 		Slots:     uint32(i.slots), Running: uint32(i.queue.BusySlots()), Queued: uint32(i.queue.Queued()),
 		Health: uint8(i.detector.Health()), Evidence: uint32(i.detector.Evidence() * evidenceScale),
 		FailureEstimate: uint16(failureProbability * msg.Thousandths), ShedShare: uint16(i.shedShare.At(now) * msg.Thousandths),
-		RetryBudgetLeft: i.guard.retryBudgets.remaining(now, i.service),
+		RetryBudgetLeft: i.reportedBudget(now),
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -39,6 +39,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Dialect names the headers exchanged with the instances.
 	Dialect header.Dialect
+	// LearnRefusals counts every refusal of an instance in its shed share, and keeps scarce
+	// retry budget for the retries that save more.
+	LearnRefusals bool
 }
 
 // Limits holds the parameters of a Guard that may change while it runs.
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -48,8 +48,7 @@
 	// any result.
 	lastFailed time.Time
 	lastEnded  time.Time
-	// shedShare is the share of recent requests that were refused while a slot was
-	// free.
+	// shedShare is the share of recent requests that the instance refused, see countsAsShed.
 	shedShare chance.DecayingShare
 	// lastAborted is when a request was last aborted.
 	lastAborted time.Time
--- a/internal/guard/retrybudget.go
+++ b/internal/guard/retrybudget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/core/directory"
+	refusals "github.com/radishhoist/radishhoist/internal/core/refusal"
 	"github.com/radishhoist/radishhoist/internal/core/retry"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
@@ -50,6 +51,8 @@
 	// routeClassifier tells routes used by callers from routes used for calls between
 	// services.
 	routeClassifier *retry.RouteClassifier
+	// order keeps scarce budget for the retries that save more, with LearnRefusals.
+	order refusals.Order
 	// share is the number of retries allowed per request.
 	share float64
 	// guards is the number of guards among which the reserve is divided.
--- a/internal/guard/retrybudget_test.go
+++ b/internal/guard/retrybudget_test.go
@@ -15,6 +15,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/radishhoist/radishhoist/internal/core/directory"
+	refusals "github.com/radishhoist/radishhoist/internal/core/refusal"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/wire"
 	"github.com/radishhoist/radishhoist/record"
@@ -43,11 +44,19 @@
 
 // Over all guards of a service together, with hosts that stop, restart and leave the
 // directory, the retries of every window must stay within the allowance: a fifth of
-// the requests plus the reserve.
+// the requests plus the reserve, in whatever order they are granted.
 func TestGuardsTogetherStayWithinRetryBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		guards := rapid.IntRange(2, 9).Draw(t, "guards")
+		inOrder := rapid.Bool().Draw(t, "in order")
+		reserve := func(r *retryBudgets, now time.Time) bool {
+			if !inOrder {
+				return r.reserve(now, "s", msg.AdmissionHints{})
+			}
+			granted, _ := r.reserveInOrder(now, "s", refusals.Retry{NotRun: rng.IntN(2) == 0, Priority: uint8(rng.IntN(4))}, 0)
+			return granted
+		}
 		now := time.Unix(1000, 0)
 		all := make([]*retryBudgets, guards)
 		alive := make([]bool, guards)
@@ -77,7 +86,7 @@
 			}
 			all[i].end(all[i].begin(now, "s", false, true, msg.AdmissionHints{}))
 			firstAttempts = append(firstAttempts, now)
-			for all[i].reserve(now, "s", msg.AdmissionHints{}) {
+			for reserve(all[i], now) {
 				all[i].end(all[i].begin(now, "s", true, true, msg.AdmissionHints{}))
 				retries = append(retries, now)
 			}
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -101,8 +101,8 @@
 		x.refuse(e)
 		return false
 	}
-	if !x.reserveRetry(hints) {
-		x.refuse(refusal(verdict.ReasonRetryBudget, "this host's part of the retry budget is spent"))
+	if granted, wait := x.reserveRetry(hints, r); !granted {
+		x.refuse(retryBudgetRefusal(wait))
 		return false
 	}
 	r.ExpectedServiceTime, r.AllowLate = time.Duration(hints.ExpectedMS)*time.Millisecond, hints.AllowLate
@@ -241,14 +241,19 @@
 }
 
 // reserveRetry reserves the request's share of the retry budget, and returns false if
-// the budget is spent. A first attempt is never refused.
-func (x *exchange) reserveRetry(hints msg.AdmissionHints) bool {
+// the budget is spent, with the time until budget is expected again, 0 if unknown. A first
+// attempt is never refused.
+func (x *exchange) reserveRetry(hints msg.AdmissionHints, r admit.Request) (granted bool, wait time.Duration) {
 	x.hints = hints
-	if !hints.UsesRetryBudget {
-		return true
+	switch {
+	case !hints.UsesRetryBudget:
+		return true, 0
+	case x.guard.cfg.LearnRefusals:
+		x.retryReserved, wait = x.guard.retryBudgets.reserveInOrder(x.arrived, x.inst.service, retryOf(hints, r), hints.Route)
+	default:
+		x.retryReserved = x.guard.retryBudgets.reserve(x.arrived, x.inst.service, hints)
 	}
-	x.retryReserved = x.guard.retryBudgets.reserve(x.arrived, x.inst.service, hints)
-	return x.retryReserved
+	return x.retryReserved, wait
 }
 
 // releaseRetry returns an unused reservation to the budget.
@@ -261,7 +266,7 @@
 // load returns the load that is sent with the end of the request.
 func (x *exchange) load() msg.Load {
 	l := x.inst.load()
-	l.RetryBudgetOverdrawn = x.nestedRetryChance > 0 && l.RetryBudgetLeft == 0
+	l.RetryBudgetOverdrawn = x.nestedRetryChance > 0 && x.budgetOverdrawn(l)
 	return l
 }
 
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -26,8 +26,7 @@
 	// FailureEstimate is the estimated probability that the instance currently fails most
 	// requests.
 	FailureEstimate float64 `json:"sick"`
-	// ShedShare is the share of recent requests that were refused while a slot was
-	// free.
+	// ShedShare is the share of recent requests that the instance refused, see countsAsShed.
 	ShedShare float64 `json:"refuses"`
 	// RetryBudgetLeft is the number of retries left in this host's part of the service's
 	// retry budget.
--- a/internal/msg/requests.go
+++ b/internal/msg/requests.go
@@ -32,7 +32,7 @@
 	// currently fails most of its requests, in thousandths.
 	FailureEstimate uint16
 	// ShedShare is the share of recent requests that the instance refused although it
-	// had a free slot, in thousandths.
+	// had a free slot, in thousandths. Guards with LearnRefusals count all that it refused.
 	ShedShare uint16
 	// RetryBudgetLeft is the number of retries left in the guard's part of the service's
 	// retry budget.
