front: compare refusals with the service, do not ask for spent budget

Cause: when all of a service refused, fronts sent most requests to instances that had refused less by chance, and each request that could not be retried asked one guard after the other for budget.

Change: with Config.LearnRefusals an instance is judged by ServiceShare. Before a retry the load of guards is queried that reported over 150 ms ago that nothing is left; guards known to have nothing for this retry are not asked, none is if all known ones have nothing, and three at most. A request that did not run gets the time until budget is expected as Retry-After, at most 1 s. Without the setting every decision is as before. Metrics: radishhoist_retries_not_asked_total and radishhoist_service_shed_share.

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -53,6 +53,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.refreshOldCandidates(now, req.service, f.paths, f.cfg)
+	st.refreshShare(now)
 	var t *target
 	var why string
 	if a := f.guard.CrashAssessment(req.fingerprint); a.Crashes > 0 {
@@ -167,7 +168,7 @@
 		eligible, local = st.untried(eligible, tried), st.untried(local, tried)
 	}
 	if usesRetryBudget {
-		withBudget := func(t *target) bool { return t.observed.retryBudgetLeft(now) }
+		withBudget := func(t *target) bool { return t.observed.mayGrantRetry(now) }
 		eligible, local = st.filter(eligible, withBudget), st.filter(local, withBudget)
 	}
 	return eligible, local
--- a/internal/front/cost.go
+++ b/internal/front/cost.go
@@ -33,7 +33,7 @@
 // failureChance is the probability that a request sent to the instance is lost. The caller
 // must hold the service's lock.
 func (o *observations) failureChance(now time.Time) float64 {
-	return 1 - (1-o.failureEstimate.FailureProbability(now, failureModel))*(1-refusalFailureWeight*o.shedShare.At(now))
+	return 1 - (1-o.failureEstimate.FailureProbability(now, failureModel))*(1-refusalFailureWeight*o.refusalChance(now))
 }
 
 const (
--- a/internal/front/counters.go
+++ b/internal/front/counters.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"strings"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/radishhoist/radishhoist/verdict"
@@ -17,6 +19,7 @@
 	aborted         *metrics.Counter
 	budgetExhausted *metrics.Counter
 	trials          *metrics.Counter
+	retriesNotAsked *metrics.Counter
 	duration        *metrics.Histogram
 }
 
@@ -31,6 +34,7 @@
 		aborted:         set.NewCounter("radishhoist_aborted_total"),
 		budgetExhausted: set.NewCounter("radishhoist_repeats_unpaid_total"),
 		trials:          set.NewCounter("radishhoist_trials_total"),
+		retriesNotAsked: set.NewCounter("radishhoist_retries_not_asked_total"),
 		duration:        set.NewHistogram("radishhoist_duration_seconds"),
 	}
 }
@@ -39,5 +43,28 @@
 	c.set.GetOrCreateCounter(`radishhoist_failed_total{reason="` + string(e.Reason) + `",verdict="` + e.Verdict.String() + `"}`).Inc()
 }
 
+const shedShareMetric = `radishhoist_service_shed_share{service="`
+
+// addShedShare adds the gauge of a service's share of refused requests, unless it exists.
+func (c *counters) addShedShare(service string, share func() float64) {
+	c.set.GetOrCreateGauge(shedShareMetric+service+`"}`, share)
+}
+
+// removeShedShare removes the gauge of a service that no longer exists.
+func (c *counters) removeShedShare(service string) {
+	c.set.UnregisterMetric(shedShareMetric + service + `"}`)
+}
+
+// shedShareServices returns the services that have a gauge.
+func (c *counters) shedShareServices() []string {
+	var out []string
+	for _, name := range c.set.ListMetricNames() {
+		if service, ok := strings.CutPrefix(name, shedShareMetric); ok {
+			out = append(out, strings.TrimSuffix(service, `"}`))
+		}
+	}
+	return out
+}
+
 // Metrics returns the front's metrics for the admin endpoint.
 func (f *Front) Metrics() *metrics.Set { return f.counts.set }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -43,6 +43,9 @@
 	Service string
 	// Dialect names the HTTP headers used with callers and targets.
 	Dialect header.Dialect
+	// LearnRefusals judges instances that refuse requests by comparison with their service,
+	// and does not ask for retry budget where it is known to be used up.
+	LearnRefusals bool
 }
 
 // Limits holds the parameters of a Front that can change at run time.
@@ -97,6 +100,7 @@
 // SetDirectory replaces the directory used to serve requests.
 func (f *Front) SetDirectory(d *directory.Directory) {
 	f.services.update(d, f.paths, f.cfg)
+	f.registerShedShares(d)
 	f.dir.Store(d)
 }
 
--- a/internal/front/loadquery.go
+++ b/internal/front/loadquery.go
@@ -188,7 +188,7 @@
 			continue
 		}
 		sampled = append(sampled, t)
-		if now.Sub(t.observed.loadAt) > maxLoadAge(t, f.cfg) {
+		if now.Sub(t.observed.loadAt) > maxLoadAge(t, f.cfg) || usesRetryBudget && t.observed.queryBeforeRetry(now) {
 			outdated = append(outdated, t)
 		}
 	}
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -74,6 +74,7 @@
 		}
 	}
 	combined.RetryAfterMS = e.retryAfterMS()
+	e.addRetryBudgetWait(&combined)
 	if combined.RetryAfterMS == 0 && combined.Reason != verdict.ReasonCancelled {
 		combined.RetryAfterMS = defaultRetryAfter.Milliseconds()
 	}
@@ -87,6 +88,8 @@
 	longest, shortestLimit := int64(0), int64(0)
 	for _, fail := range e.failures {
 		switch {
+		case fail.Reason == verdict.ReasonRetryBudget:
+			// See addRetryBudgetWait.
 		case fail.Reason != verdict.ReasonTargetLimit:
 			longest = max(longest, fail.RetryAfterMS)
 		case shortestLimit == 0 || fail.RetryAfterMS < shortestLimit:
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -32,6 +32,12 @@
 	done bool
 	// summary describes the attempts so far.
 	summary attemptSummary
+	// guardsAsked is the number of attempts that draw on the retry budget, whether or not the
+	// guard granted them.
+	guardsAsked int
+	// retryBudgetWait is the time until retry budget is expected again, 0 if the request did
+	// not lack any.
+	retryBudgetWait time.Duration
 	// cancelPrimary cancels the primary attempt if the hedge responds first.
 	cancelPrimary context.CancelFunc
 
@@ -86,6 +92,7 @@
 		return pick{}, false
 	}
 	options := attemptOptions{usesRetryBudget: e.reachedInstance || hedge, hedge: hedge, allowLate: len(e.failures) >= onTimeAttempts}
+	sampled = e.askable(sampled, options)
 	p, ok := e.front.choose(e.req, sampled, e.tried, options.usesRetryBudget, e.rng)
 	if !ok {
 		e.noteBudgetExhausted(options.usesRetryBudget)
@@ -96,6 +103,9 @@
 	}
 	e.tried = append(e.tried, p.target)
 	e.summary.attempts++
+	if options.usesRetryBudget {
+		e.guardsAsked++
+	}
 	p.options = options
 	return p, true
 }
@@ -127,6 +137,7 @@
 	if o.fail != nil && o.fail.Reason == verdict.ReasonRetryBudget {
 		e.mu.Lock()
 		e.noteBudgetExhausted(true)
+		e.recordBudgetRefusal(p, o.fail)
 		e.mu.Unlock()
 	}
 	return o
@@ -150,7 +161,7 @@
 			refused++
 		}
 	}
-	return e.summary.attempts-refused >= e.req.route.Attempts() || refused >= maxGuardRefusals
+	return e.summary.attempts-refused >= e.req.route.Attempts() || refused >= maxGuardRefusals || e.askedEnough()
 }
 
 // onTimeAttempts is the number of failures before attempts accept a place in the queue that
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -8,6 +8,7 @@
 	"github.com/radishhoist/radishhoist/internal/core/detect"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/eject"
+	"github.com/radishhoist/radishhoist/internal/core/refusal"
 	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
@@ -34,6 +35,8 @@
 	// leaving are the instances that have stated in a response to this host that they are
 	// leaving, by target.key.
 	leaving map[string]leavingMark
+	// refusals is nil without Config.LearnRefusals.
+	refusals *serviceRefusals
 }
 
 // target is an instance in one version of the directory, with this front's observations of
@@ -58,8 +61,12 @@
 	// failing most requests.
 	failureEstimate chance.Estimate
 	// shedShare is the share of requests that the instance refuses although it has free
-	// slots.
+	// slots, or, if its guard has LearnRefusals, the share of all that it refuses.
 	shedShare chance.DecayingShare
+	// refusals belongs to the service, and is nil without Config.LearnRefusals. budget is
+	// what is known of the guard's retry budget.
+	refusals *serviceRefusals
+	budget   refusal.GuardBudget
 	// latencyRatio is the instance's service time relative to that of other instances on
 	// the same routes; 0 before its first response.
 	latencyRatio float64
@@ -126,6 +133,9 @@
 	}
 	now := time.Now()
 	st.expireLeaving(now)
+	if cfg.LearnRefusals && st.refusals == nil {
+		st.refusals = &serviceRefusals{}
+	}
 	st.targets = make([]*target, 0, len(svc.Targets))
 	for _, t := range svc.Targets {
 		current := &target{Target: t, hash: guard.NameHash(t.Name), observed: &observations{}}
@@ -133,6 +143,7 @@
 			current.observed = previous.observed
 		}
 		current.observed.leaving = st.isLeaving(current)
+		current.observed.refusals = st.refusals
 		st.targets = append(st.targets, current)
 	}
 	st.refreshCandidates(now, svc, p, cfg)
@@ -263,6 +274,7 @@
 		o.trialWantedAt = now
 	}
 	o.load, o.loadAt = load, now
+	o.budget.Report(now, int(load.RetryBudgetLeft))
 	o.failureEstimate = chance.EstimateAt(now, load.FailureProbability())
 	o.shedShare = chance.DecayingShareAt(now, float64(load.ShedShare)/msg.Thousandths)
 }
