--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,7 +109,7 @@
 	}, keys.Hooks{DistributeMap: func(obj objects.Object) { d.control.ApplyObject(obj) }}, store, log)
 	d.guard = guard.New(guard.Config{
 		Host: cfg.Host, QueuePerSlot: cfg.QueuePerSlot, GrantTTL: cfg.GrantTTL,
-		TargetIdleTimeout: cfg.TargetIdleTimeout, Dialect: adapter.Dialect,
+		TargetIdleTimeout: cfg.TargetIdleTimeout, Dialect: adapter.Dialect, LearnRefusals: cfg.LearnRefusals,
 	}, guardLimits(cfg), log, d.keys, guard.Hooks{
 		Changed:    func() { d.control.InstancesChanged() },
 		LoadReport: d.distributeLoadReport,
@@ -136,7 +136,7 @@
 		Host: cfg.Host, DC: cfg.DC, BufferBodyBytes: cfg.BufferBodyBytes,
 		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxConns: cfg.ConnBound(),
 		HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout,
-		Service: cfg.Service, Dialect: adapter.Dialect,
+		Service: cfg.Service, Dialect: adapter.Dialect, LearnRefusals: cfg.LearnRefusals,
 	}, frontLimits(cfg), log, nil, d.guard, d.keys)
 	d.front.SetRateLimiter(d.teams)
 	d.front.SetLoadQuerier(d.control)
