fleetsim: services that refuse a share of their arrivals

Cause: no simulated instance refused requests, so that neither the spread of load nor the retry budget was tested with refusals. Change: Scenario.Refusals and Scenario.LearnRefusals. A refused request has not run, so that a second arrival is not an error.

--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -65,8 +65,9 @@
 	mu     sync.Mutex
 	rng    *rand.Rand
 	result Result
-	// arrivedIDs are the IDs of the requests that have reached an instance.
-	arrivedIDs map[string]bool
+	// arrivedIDs are the IDs of the requests that have reached an instance, ranIDs of those
+	// that an instance has not refused.
+	arrivedIDs, ranIDs map[string]bool
 	// origins are the requests in progress by ID, informed what hosts have passed on.
 	origins  map[string]origin
 	informed map[informedKey]time.Duration
@@ -82,6 +83,7 @@
 	f := &fleet{
 		scenario: &s, ctx: ctx, start: time.Now().Add(s.WarmUp), rng: rand.New(rand.NewPCG(s.Seed, s.Seed+1)),
 		arrivedIDs:        make(map[string]bool),
+		ranIDs:            make(map[string]bool),
 		origins:           make(map[string]origin),
 		informed:          make(map[informedKey]time.Duration),
 		informedOfLeaving: make(map[informedKey]time.Duration),
@@ -221,7 +223,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	dialect := header.Default()
 	g := guard.New(guard.Config{
-		Host: h.name, QueuePerSlot: queuePerSlot, GrantTTL: grantTTL, TargetIdleTimeout: targetIdle, Dialect: dialect,
+		Host: h.name, QueuePerSlot: queuePerSlot, GrantTTL: grantTTL, TargetIdleTimeout: targetIdle, Dialect: dialect, LearnRefusals: h.fleet.scenario.LearnRefusals,
 		Dial: func(context.Context, string) (net.Conn, error) { return h.instance.connect() },
 	}, guard.Limits{AnnounceExpiry: time.Hour, RetryReserve: h.fleet.scenario.RetryReserve, RetryWindow: h.fleet.scenario.RetryWindow},
 		log, allowAllFence{}, guard.Hooks{
@@ -233,6 +235,7 @@
 		})
 	fr := front.New(front.Config{
 		Host: h.name, DC: h.dc, BufferBodyBytes: 1 << 10, MaxConns: 1 << 10, Service: h.instance.service.Name, Dialect: dialect,
+		LearnRefusals: h.fleet.scenario.LearnRefusals,
 	}, front.Limits{MaxBodyBytes: 1 << 20}, log, peers{h}, g, nil)
 	fr.SetLoadQuerier(h)
 	h.mu.Lock()
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -100,6 +100,10 @@
 	Losses []InstanceLoss
 	// RateLimits make instances state a rate limit.
 	RateLimits []RateLimit
+	// Refusals make instances refuse requests.
+	Refusals []Refusal
+	// LearnRefusals is the setting of that name of all hosts.
+	LearnRefusals bool
 	// Leavings make instances state that they are leaving.
 	Leavings []Leaving
 	// HostRestarts and HostFreezes disturb the daemons of hosts; their instances go on.
@@ -140,7 +144,7 @@
 	// chronological order.
 	Retries map[string][]time.Duration
 	// RunTwice are the IDs of requests that are not idempotent and reached instances more than
-	// once, one entry for each further arrival.
+	// once without being refused there, one entry for each further arrival.
 	RunTwice []string
 	// RequestTimes are the times at which callers sent requests to a service.
 	RequestTimes map[string][]time.Duration
