front: judge instances without a report by the service's refusals

Cause: an instance of which a front knew nothing counted as one that refuses nothing, and so looked better than all others while the whole service refused. Change: it is judged by the mean of its service. BenchmarkOrder measures the order of a retry at a guard.

--- a/internal/core/refusal/refusal_test.go
+++ b/internal/core/refusal/refusal_test.go
@@ -60,7 +60,7 @@
 	assert.Equal(t, s.Estimate(0.8, 0), 0.8)
 	assert.Equal(t, s.Estimate(0.8, reportHalfLife), 0.4)
 	all.Update(start, []float64{0.5, 0.5, 0.5, 0.5})
-	assert.Equal(t, all.Estimate(0.5, time.Hour), 0.5)
+	assert.Equal(t, all.Estimate(0, start.Sub(time.Time{})), 0.5, "an instance without a report must not look better than the others")
 }
 
 // Guards against questions to guards that have just said that they have no budget left, and
@@ -136,3 +136,12 @@
 		assert.Equal(t, o.Keep(start, Retry{}), 0.0)
 	}
 }
+
+// BenchmarkOrder measures the order of one retry at a guard.
+func BenchmarkOrder(b *testing.B) {
+	var o Order
+	b.ReportAllocs()
+	for now := start; b.Loop(); now = now.Add(10 * time.Millisecond) {
+		o.Keep(now, Retry{Priority: uint8(now.Nanosecond() / 1e7 % 4)})
+	}
+}
--- a/internal/fleetsim/refusal_test.go
+++ b/internal/fleetsim/refusal_test.go
@@ -41,8 +41,9 @@
 	for _, c := range []struct {
 		name      string
 		instances int
-		// minServed leaves a margin below the shares served with two seeds: 0.852 to 0.863,
-		// 0.931 to 0.941 and 0.968 to 0.974 in six runs, both settings included.
+		// minServed leaves a margin below the shares served with two seeds: 0.852 to 0.865,
+		// 0.931 to 0.941 and 0.968 to 0.974 in seven runs or more, both settings
+		// included.
 		minServed float64
 	}{
 		{"all instances refuse", 12, 0.83},
@@ -66,7 +67,7 @@
 					checkRetryLimits(t, scenario(0), r)
 				}
 				assert.Assert(t, all.Served() >= c.minServed)
-				// Six runs had 202 to 240 with LearnRefusals while all refused, and 286 to 389 without.
+				// 19 runs had 202 to 245 with LearnRefusals while all refused, and 286 to 389 without.
 				assert.Assert(t, !learn || most < 270)
 			}
 		})
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -46,10 +46,10 @@
 	return float64(o.load.ShedShare) / msg.Thousandths
 }
 
-// refusalChance is the probability that the instance refuses a request. The caller must hold
-// the service's lock.
+// refusalChance is the probability that the instance refuses a request, that of the service
+// for an instance without a report. The caller must hold the service's lock.
 func (o *observations) refusalChance(now time.Time) float64 {
-	if o.refusals == nil || o.loadAt.IsZero() {
+	if o.refusals == nil {
 		return o.shedShare.At(now)
 	}
 	return o.refusals.share.Estimate(o.reportedShedShare(), now.Sub(o.loadAt))
