--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -179,3 +179,48 @@
 		}
 	})
 }
+
+// BenchmarkTick measures one Tick of a guard with the greatest number of teams and reports.
+func BenchmarkTick(b *testing.B) {
+	now := time.Unix(1000, 0)
+	local := Local{Service: "s", Slots: 8, Contended: true}
+	for team := range uint32(256) {
+		local.Use = append(local.Use, Use{Team: team * 7919, SlotTime: 0.01 * float64(team)})
+	}
+	var hosts []string
+	for i := range maxSenders {
+		hosts = append(hosts, hostName(i))
+	}
+	x := newExchange("s", hosts...)
+	x.Tick(now, []Local{local})
+	for i, host := range hosts {
+		r := report(host)
+		for team := range uint32(msg.MaxReportTeams) {
+			r.Teams = append(r.Teams, msg.TeamSlots{Team: uint32(i)<<16 + team, Slots: 300})
+		}
+		assert.Assert(b, x.Receive(now, r))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		x.Tick(now, []Local{local})
+		x.FleetUse("s", 8)
+	}
+}
+
+func BenchmarkReceive(b *testing.B) {
+	now := time.Unix(1000, 0)
+	x := newExchange("s", "a")
+	x.Tick(now, []Local{{Service: "s", Slots: 8}})
+	r := report("a")
+	for team := range uint32(msg.MaxReportTeams) {
+		r.Teams = append(r.Teams, msg.TeamSlots{Team: 1<<31 + team, Slots: 300})
+	}
+	buf, err := r.MarshalMsg(nil)
+	assert.NilError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		var r msg.ShareReport
+		_, _ = r.UnmarshalMsg(buf)
+		x.Receive(now, &r)
+	}
+}
