guard, control: exchange of the teams' use, where fair shares are on

The exchange of package share needs a socket, a clock and the queues. The guard calls it every 500 ms from Tick: the use at its queues goes in, the mean over the guards goes back to the queues. Control carries the reports in datagrams with the prefix 0xc4, which older builds drop. Weights are the rates of the teams' records, in a table by hash that is built when the records change and not when only hosts do. The guard also keeps the teams of the requests that run here, for the calls that these make.

Without FairShares the guard has no exchange: no datagram is sent and none is taken.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -60,6 +60,9 @@
 	// replies to the queries of this host. They must not block.
 	Load      func(service, instance string) (msg.Load, bool)
 	LoadReply func(*msg.LoadReply)
+	// ShareReport is called with the use of teams at guards of other hosts. It must not
+	// block. Nil drops the reports.
+	ShareReport func(*msg.ShareReport)
 	// Crashed is called with each crash of an instance on any host, and Cleared with each
 	// request that was found not to have caused a crash. They must not block.
 	Crashed func(crash.Crash)
@@ -432,7 +435,7 @@
 			}
 			continue
 		}
-		if c.handleTeamPacket(buf[:n]) || c.handleLoadPacket(buf[:n], from) {
+		if c.handleTeamPacket(buf[:n]) || c.handleLoadPacket(buf[:n], from) || c.handleSharePacket(buf[:n]) {
 			continue
 		}
 		var p msg.MemberPacket
@@ -451,9 +454,10 @@
 
 // Traffic counts datagrams and control messages since the process started.
 type Traffic struct {
-	// PacketsIn counts the membership datagrams received, without team datagrams.
+	// PacketsIn counts the membership datagrams received, without team datagrams and share
+	// reports.
 	PacketsIn uint64 `json:"packetsIn"`
-	// PacketsOut counts the membership and team datagrams sent.
+	// PacketsOut counts the membership and team datagrams and the share reports sent.
 	PacketsOut uint64 `json:"packetsOut"`
 	// MessagesIn counts the messages received.
 	MessagesIn uint64 `json:"messagesIn"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,13 +109,14 @@
 	}, keys.Hooks{DistributeMap: func(obj objects.Object) { d.control.ApplyObject(obj) }}, store, log)
 	d.guard = guard.New(guard.Config{
 		Host: cfg.Host, QueuePerSlot: cfg.QueuePerSlot, GrantTTL: cfg.GrantTTL,
-		TargetIdleTimeout: cfg.TargetIdleTimeout, Dialect: adapter.Dialect,
+		TargetIdleTimeout: cfg.TargetIdleTimeout, Dialect: adapter.Dialect, FairShares: cfg.FairShares,
 	}, guardLimits(cfg), log, d.keys, guard.Hooks{
-		Changed:    func() { d.control.InstancesChanged() },
-		LoadReport: d.distributeLoadReport,
-		Crashed:    func(c crash.Crash) { d.control.PublishCrash(c) },
-		Cleared:    func(crashID string, fp crash.Fingerprint) { d.control.PublishClearance(crashID, fp) },
-		Blocked:    func(s guard.BlockedRequest) { d.control.StoreCrasher(s.Fingerprint, s.Request, s.Crashes) },
+		Changed:     func() { d.control.InstancesChanged() },
+		LoadReport:  d.distributeLoadReport,
+		Crashed:     func(c crash.Crash) { d.control.PublishCrash(c) },
+		Cleared:     func(crashID string, fp crash.Fingerprint) { d.control.PublishClearance(crashID, fp) },
+		ShareReport: func(address string, r *msg.ShareReport) { d.control.SendShareReport(address, r) },
+		Blocked:     func(s guard.BlockedRequest) { d.control.StoreCrasher(s.Fingerprint, s.Request, s.Crashes) },
 	})
 	d.teams = teams.New(teams.Config{
 		Host: cfg.Host, Incarnation: uint64(d.started.UnixMilli()), Allowance: cfg.TeamAllowance, AllowanceFraction: cfg.TeamAllowanceFraction, Window: cfg.TeamWindow,
@@ -127,6 +128,7 @@
 		LoadReport:  func(p *msg.LoadReport) { d.front.HandleLoadReport(p) },
 		Load:        d.guard.Load,
 		LoadReply:   func(r *msg.LoadReply) { d.front.HandleLoadReply(r) },
+		ShareReport: d.guard.ReceiveShareReport,
 		Crashed:     d.guard.ApplyCrash,
 		Cleared:     d.guard.ApplyClearance,
 		Unblocked:   d.guard.ClearSuspect,
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -53,6 +53,8 @@
 	}
 	x.retryReserved = false // begin has used the reservation
 	defer x.guard.retryBudgets.end(run)
+	x.guard.beginTeamRun(m.Class)
+	defer x.guard.endTeamRun(m.Class)
 	res, failure := x.exchangeHTTP(ctx, m, started)
 	res.serviceTime = time.Since(started)
 	if failure != nil && ctx.Err() != nil {
--- a/internal/guard/counters.go
+++ b/internal/guard/counters.go
@@ -16,6 +16,9 @@
 	serviceTime *metrics.Histogram
 	// terminated counts the instances whose port was found to refuse connections.
 	terminated *metrics.Counter
+	// shareReportsIn counts the share reports of other guards that were accepted, and
+	// shareReportsOut those sent.
+	shareReportsIn, shareReportsOut *metrics.Counter
 }
 
 func newCounters() counters {
@@ -25,6 +28,9 @@
 		queueTime:   set.NewHistogram("radishhoist_queue_seconds"),
 		serviceTime: set.NewHistogram("radishhoist_service_seconds"),
 		terminated:  set.NewCounter("radishhoist_instances_ended_total"),
+
+		shareReportsIn:  set.NewCounter(`radishhoist_share_reports_total{direction="in"}`),
+		shareReportsOut: set.NewCounter(`radishhoist_share_reports_total{direction="out"}`),
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -39,6 +39,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Dialect names the headers exchanged with the instances.
 	Dialect header.Dialect
+	// FairShares enables the shares of teams in the slots of a service.
+	FairShares bool
 }
 
 // Limits holds the parameters of a Guard that may change while it runs.
@@ -74,6 +76,9 @@
 	// callback stores it, so that the block survives a restart of all processes, and must
 	// return without waiting. Nil disables the callback.
 	Blocked func(BlockedRequest)
+	// ShareReport is called with reports to the guard at an address, if FairShares is set.
+	// They may be lost. Nil disables the callback.
+	ShareReport func(address string, r *msg.ShareReport)
 }
 
 // Guard manages the instances of one host. It is safe for concurrent use.
@@ -106,6 +111,8 @@
 	// suspects tracks the requests suspected of crashing the instances that run
 	// them.
 	suspects *suspects
+	// shares is nil without FairShares.
+	shares *teamShares
 
 	mu            sync.Mutex
 	announcements *announce.Tracker
@@ -140,6 +147,9 @@
 	if g.onBlocked == nil {
 		g.onBlocked = func(BlockedRequest) {}
 	}
+	if cfg.FairShares {
+		g.shares = newTeamShares(cfg.Host, hooks.ShareReport)
+	}
 	g.limits.Store(&limits)
 	return g
 }
@@ -166,6 +176,7 @@
 // and the planned stops of instances on this host.
 func (g *Guard) Apply(d *directory.Directory) {
 	g.retryBudgets.apply(time.Now(), d, *g.limits.Load())
+	g.applyTeams(d)
 	presets := make(map[string]detect.Params, len(d.Services))
 	for name, s := range d.Services {
 		presets[name] = detect.ForPreset(s.Record.Preset)
@@ -228,8 +239,8 @@
 }
 
 // Tick expires grants, drops requests past their deadline, checks for stuck requests,
-// publishes load, and removes instances that no longer announce themselves. It must be
-// called periodically.
+// publishes load, exchanges the use of teams with other guards, and removes instances that no
+// longer announce themselves. It must be called periodically.
 func (g *Guard) Tick(now time.Time) {
 	changed := false
 	for _, inst := range g.all() {
@@ -243,6 +254,7 @@
 			changed = true
 		}
 	}
+	g.exchangeShares(now)
 	if changed {
 		g.onChanged()
 	}
