front: the class of a request is the hash of its team, a call's that of a running team

Reserve and Run carried the hash of the team modulo 64, of which a guard cannot look up a weight. They carry 32 bits of the hash now; a guard without fair shares takes the remainder as before, which is the same value. A call that an instance makes names no team and so all calls shared one class. With fair shares, a request without a team and without a key, on a route that is open, counts for the team of a request that runs on the host, chosen at random. Rates, priorities and headers of teams are not affected.

--- a/internal/front/identity.go
+++ b/internal/front/identity.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/radishhoist/radishhoist/internal/core/admit"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/header"
 	"github.com/radishhoist/radishhoist/internal/guard"
@@ -53,13 +52,26 @@
 	} else if !req.route.Open {
 		return verdict.New(verdict.NotRun, verdict.ReasonNoTeam, "no team has the API key that was sent; send the header Authorization: Bearer KEY")
 	}
-	req.fairnessClass = uint32(guard.NameHash(req.team) % admit.Classes)
+	req.fairnessClass = guard.TeamHash(req.team)
 	if t, ok := dir.Teams[req.team]; ok {
 		req.teamPriority = t.Priority
 	}
 	return nil
 }
 
+// countForRunningTeam sets the fairness class of a request that may be a call made by an
+// instance: one that names no team on a route that is open to callers without a key. It is
+// counted for the team of a request that runs on this host, as returned by runningTeam,
+// because a call does not name the request that made it.
+func (req *request) countForRunningTeam(runningTeam func() (uint32, bool)) {
+	if req.team != "" || bearerToken(req.http.Header) != "" || req.apiKeyRequired && !req.route.Open {
+		return
+	}
+	if class, ok := runningTeam(); ok {
+		req.fairnessClass = class
+	}
+}
+
 // priority is the request's priority in the queue, see record.Route.
 func (req *request) priority() int {
 	if req.teamPriority != nil {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -25,13 +25,14 @@
 
 // request is a caller's request being served by the front.
 type request struct {
-	id            string
-	arrived       time.Time
-	deadline      time.Time
-	route         *route.Route
-	service       *directory.Service
-	state         *serviceState
-	idempotent    bool
+	id         string
+	arrived    time.Time
+	deadline   time.Time
+	route      *route.Route
+	service    *directory.Service
+	state      *serviceState
+	idempotent bool
+	// fairnessClass is the hash of the name of the team for which the request counts.
 	fairnessClass uint32
 	// team is the caller's team, or "". apiKeyRequired says that callers must send an API
 	// key, and countedInRate that the request counts against the team's rate.
@@ -135,6 +136,7 @@
 	if fail := identifyTeam(dir, req); fail != nil {
 		return req, fail
 	}
+	req.countForRunningTeam(func() (uint32, bool) { return f.guard.RunningTeam(f.rng()) })
 	if fail := f.admitTeam(dir, req); fail != nil {
 		return req, fail
 	}
--- a/internal/msg/requests.go
+++ b/internal/msg/requests.go
@@ -119,7 +119,8 @@
 	Instance  string
 	// TimeoutMS is the time until the caller's deadline, in milliseconds.
 	TimeoutMS uint32
-	// Class is the hash of the fairness class of the caller's team.
+	// Class is the hash of the name of the team for which the request counts. Older fronts
+	// send its remainder modulo admit.Classes.
 	Class    uint32
 	Priority uint8
 	// SubPriority orders requests of one priority, see admit.Request.
