cli, daemon: shares of teams in `radishhoist teams` and in the metrics

Operators could not see which team uses more than its share of a service. The state of a host lists the teams at its services with weight, share and use; `radishhoist teams` merges the hosts' figures by service and team and says at how many hosts a team is over its share while requests wait. The gauge radishhoist_team_shares_over counts these teams on each host. The list is empty without fair shares, and the output of the command is then as before.

--- a/internal/cli/teams.go
+++ b/internal/cli/teams.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/internal/objects"
 	"github.com/radishhoist/radishhoist/internal/sleep"
 	"github.com/radishhoist/radishhoist/internal/state"
@@ -24,9 +25,10 @@
 func (a *app) teamsCommand() *cli.Command {
 	keyFlags := []cli.Flag{&cli.DurationFlag{Name: "wait", Value: 20 * time.Second, Usage: "`TIME` to wait until the change is in force on every host; 0 checks once"}}
 	return &cli.Command{
-		Name: "teams", Usage: "list how much of its rate limit each team uses, over all hosts",
+		Name: "teams", Usage: "list how much of its rate limit and of its share of each service each team uses, over all hosts",
 		Description: "Queries every host that the platform lists. A team's usage comes from its home, the host that keeps its\n" +
-			"account; requests are counted by the host that received them. Keys are never shown.",
+			"account; requests are counted by the host that received them. Shares and their use are the mean over the\n" +
+			"hosts that run the service; they are shown where fair shares are in force. Keys are never shown.",
 		Action: a.listTeams,
 		Commands: []*cli.Command{{
 			Name: "key", Usage: "add or withdraw a key of a team",
@@ -64,6 +66,7 @@
 // teamList is the output of `teams`. Unreachable lists the hosts that did not respond.
 type teamList struct {
 	Teams       []*teamUsage `json:"teams"`
+	Shares      []*teamShare `json:"shares,omitempty"`
 	Unreachable []string     `json:"silent,omitempty"`
 }
 
@@ -76,6 +79,7 @@
 		return err
 	}
 	byHost := make(map[string][]teams.State)
+	var shares [][]guard.TeamShare
 	list := teamList{Teams: []*teamUsage{}}
 	for _, name := range slices.Sorted(maps.Keys(hosts)) {
 		var dump state.Dump
@@ -84,8 +88,10 @@
 			continue
 		}
 		byHost[name] = dump.Teams
+		shares = append(shares, dump.TeamShares)
 	}
 	list.Teams = mergeTeams(byHost)
+	list.Shares = mergeTeamShares(shares)
 	if asJSON(cmd) {
 		return a.printJSON(list)
 	}
@@ -160,6 +166,11 @@
 	for _, host := range list.Unreachable {
 		a.printLine("no response from %s: its requests are not counted", host)
 	}
+	a.printTeamRates(list)
+	a.printTeamShares(list.Shares)
+}
+
+func (a *app) printTeamRates(list teamList) {
 	if len(list.Teams) == 0 {
 		a.printLine("no team with a rate limit has sent a request recently")
 		return
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -86,7 +86,7 @@
 	cfg := d.cfg.Load()
 	return state.Dump{
 		Host: cfg.Host, DC: cfg.DC, Started: d.started.UTC().Format(time.RFC3339), Phase: d.phase(),
-		NotReadyReasons: d.notReadyReasons(), Instances: d.guard.State(), Suspects: d.guard.Suspects(), Services: d.front.Status(), Teams: d.teams.State(), Paths: d.front.Paths(),
+		NotReadyReasons: d.notReadyReasons(), Instances: d.guard.State(), Suspects: d.guard.Suspects(), Services: d.front.Status(), Teams: d.teams.State(), TeamShares: d.guard.TeamShares(), Paths: d.front.Paths(),
 		Control: d.control.State(), Peers: d.pool.Stats(), Shards: d.keys.State(),
 	}
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -27,6 +27,7 @@
 	set.NewGauge("radishhoist_requests_stopped", func() float64 { return float64(d.guard.BlockedCount()) })
 	set.NewGauge("radishhoist_teams_close", d.countTeams(func(s teams.State) bool { return s.NearLimit }))
 	set.NewGauge("radishhoist_teams_alone", d.countTeams(func(s teams.State) bool { return s.Standalone }))
+	set.NewGauge("radishhoist_team_shares_over", func() float64 { return float64(d.guard.TeamsOverShare()) })
 	set.NewGauge("radishhoist_records", d.controlGauge(func(s control.State) float64 { return float64(s.Records) }))
 	set.NewGauge("radishhoist_records_newest", d.controlGauge(func(s control.State) float64 { return float64(s.Newest) }))
 	set.NewGauge("radishhoist_records_confirmed_age_seconds", func() float64 { return d.control.ConfirmedAge().Seconds() })
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -36,6 +36,8 @@
 	Services []front.ServiceStatus `json:"services"`
 	// Teams are the teams with a rate limit, with their usage as seen by this host.
 	Teams []teams.State `json:"teams"`
+	// TeamShares are the shares of teams in the slots of the services that run here.
+	TeamShares []guard.TeamShare `json:"teamShares,omitempty"`
 	// Paths are the network paths to the hosts of targets.
 	Paths   []front.PathState `json:"paths"`
 	Control control.State     `json:"control"`
