guard: teams with the same hash have one weight on all hosts

Of 81,000 names two may have the same 32-bit hash (0.8 pairs in the mean, computed). The table of weights then held the rate of whichever came last in the map, another on each host.

--- a/internal/guard/fairshares.go
+++ b/internal/guard/fairshares.go
@@ -43,7 +43,10 @@
 	w := &teamWeights{keys: d.TeamKeys, byHash: make(map[uint32]float64)}
 	for name, t := range d.Teams {
 		if t.RatePerSecond > 0 {
-			w.byHash[TeamHash(name)] = t.RatePerSecond
+			// Two names of 81,000 may have the same hash. All hosts must use the same
+			// weight then.
+			hash := TeamHash(name)
+			w.byHash[hash] = max(w.byHash[hash], t.RatePerSecond)
 		}
 	}
 	s.weights.Store(w)
--- a/internal/guard/shares.go
+++ b/internal/guard/shares.go
@@ -171,7 +171,7 @@
 	}
 	for name := range records {
 		hash := TeamHash(name)
-		if _, used := names[hash]; used {
+		if other, used := names[hash]; used && name > other {
 			names[hash] = name
 		}
 	}
