share: at most 256 teams of each service; docs: trial with the fair admission

A union of 16 reports and the own figures has up to 640 teams, and a queue remembers 256: it would drop its own records for them every 500 ms. The exchange keeps the 256 teams with the most use.

--- a/internal/core/share/share.go
+++ b/internal/core/share/share.go
@@ -37,6 +37,9 @@
 	// maxTickGap is the time between two calls of Tick beyond which the process is taken to
 	// have been suspended. Datagrams that arrived meanwhile are as old as the suspension.
 	maxTickGap = 3 * Interval
+	// maxTeams is the number of teams of each service whose use over the fleet is known: as
+	// many as a queue remembers. Those that use the most are kept.
+	maxTeams = 256
 	// maxDraws is the number of targets drawn to find the receivers of a report: enough to
 	// find one where four of five hosts are dead or are this one, with a probability of 0.97.
 	maxDraws = 16
@@ -201,9 +204,7 @@
 // mostUsed returns the teams with the most use, as a report lists them.
 func mostUsed(use []Use) []msg.TeamSlots {
 	sorted := slices.Clone(use)
-	slices.SortFunc(sorted, func(a, b Use) int {
-		return cmp.Or(cmp.Compare(b.SlotTime, a.SlotTime), cmp.Compare(a.Team, b.Team))
-	})
+	sortByUse(sorted)
 	out := make([]msg.TeamSlots, 0, msg.MaxReportTeams)
 	for _, u := range sorted[:min(len(sorted), msg.MaxReportTeams)] {
 		if slots := math.Round(u.SlotTime * msg.Thousandths); slots >= 1 && slots <= math.MaxUint32 {
@@ -214,6 +215,13 @@
 	return out
 }
 
+// sortByUse sorts teams by use, the greatest first.
+func sortByUse(use []Use) {
+	slices.SortFunc(use, func(a, b Use) int {
+		return cmp.Or(cmp.Compare(b.SlotTime, a.SlotTime), cmp.Compare(a.Team, b.Team))
+	})
+}
+
 // receivers draws the addresses of up to n other live hosts with instances of a service. The
 // work does not grow with the number of hosts.
 func (x *Exchange) receivers(service string, n int) []string {
@@ -298,6 +306,17 @@
 			s.use[t.Team] += float64(t.Slots) / msg.Thousandths
 		}
 	}
+	if len(s.use) <= maxTeams {
+		return
+	}
+	all := make([]Use, 0, len(s.use))
+	for team, slotTime := range s.use {
+		all = append(all, Use{Team: team, SlotTime: slotTime})
+	}
+	sortByUse(all)
+	for _, u := range all[maxTeams:] {
+		delete(s.use, u.Team)
+	}
 }
 
 // FleetUse returns the mean use of each team over the guards of a service, for an instance
--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -112,8 +112,10 @@
 	assert.Equal(t, len(out[0].Report.Teams), msg.MaxReportTeams)
 	assert.Equal(t, out[0].Report.Teams[0], msg.TeamSlots{Team: 276, Slots: 2760})
 	for i, host := range hosts {
-		x.Receive(now.Add(time.Duration(i)), report(host, msg.TeamSlots{Team: 1, Slots: 1}))
+		x.Receive(now.Add(time.Duration(i)), report(host, msg.TeamSlots{Team: 1000 + uint32(i), Slots: 100}))
 	}
+	x.Tick(now.Add(Interval), []Local{many})
+	assert.Equal(t, len(x.FleetUse("s", 8)), maxTeams)
 	reports := x.services["s"].reports
 	assert.Equal(t, len(reports), maxSenders)
 	for _, r := range reports {
