admit: fair shares of slot time by team, late requests kept

Cause: with one heavy team, light teams were refused for its backlog. One instance of 8 slots, 620 ms work, ten teams at 0.3/s and one at 16, 40 and 100/s: the light ones were served 0.819, 0.336 and 0.144 of their requests. The expected wait counts all work of the rank ahead, and the round robin of classes counts requests, not slot time. Late requests were queued and refused by the next Tick.

Change: with Config.FairShares the waiting request of the team with the lowest use over weight goes first within a rank; use is slot time decayed with a half-life of 5 s, counted with the expected service time at the start and corrected at the end. The expected wait is that of the request's place in this order. A full queue evicts from the team with the most use; a request that an admitted one has moved past its objective is refused at once, with the new reason team-share where its team is over its share. With Config.KeepLate a request that was queued late waits until its deadline.

--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -24,8 +24,13 @@
 // Request is a request for a slot.
 type Request struct {
 	ID ID
-	// Class is the fairness class of the caller's team.
+	// Class is the fairness class of the caller's team. It is not used with
+	// Config.FairShares.
 	Class uint32
+	// Team is the hash of the team's name, 0 for none, and Weight the team's weight in the
+	// division of slots; 0 stands for 1. They are used with Config.FairShares only.
+	Team   uint32
+	Weight float64
 	// Priority is 0 to 3; higher runs first. SubPriority, also 0 to 3, orders requests
 	// of equal Priority. The front sets SubPriority to the priority of the matched route,
 	// and Priority to that of the caller's team, or of the route if the team defines none.
@@ -80,6 +85,12 @@
 	GrantTTL time.Duration
 	// RateLimit is the initial rate limit, of which the whole burst is available.
 	RateLimit RateLimit
+	// FairShares divides the slot time within a rank among teams by weight, in place of the
+	// round robin of classes.
+	FairShares bool
+	// KeepLate keeps a waiting request that was expected to miss its objective when offered
+	// until its deadline. Without it, Tick refuses it once the objective has passed.
+	KeepLate bool
 }
 
 // state is the lifecycle state of a queued or admitted request.
@@ -99,6 +110,9 @@
 	late bool
 	// expires is the time at which the grant expires.
 	expires time.Time
+
+	// fair is used with Config.FairShares only.
+	fair fairTicket
 }
 
 // Priorities is the number of values of Request.Priority and of Request.SubPriority.
@@ -130,14 +144,27 @@
 	serviceTime time.Duration
 	rateLimit   tokenBucket
 	draining    bool
+	// fair is nil without Config.FairShares.
+	fair *fairOrder
 }
 
 // NewQueue returns an empty Queue.
 func NewQueue(cfg Config) *Queue {
-	return &Queue{
+	q := &Queue{
 		cfg: cfg, tickets: make(map[ID]*ticket), serviceTime: initialServiceTime,
 		rateLimit: tokenBucket{limit: cfg.RateLimit, tokens: cfg.RateLimit.Burst},
 	}
+	if cfg.FairShares {
+		q.fair = newFairOrder()
+	}
+	return q
+}
+
+// advance tells the shares of the teams the current time.
+func (q *Queue) advance(now time.Time) {
+	if q.fair != nil {
+		q.fair.advance(now)
+	}
 }
 
 // BusySlots returns the number of slots in use, by running requests or by grants.
@@ -180,6 +207,7 @@
 
 // SetSlots changes the number of slots. Running requests are not affected.
 func (q *Queue) SetSlots(now time.Time, slots int) []Decision {
+	q.advance(now)
 	q.cfg.Slots = slots
 	return q.assignFreeSlots(now, nil)
 }
@@ -217,9 +245,11 @@
 // Idle reports whether the Queue holds no running, waiting or granted requests.
 func (q *Queue) Idle() bool { return len(q.tickets) == 0 }
 
-// Offer submits a request. The first decision is for the request itself; a second one is
-// for a request evicted to make room for it.
+// Offer submits a request. The first decision is for the request itself; the others are for
+// a request evicted to make room for it and, with Config.FairShares, for requests behind it
+// that would now start too late.
 func (q *Queue) Offer(now time.Time, r Request) []Decision {
+	q.advance(now)
 	if q.draining {
 		return []Decision{{ID: r.ID, Action: Refuse, Reason: verdict.ReasonDraining}}
 	}
@@ -231,22 +261,29 @@
 		r.ExpectedServiceTime = q.serviceTime
 	}
 	t := &ticket{Request: r}
+	if q.fair != nil {
+		return q.offerFair(now, t)
+	}
 	if q.queued == 0 && q.mayStart(now) {
 		q.tickets[r.ID] = t
 		return []Decision{q.assignSlot(now, t)}
 	}
 	wait := q.expectedWait(now, t)
-	expectedEnd := now.Add(wait + r.ExpectedServiceTime)
-	missesDeadline := expectedEnd.After(r.Deadline)
-	// Without AllowLate the front can still try another instance, so a late request is
-	// refused at once. With AllowLate, late requests are limited to one per slot, because
-	// any others would wait only to be refused later.
-	if missesDeadline || t.late && (!r.AllowLate || q.countLate(now) >= q.cfg.Slots) {
+	if q.refusedForWait(now, t, wait) {
 		return []Decision{{ID: r.ID, Action: Refuse, Reason: q.waitReason(now, wait), RetryAfter: max(wait, minRetryAfter)}}
 	}
 	return q.enqueue(t, wait)
 }
 
+// refusedForWait reports whether an incoming request with that expected wait is refused.
+func (q *Queue) refusedForWait(now time.Time, t *ticket, wait time.Duration) bool {
+	missesDeadline := now.Add(wait + t.ExpectedServiceTime).After(t.Deadline)
+	// Without AllowLate the front can still try another instance, so a late request is
+	// refused at once. With AllowLate, late requests are limited to one per slot, because
+	// any others would wait only to be refused later.
+	return missesDeadline || t.late && (!t.AllowLate || q.countLate(now) >= q.cfg.Slots)
+}
+
 // enqueue adds a request to the queue. If the queue is full, it evicts the request that
 // evictionCandidate selects, or refuses the incoming request if there is none.
 func (q *Queue) enqueue(t *ticket, wait time.Duration) []Decision {
@@ -256,8 +293,7 @@
 		if evicted == nil {
 			return []Decision{{ID: t.ID, Action: Refuse, Reason: verdict.ReasonQueueFull, RetryAfter: max(wait, minRetryAfter)}}
 		}
-		q.ranks[evicted.rank()].remove(evicted)
-		q.queued--
+		q.unqueue(evicted)
 		out = append(out, q.refuse(evicted, verdict.ReasonQueueFull, max(wait, minRetryAfter)))
 	}
 	q.tickets[t.ID] = t
@@ -270,6 +306,7 @@
 // does not exist. Expiry is checked here as well as in Tick, because Tick may not have
 // run since the grant was given if the process was suspended.
 func (q *Queue) Run(now time.Time, id ID) Decision {
+	q.advance(now)
 	t, ok := q.tickets[id]
 	if !ok || t.state != granted {
 		return Decision{ID: id, Action: Refuse, Reason: verdict.ReasonGrantExpired}
@@ -288,6 +325,7 @@
 // and then calls Done. It also returns MayHaveRun for a request that the Queue no longer
 // holds. The decisions are for the waiting requests considered for the released slot.
 func (q *Queue) Cancel(now time.Time, id ID) (verdict.Verdict, []Decision) {
+	q.advance(now)
 	t, ok := q.tickets[id]
 	if !ok {
 		// The request was refused or has finished. It can no longer start, but it may
@@ -301,9 +339,8 @@
 		q.releaseSlot(t)
 		return verdict.NotRun, q.assignFreeSlots(now, nil)
 	default:
-		q.ranks[t.rank()].remove(t)
-		q.queued--
-		delete(q.tickets, id)
+		q.unqueue(t)
+		q.forget(t)
 		return verdict.NotRun, nil
 	}
 }
@@ -312,6 +349,7 @@
 // excluded from the moving average; the calling code passes 0 if the service time does
 // not indicate the instance's speed.
 func (q *Queue) Done(now time.Time, id ID, serviceTime time.Duration) []Decision {
+	q.advance(now)
 	t, ok := q.tickets[id]
 	if !ok || t.state != running {
 		return nil
@@ -324,9 +362,10 @@
 }
 
 // Tick expires grants and refuses waiting requests that can no longer meet their
-// deadline or are past their objective. It must be called every few tens of
+// deadline or are past their objective (see Config.KeepLate for late ones). It must be called every few tens of
 // milliseconds.
 func (q *Queue) Tick(now time.Time) []Decision {
+	q.advance(now)
 	var out []Decision
 	for _, t := range q.tickets {
 		if t.state == granted && !now.Before(t.expires) {
@@ -336,9 +375,8 @@
 	}
 	out = q.assignFreeSlots(now, out)
 	for i := range q.ranks {
-		for _, t := range q.ranks[i].expired(now) {
-			q.ranks[i].remove(t)
-			q.queued--
+		for _, t := range q.ranks[i].expired(now, q.cfg.KeepLate) {
+			q.unqueue(t)
 			out = append(out, q.refuse(t, verdict.ReasonDeadline, q.serviceTime))
 		}
 	}
@@ -362,6 +400,9 @@
 // assignSlot assigns a free slot to a request, by a grant if the request asks for one.
 func (q *Queue) assignSlot(now time.Time, t *ticket) Decision {
 	q.busy++
+	if q.fair != nil {
+		q.fair.begin(t)
+	}
 	if t.Reserve {
 		q.rateLimit.reserve()
 		t.state = granted
@@ -378,13 +419,34 @@
 	if t.state == granted {
 		q.rateLimit.release()
 	}
-	delete(q.tickets, t.ID)
+	if q.fair != nil {
+		q.fair.end(t)
+	}
 	q.busy--
+	q.forget(t)
+}
+
+// unqueue removes a waiting request from the queue.
+func (q *Queue) unqueue(t *ticket) {
+	q.ranks[t.rank()].remove(t)
+	q.queued--
+	if q.fair != nil {
+		q.fair.remove(t)
+	}
+}
+
+// forget removes the ticket of a request that neither waits nor holds a slot any more.
+func (q *Queue) forget(t *ticket) {
+	delete(q.tickets, t.ID)
+	if q.fair != nil && t.fair.record != nil {
+		q.fair.release(t.fair.record)
+		t.fair.record = nil
+	}
 }
 
 // refuse drops a request's ticket and returns the decision to refuse it. The calling function
 // removes the request from its rank queue, or releases its slot if it has one.
 func (q *Queue) refuse(t *ticket, reason verdict.Reason, retryAfter time.Duration) Decision {
-	delete(q.tickets, t.ID)
+	q.forget(t)
 	return Decision{ID: t.ID, Action: Refuse, Reason: reason, RetryAfter: retryAfter}
 }
--- a/internal/core/admit/fair.go
+++ b/internal/core/admit/fair.go
@@ -77,11 +77,12 @@
 }
 
 // expired returns the requests that can no longer meet their deadline or are past
-// their objective.
-func (rq *rankQueue) expired(now time.Time) []*ticket {
+// their objective. With keepLate, the objective does not apply to requests that were
+// admitted as late.
+func (rq *rankQueue) expired(now time.Time, keepLate bool) []*ticket {
 	var out []*ticket
 	rq.each(func(t *ticket) {
-		if now.Add(t.ExpectedServiceTime).After(t.Deadline) || t.pastObjective(now) {
+		if now.Add(t.ExpectedServiceTime).After(t.Deadline) || t.pastObjective(now) && !(keepLate && t.late) {
 			out = append(out, t)
 		}
 	})
@@ -93,8 +94,11 @@
 // objective, go before late ones, ordered by deadline; fairness classes take turns.
 // Running late requests first would make the requests queued behind them late as well.
 // Ordering by objective lets short requests, whose objectives are near, overtake long
-// ones.
+// ones. With Config.FairShares, the order is that of fairOrder instead.
 func (q *Queue) popNext(now time.Time) *ticket {
+	if q.fair != nil {
+		return q.popFair(now)
+	}
 	inTime := func(t *ticket) bool { return t.meetsObjective(now) }
 	anyTicket := func(*ticket) bool { return true }
 	for rank := rankCount - 1; rank >= 0; rank-- {
--- a/internal/core/admit/ratelimit.go
+++ b/internal/core/admit/ratelimit.go
@@ -100,6 +100,7 @@
 // SetRateLimit changes the rate limit. Requests that have started or hold a grant are not
 // affected.
 func (q *Queue) SetRateLimit(now time.Time, limit RateLimit) []Decision {
+	q.advance(now)
 	q.rateLimit.set(now, limit)
 	return q.assignFreeSlots(now, nil)
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -60,6 +60,7 @@
 	ReasonNoTeam           Reason = "no-team"
 	ReasonNoTarget         Reason = "no-target"
 	ReasonQueueFull        Reason = "queue-full"
+	ReasonTeamShare        Reason = "team-share"
 	ReasonDeadline         Reason = "deadline"
 	ReasonDraining         Reason = "draining"
 	ReasonGrantExpired     Reason = "grant-expired"
