guard, daemon, front: fair shares where the settings enable them

Cause: the queue's fair shares were not in use.

Change: guard.Config has FairShares and KeepLate, from the settings fair_shares and learn_refusals. A request's Team is the Class of the message, its weight comes from Guard.teamWeight, 1 for now. A front treats team-share as queue-full when it decides whether an instance may be asked again for a late place.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,6 +109,7 @@
 	}, keys.Hooks{DistributeMap: func(obj objects.Object) { d.control.ApplyObject(obj) }}, store, log)
 	d.guard = guard.New(guard.Config{
 		Host: cfg.Host, QueuePerSlot: cfg.QueuePerSlot, GrantTTL: cfg.GrantTTL,
+		FairShares: cfg.FairShares, KeepLate: cfg.FairShares || cfg.LearnRefusals,
 		TargetIdleTimeout: cfg.TargetIdleTimeout, Dialect: adapter.Dialect,
 	}, guardLimits(cfg), log, d.keys, guard.Hooks{
 		Changed:    func() { d.control.InstancesChanged() },
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -121,7 +121,7 @@
 	if o.load.RetryBudgetOverdrawn {
 		e.front.guard.PauseRetries(time.Now())
 	}
-	if !p.options.allowLate && o.fail != nil && o.fail.Reason == verdict.ReasonQueueFull {
+	if !p.options.allowLate && o.fail != nil && (o.fail.Reason == verdict.ReasonQueueFull || o.fail.Reason == verdict.ReasonTeamShare) {
 		e.clearTried(p.target)
 	}
 	if o.fail != nil && o.fail.Reason == verdict.ReasonRetryBudget {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -30,6 +30,10 @@
 	Host string
 	// QueuePerSlot limits the requests queued at an instance, per slot.
 	QueuePerSlot int
+	// FairShares divides the slots of an instance among teams by weight, and KeepLate lets
+	// requests that were queued although they were late wait until their deadline; see
+	// admit.Config.
+	FairShares, KeepLate bool
 	// GrantTTL is how long a reserved slot is held.
 	GrantTTL time.Duration
 	// TargetIdleTimeout is how long an idle connection to an instance is kept open.
@@ -375,5 +379,8 @@
 
 // queueConfig returns the admission limits of an instance with the given slots.
 func (g *Guard) queueConfig(slots int) admit.Config {
-	return admit.Config{Slots: slots, QueuePerSlot: g.cfg.QueuePerSlot, GrantTTL: g.cfg.GrantTTL}
+	return admit.Config{
+		Slots: slots, QueuePerSlot: g.cfg.QueuePerSlot, GrantTTL: g.cfg.GrantTTL,
+		FairShares: g.cfg.FairShares, KeepLate: g.cfg.KeepLate,
+	}
 }
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -63,12 +63,13 @@
 	switch m := first.(type) {
 	case *msg.Run:
 		x.requestID = m.RequestID
-		if x.admit(m.Service, m.Instance, m.TimeoutMS, admit.Request{Class: m.Class, Priority: m.Priority, SubPriority: m.SubPriority}, m.Hints, m.Sample) {
+		if x.admit(m.Service, m.Instance, m.TimeoutMS, x.guard.admissionRequest(m.Class, m.Priority, m.SubPriority), m.Hints, m.Sample) {
 			x.serveRun(m)
 		}
 	case *msg.Reserve:
 		x.requestID = m.RequestID
-		r := admit.Request{Class: m.Class, Priority: m.Priority, SubPriority: m.SubPriority, Reserve: true}
+		r := x.guard.admissionRequest(m.Class, m.Priority, m.SubPriority)
+		r.Reserve = true
 		if x.admit(m.Service, m.Instance, m.TimeoutMS, r, m.Hints, m.Sample) {
 			x.serveReserve()
 		}
