admit: credit for a pause at the rate of the share; reason by what a team asks for

Change: a team that returns after a pause has credit at the rate of its share for the time of the pause, up to three requests, in place of a fixed margin. team-share is decided by the use with the waiting requests counted.

--- a/internal/core/admit/fairorder.go
+++ b/internal/core/admit/fairorder.go
@@ -131,17 +131,15 @@
 
 // lookUp returns the team's record. For a team without one it returns the newcomer, which keep
 // replaces once the request is admitted: refused requests need no record.
-func (o *fairOrder) lookUp(team uint32, weight float64) *teamRecord {
-	r, ok := o.teams[team]
+func (o *fairOrder) lookUp(t *ticket) *teamRecord {
+	r, ok := o.teams[t.Team]
 	if !ok {
 		r = &o.newcomer
-		*r = teamRecord{team: team}
+		*r = teamRecord{team: t.Team}
 	}
-	o.setWeight(r, weight)
+	o.setWeight(r, t.Weight)
 	if r.held == 0 {
-		if v := o.returnValue(); v > r.value() {
-			r.setValue(v)
-		}
+		o.endPause(r, o.contendedValue(), t.ExpectedServiceTime.Seconds()*o.scale)
 	}
 	return r
 }
@@ -155,15 +153,15 @@
 	o.hold(t.fair.record)
 }
 
-// returnValue returns the order value to which a team that returns after a pause is raised:
-// slightly below that of the other waiting teams, or of the request that last left the queue.
-// A team that used its share all the time is there, too, so that the pause gives no credit.
-func (o *fairOrder) returnValue() float64 {
+// contendedValue returns the order value at which teams wait: the lowest of those that wait,
+// or that of the request that last left the queue if it is lower. A team that uses its share
+// all the time stays near it.
+func (o *fairOrder) contendedValue() float64 {
 	lowest := o.lastValue
 	for _, t := range o.byTime {
 		lowest = min(lowest, t.fair.record.value())
 	}
-	return lowest * (1 - idleCredit)
+	return lowest
 }
 
 // offerFair is Offer with Config.FairShares. Slots that have become free since the last Tick,
@@ -176,7 +174,7 @@
 
 // offerBehind submits a request when all free slots have been assigned to waiting requests.
 func (q *Queue) offerBehind(now time.Time, t *ticket) []Decision {
-	t.fair.record = q.fair.lookUp(t.Team, t.Weight)
+	t.fair.record = q.fair.lookUp(t)
 	q.fair.prepare(t)
 	if q.queued == 0 && q.mayStart(now) {
 		q.fair.keep(t)
--- a/internal/core/admit/fairshare.go
+++ b/internal/core/admit/fairshare.go
@@ -15,11 +15,11 @@
 	// maxScaleHalfLives is the age, in half-lives, at which the unit of the stored use is
 	// renewed, which keeps it far from the limits of a float64.
 	maxScaleHalfLives = 60
-	// idleCredit is the part of the order value of the waiting teams by which a team that
-	// returns after a pause stays below them. It lets a team that sends little go first. With
-	// 0.05, a team that has waited long gets all slots for 0.4 s at most before shares are
-	// equal again.
-	idleCredit = 0.05
+	// pauseCredit is the number of requests by which a team that returns after a pause may be
+	// ahead of those that wait. Requests of a team that sends few come at irregular intervals:
+	// without the credit, 81 teams that sent four fifths of their shares were served 0.897 of
+	// their requests beside a heavy one; with 2, 3 and 5 requests 0.965, 0.969 and 0.970.
+	pauseCredit = 3
 )
 
 // useTimeConstant is the decayed slot time of a team that always uses one slot, in seconds.
@@ -43,7 +43,7 @@
 	// where fleetKnown is true, and sinceFleet the slot time used here since fleet was set.
 	own, fleet, sinceFleet float64
 	fleetKnown             bool
-	// offset is added to the use in the fair order. It removes the advantage of a pause, and
+	// offset is added to the use in the fair order. It limits the advantage of a pause, and
 	// keeps the team's order value when its weight changes: otherwise a team whose weight is
 	// raised would get all slots until its use has caught up.
 	offset float64
@@ -51,6 +51,9 @@
 	held int
 	// running is the number of slots that the team's requests hold.
 	running int
+	// released is the order value, in seconds, at releasedAt, when held last became 0.
+	released   float64
+	releasedAt time.Time
 	// planned is the expected service time of the team's requests already placed, while the
 	// fair order is computed.
 	planned float64
@@ -169,9 +172,24 @@
 	r.held--
 	if r.held == 0 {
 		s.activeWeight -= r.weight
+		r.released, r.releasedAt = r.value()/s.scale, s.now
 	}
 }
 
+// endPause sets the order value of a team without requests that sends one. For the pause, it
+// gets credit at the rate of its share, which keeps the team's value level at the contended
+// one, up to pauseCredit requests of the given slot time. Decayed use alone gives more than
+// that to a team that used much, and less to one that used little. Fleet figures need no
+// credit: they are the mean over many guards, to which single requests make no difference.
+func (s *teamShares) endPause(r *teamRecord, contended, request float64) {
+	value := r.value()
+	if !r.fleetKnown && !r.releasedAt.IsZero() {
+		credit := contended * s.now.Sub(r.releasedAt).Seconds() / useTimeConstant
+		value = min(value, r.released*s.scale-credit)
+	}
+	r.setValue(max(value, contended-pauseCredit*request/r.weight))
+}
+
 func (s *teamShares) setWeight(r *teamRecord, weight float64) {
 	if !(weight > 0) || math.IsInf(weight, 1) {
 		weight = 1
@@ -213,10 +231,11 @@
 	return slotTime / s.scale / useTimeConstant
 }
 
-// overShare reports whether the team uses more than its share of the slots among the teams
-// that have requests waiting or in a slot: by its decayed use or, since that follows a burst
-// only after seconds, by the slots that it holds. A team that is alone has all slots as its
-// share.
+// overShare reports whether the team asks for more than its share of the slots among the teams
+// that have requests waiting or in a slot. Its decayed use counts with its waiting requests,
+// because several teams that all ask for too much are each kept at their share, and so do the
+// slots that it holds, because the decayed use follows a burst only after seconds. A team that
+// is alone has all slots as its share.
 func (s *teamShares) overShare(r *teamRecord, slots int) bool {
 	const rounding = 1e-6
 	others := s.activeWeight
@@ -227,7 +246,7 @@
 		return false
 	}
 	share := float64(slots) * r.weight / (r.weight + others)
-	return s.slotsInUse(r.use()) > share || float64(r.running) > math.Ceil(share)
+	return s.slotsInUse(r.use()+r.planned) > share || float64(r.running) > math.Ceil(share)
 }
 
 // Use returns the use of the instance's slots by team, as of the latest call with a time. It
--- a/internal/core/admit/fairshare_test.go
+++ b/internal/core/admit/fairshare_test.go
@@ -95,34 +95,49 @@
 
 var fair = Config{FairShares: true, KeepLate: true}
 
+// besideHeavyTeam returns the share of requests served in time of light teams and of a heavy
+// one, and the share of slots used, as means over ten seeds of 60 s.
+func besideHeavyTeam(cfg Config, heavyTeam, lightTeam teamLoad, lightTeams int) (light, heavy, slots float64) {
+	lightSent, lightServed, teams := 0.0, 0.0, []teamLoad{heavyTeam}
+	for range lightTeams {
+		teams = append(teams, lightTeam)
+	}
+	for seed := range uint64(10) {
+		sent, served, slotTime := simulateTeams(cfg, seed, 0, time.Minute, teams)
+		heavy += served[0] / sent[0] / 10
+		for i := range teams {
+			slots += slotTime[i] / time.Minute.Seconds() / shareSlots / 10
+			if i > 0 {
+				lightSent, lightServed = lightSent+sent[i], lightServed+served[i]
+			}
+		}
+	}
+	return lightServed / lightSent, heavy, slots
+}
+
 // Guards against light teams that are refused because of the backlog of a heavy one: with the
-// round robin of classes, ten teams at 0.3/s are served a fifth of their requests while one
-// team sends 100/s.
+// round robin of classes, ten teams at 0.3/s are served a seventh of their requests while one
+// team sends 100/s. In the last case the weights are the teams' usual rates, and 81 teams send
+// four fifths of their small shares at irregular intervals.
 func TestLightTeamsAreServedBesideHeavyTeam(t *testing.T) {
-	for _, heavyRate := range []float64{5, 16, 40, 100} {
-		t.Run(fmt.Sprintf("load %.2f", (heavyRate+3)*meanService.Seconds()/shareSlots), func(t *testing.T) {
-			teams := []teamLoad{{constant(heavyRate), constant(1), meanService}}
-			for range 10 {
-				teams = append(teams, teamLoad{constant(0.3), constant(1), meanService})
-			}
-			measure := func(cfg Config) (light, heavy, slots float64) {
-				lightSent, lightServed := 0.0, 0.0
-				for seed := range uint64(10) {
-					sent, served, slotTime := simulateTeams(cfg, seed, 0, time.Minute, teams)
-					heavy += served[0] / sent[0] / 10
-					for i := range teams {
-						slots += slotTime[i] / time.Minute.Seconds() / shareSlots / 10
-						if i > 0 {
-							lightSent, lightServed = lightSent+sent[i], lightServed+served[i]
-						}
-					}
-				}
-				return lightServed / lightSent, heavy, slots
-			}
-			lightBefore, heavyBefore, slotsBefore := measure(Config{})
-			light, heavy, slots := measure(fair)
+	light := teamLoad{constant(0.3), constant(1), meanService}
+	for _, c := range []struct {
+		heavy, light teamLoad
+		lightTeams   int
+		want         float64
+	}{
+		{teamLoad{constant(5), constant(1), meanService}, light, 10, 0.97},
+		{teamLoad{constant(16), constant(1), meanService}, light, 10, 0.97},
+		{teamLoad{constant(40), constant(1), meanService}, light, 10, 0.97},
+		{teamLoad{constant(100), constant(1), meanService}, light, 10, 0.97},
+		{teamLoad{constant(10), constant(2), meanService}, teamLoad{constant(0.1), constant(0.1), meanService}, 81, 0.95},
+	} {
+		load := (c.heavy.rate(0) + float64(c.lightTeams)*c.light.rate(0)) * meanService.Seconds() / shareSlots
+		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) {
+			lightBefore, heavyBefore, slotsBefore := besideHeavyTeam(Config{}, c.heavy, c.light, c.lightTeams)
+			light, heavy, slots := besideHeavyTeam(fair, c.heavy, c.light, c.lightTeams)
 			t.Logf("light teams %.3f, before %.3f; heavy team %.3f, before %.3f; slots used %.3f, before %.3f", light, lightBefore, heavy, heavyBefore, slots, slotsBefore)
-			assert.Assert(t, light >= 0.97 && slots >= 0.98*slotsBefore)
+			assert.Assert(t, light >= c.want && slots >= 0.98*slotsBefore)
 		})
 	}
 }
