--- a/internal/guard/fairshares.go
+++ b/internal/guard/fairshares.go
@@ -5,10 +5,21 @@
 	"slices"
 	"sync"
 
+	"github.com/radishhoist/radishhoist/internal/core/admit"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/team"
 )
 
+// admissionRequest returns the part of a request for admission that depends on the caller's
+// team. hash is that of the team's name.
+func (g *Guard) admissionRequest(hash uint32, priority, subPriority uint8) admit.Request {
+	r := admit.Request{Class: hash, Priority: priority, SubPriority: subPriority}
+	if g.cfg.FairShares {
+		r.Team, r.Weight = hash, g.teamWeight(hash)
+	}
+	return r
+}
+
 // TeamHash hashes the name of a team.
 func TeamHash(name string) uint32 { return uint32(NameHash(name)) }
 
