--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -30,6 +30,10 @@
 	Host string
 	// QueuePerSlot limits the requests queued at an instance, per slot.
 	QueuePerSlot int
+	// FairShares divides the slots of an instance among teams by weight, and KeepLate lets
+	// requests that were queued although they were late wait until their deadline; see
+	// admit.Config.
+	FairShares, KeepLate bool
 	// GrantTTL is how long a reserved slot is held.
 	GrantTTL time.Duration
 	// TargetIdleTimeout is how long an idle connection to an instance is kept open.
@@ -77,6 +81,9 @@
 	// callback stores it, so that the block survives a restart of all processes, and must
 	// return without waiting. Nil disables the callback.
 	Blocked func(BlockedRequest)
+	// ShareReport is called with reports to the guard at an address, if FairShares is set.
+	// They may be lost. Nil disables the callback.
+	ShareReport func(address string, r *msg.ShareReport)
 }
 
 // Guard manages the instances of one host. It is safe for concurrent use.
@@ -109,6 +116,8 @@
 	// suspects tracks the requests suspected of crashing the instances that run
 	// them.
 	suspects *suspects
+	// shares is nil without FairShares.
+	shares *teamShares
 
 	mu            sync.Mutex
 	announcements *announce.Tracker
@@ -143,6 +152,9 @@
 	if g.onBlocked == nil {
 		g.onBlocked = func(BlockedRequest) {}
 	}
+	if cfg.FairShares {
+		g.shares = newTeamShares(cfg.Host, hooks.ShareReport)
+	}
 	g.limits.Store(&limits)
 	return g
 }
@@ -169,6 +181,7 @@
 // and the planned stops of instances on this host.
 func (g *Guard) Apply(d *directory.Directory) {
 	g.retryBudgets.apply(time.Now(), d, *g.limits.Load())
+	g.applyTeams(d)
 	presets := make(map[string]detect.Params, len(d.Services))
 	for name, s := range d.Services {
 		presets[name] = detect.ForPreset(s.Record.Preset)
@@ -231,8 +244,8 @@
 }
 
 // Tick expires grants, drops requests past their deadline, checks for stuck requests,
-// publishes load, and removes instances that no longer announce themselves. It must be
-// called periodically.
+// publishes load, exchanges the use of teams with other guards, and removes instances that no
+// longer announce themselves. It must be called periodically.
 func (g *Guard) Tick(now time.Time) {
 	changed := false
 	for _, inst := range g.all() {
@@ -246,6 +259,7 @@
 			changed = true
 		}
 	}
+	g.exchangeShares(now)
 	if changed {
 		g.onChanged()
 	}
@@ -378,5 +392,8 @@
 
 // queueConfig returns the admission limits of an instance with the given slots.
 func (g *Guard) queueConfig(slots int) admit.Config {
-	return admit.Config{Slots: slots, QueuePerSlot: g.cfg.QueuePerSlot, GrantTTL: g.cfg.GrantTTL}
+	return admit.Config{
+		Slots: slots, QueuePerSlot: g.cfg.QueuePerSlot, GrantTTL: g.cfg.GrantTTL,
+		FairShares: g.cfg.FairShares, KeepLate: g.cfg.KeepLate,
+	}
 }
