--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -111,8 +111,8 @@
 	// expires is the time at which the grant expires.
 	expires time.Time
 
-	// fair is used with Config.FairShares only.
-	fair fairTicket
+	// fair is nil without Config.FairShares.
+	fair *fairTicket
 }
 
 // Priorities is the number of values of Request.Priority and of Request.SubPriority.
@@ -260,10 +260,10 @@
 	if r.ExpectedServiceTime <= 0 {
 		r.ExpectedServiceTime = q.serviceTime
 	}
-	t := &ticket{Request: r}
 	if q.fair != nil {
-		return q.offerFair(now, t)
+		return q.offerFair(now, newFairTicket(r))
 	}
+	t := &ticket{Request: r}
 	if q.queued == 0 && q.mayStart(now) {
 		q.tickets[r.ID] = t
 		return []Decision{q.assignSlot(now, t)}
--- a/internal/core/admit/fairorder.go
+++ b/internal/core/admit/fairorder.go
@@ -48,10 +48,20 @@
 	place  float64
 }
 
+// newFairTicket returns a ticket with its part for the fair order, in one allocation.
+func newFairTicket(r Request) *ticket {
+	both := &struct {
+		ticket
+		fairTicket
+	}{ticket: ticket{Request: r}}
+	both.ticket.fair = &both.fairTicket
+	return &both.ticket
+}
+
 // prepare fills in what does not change while the request waits.
 func (o *fairOrder) prepare(t *ticket) {
 	o.nextSequence++
-	t.fair = fairTicket{
+	*t.fair = fairTicket{
 		record: t.fair.record, sequence: o.nextSequence, rank: t.rank(), work: t.ExpectedServiceTime.Seconds(),
 		objective: o.sinceStart(t.Objective), deadline: o.sinceStart(t.Deadline),
 	}
@@ -77,7 +87,7 @@
 func (o *fairOrder) arrange(now time.Time) {
 	at := o.sinceStart(now)
 	for _, t := range o.byTime {
-		f := &t.fair
+		f := t.fair
 		f.missed, f.due = t.late || at > f.latestStart, f.objective
 		if f.missed {
 			f.due = f.deadline
@@ -86,7 +96,7 @@
 	}
 	sortNearlySorted(o.byTime, dueBefore)
 	for _, t := range o.byTime {
-		f := &t.fair
+		f := t.fair
 		f.place = f.record.value() + f.record.planned/f.record.weight
 		f.record.planned += f.work * o.scale
 	}
@@ -99,7 +109,7 @@
 	for i := 1; i < len(list); i++ {
 		t := list[i]
 		k := i
-		for ; k > 0 && before(&t.fair, &list[k-1].fair); k-- {
+		for ; k > 0 && before(t.fair, list[k-1].fair); k-- {
 			list[k] = list[k-1]
 		}
 		list[k] = t
@@ -300,7 +310,7 @@
 func (q *Queue) fairEvictionCandidate(incoming *ticket) *ticket {
 	var candidate *ticket
 	for _, t := range q.fair.places {
-		if t != incoming && t.fair.rank <= incoming.fair.rank && (candidate == nil || t.fair.evictedBefore(&candidate.fair)) {
+		if t != incoming && t.fair.rank <= incoming.fair.rank && (candidate == nil || t.fair.evictedBefore(candidate.fair)) {
 			candidate = t
 		}
 	}
