front, area: distances, price of bytes, spill between areas

A choice knew two distances: a data centre at 0.9 ms and an area at 30 ms cost the same 0.05 of a request's value, whatever the request transfers.

Where [peers] areas names several areas, a transfer now costs waiting time by bytes and distance, samples are drawn by distance (6, 4, 2 of 12), and requests of a route leave their area while the measured wait there exceeds that of the other area by the round trip and the price of the bytes, and return at half of it. Bytes to other areas are metered; above 0.8 of [peers] area_link routes of 16 KB and more stay. The use of the link is the host's own times the hosts of the area, behind area.LinkMeter.

--- /dev/null
+++ b/internal/core/area/area_test.go
@@ -0,0 +1,86 @@
+package area
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var twoAreas = map[string]string{"n1": "north", "n2": "north", "s1": "south"}
+
+// A data centre whose area is unknown must not count as near, and distances must stay off
+// where the configuration does not give several areas or this one's.
+func TestDistances(t *testing.T) {
+	m := NewMap(twoAreas, "n1")
+	for dc, want := range map[string]Distance{"n1": SameDC, "n2": SameArea, "s1": Remote, "unlisted": Remote} {
+		assert.Equal(t, m.Distance(dc), want, dc)
+	}
+	for _, off := range []*Map{NewMap(nil, "n1"), NewMap(map[string]string{"n1": "north", "n2": "north"}, "n1"), NewMap(twoAreas, "unlisted")} {
+		assert.Assert(t, off == nil)
+	}
+}
+
+const threshold = 100 * time.Millisecond
+
+// observe records the same waits at intervals and returns how often the decision changed.
+func observe(s *Spill, now *time.Time, n int, own time.Duration) (changes int) {
+	for range n {
+		*now = now.Add(100 * time.Millisecond)
+		if s.Observe(*now, own, 0, threshold) {
+			changes++
+		}
+	}
+	return changes
+}
+
+// Requests must not leave their area for a wait below the threshold, nor return at once when
+// the wait falls just below it: both would make fronts change back and forth together.
+func TestSpillHasHysteresis(t *testing.T) {
+	var s Spill
+	now := time.Unix(1000, 0)
+	assert.Equal(t, observe(&s, &now, 50, threshold), 0)
+	assert.Equal(t, observe(&s, &now, 50, 2*threshold), 1)
+	assert.Assert(t, s.Spilled(now))
+	assert.Equal(t, observe(&s, &now, 50, threshold*6/10), 0)
+	assert.Equal(t, observe(&s, &now, 50, threshold*4/10), 1)
+	assert.Assert(t, !s.Spilled(now))
+}
+
+// One long wait must not make requests leave, and a spill must last minSpill and end when
+// nothing is observed.
+func TestSpillIgnoresSingleWaits(t *testing.T) {
+	var s Spill
+	now := time.Unix(1000, 0)
+	observe(&s, &now, 5, 0)
+	assert.Equal(t, observe(&s, &now, 1, 4*threshold), 0)
+	assert.Equal(t, observe(&s, &now, 20, 0), 0)
+	for !s.Spilled(now) {
+		observe(&s, &now, 1, 40*threshold)
+	}
+	spilledAt := now
+	for s.Spilled(now) {
+		observe(&s, &now, 1, -40*threshold)
+	}
+	assert.Equal(t, now.Sub(spilledAt), minSpill)
+	observe(&s, &now, 9, 40*threshold)
+	assert.Assert(t, s.Spilled(now) && !s.Spilled(now.Add(spillMaxAge)))
+}
+
+// The estimate must follow the use of the area: the host's own, in the busier direction, times
+// the number of its hosts. Without a known capacity nothing is bounded.
+func TestLinkIsFullAboveItsBound(t *testing.T) {
+	var m HostMeter
+	m.SetHosts(50)
+	now := time.Unix(1000, 0)
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		m.Add(now, 100, 12000)
+	}
+	used := m.BytesPerSecond(now)
+	assert.Assert(t, used > 0.97*50*120000 && used < 1.03*50*120000, "%f", used)
+	assert.Assert(t, (&Link{BytesPerSecond: 60e6 / 8, Meter: &m}).Full(now), "6 of 7.5 MB/s")
+	assert.Assert(t, !(&Link{BytesPerSecond: 70e6 / 8, Meter: &m}).Full(now))
+	assert.Assert(t, !(&Link{Meter: &m}).Full(now))
+	assert.Assert(t, !(&Link{BytesPerSecond: 60e6 / 8, Meter: &m}).Full(now.Add(time.Second)))
+}
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -40,6 +40,9 @@
 	WarmUpProgress float64
 	// Local reports whether the instance is in the front's data centre.
 	Local bool
+	// TransferPrice is the price of the request's bytes to the instance, where it depends on
+	// the distance: the additional waiting time that is accepted to avoid the transfer.
+	TransferPrice time.Duration
 	// FailureProbability is the probability that the request fails at the instance.
 	FailureProbability float64
 }
@@ -60,7 +63,8 @@
 	// FailureWeight is the share of the request's value that a failure costs: 1 for requests
 	// that cannot be retried, less for those that can.
 	FailureWeight float64
-	// RemoteWeight is the cost of traffic between data centres, as a share of the value.
+	// RemoteWeight is the cost of traffic between data centres, as a share of the value. It is
+	// 0 where candidates have a TransferPrice.
 	RemoteWeight float64
 }
 
@@ -95,27 +99,42 @@
 
 // Cost returns the estimated cost of a request at a candidate, in seconds.
 func Cost(c Candidate, w CostWeights) float64 {
-	service := c.Service
-	if service <= 0 {
-		service = defaultService
-	}
+	service := c.serviceTime()
 	roundTrip := c.RoundTrip
 	if roundTrip <= 0 && !c.Local {
 		roundTrip = unknownRemoteRoundTrip
 	}
-	slots := float64(max(c.Slots, 1))
-	freshness := math.Exp2(-float64(c.LoadAge) / float64(loadHalfLife))
-	running := freshness*float64(c.Running) + (1-freshness)*c.Typical.Running*slots + float64(c.Pending)
-	queued := freshness*c.QueuedWork.Seconds()/slots + (1-freshness)*c.Typical.QueuedWork.Seconds()
-	busy := min(running/slots, 1)
-	wait := queued + service.Seconds()*max(running+1-slots, 0)/slots
+	busy, wait := c.load()
 	run := (service.Seconds()*(1+fullLoadSlowdown*busy*busy) + wait) / max(c.WarmUpProgress, minWarmUpProgress)
 	total := roundTrip.Seconds() + run
 	value := (1 - c.FailureProbability*w.FailureWeight) * w.valueShareAfter(total)
 	if !c.Local {
 		value -= w.RemoteWeight
 	}
-	return total + valueWeight*w.Objective.Seconds()*(1-value)
+	return total + c.TransferPrice.Seconds() + valueWeight*w.Objective.Seconds()*(1-value)
+}
+
+func (c *Candidate) serviceTime() time.Duration {
+	if c.Service <= 0 {
+		return defaultService
+	}
+	return c.Service
+}
+
+// load returns the expected share of the slots in use, and the expected wait of the request
+// in the instance's queue in seconds.
+func (c *Candidate) load() (busy, wait float64) {
+	slots := float64(max(c.Slots, 1))
+	freshness := math.Exp2(-float64(c.LoadAge) / float64(loadHalfLife))
+	running := freshness*float64(c.Running) + (1-freshness)*c.Typical.Running*slots + float64(c.Pending)
+	queued := freshness*c.QueuedWork.Seconds()/slots + (1-freshness)*c.Typical.QueuedWork.Seconds()
+	return min(running/slots, 1), queued + c.serviceTime().Seconds()*max(running+1-slots, 0)/slots
+}
+
+// Wait returns the expected wait of a request in the queue of a candidate.
+func Wait(c Candidate) time.Duration {
+	_, wait := c.load()
+	return time.Duration(wait * float64(time.Second))
 }
 
 // valueShareAfter returns the expected share of its value that a request keeps if its
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,6 +137,7 @@
 		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxConns: cfg.ConnBound(),
 		HeaderTimeout: cfg.HeaderTimeout, IdleTimeout: cfg.IdleTimeout,
 		Service: cfg.Service, Dialect: adapter.Dialect,
+		Areas: cfg.Areas, AreaLinkMbps: cfg.AreaLinkMbps,
 	}, frontLimits(cfg), log, nil, d.guard, d.keys)
 	d.front.SetRateLimiter(d.teams)
 	d.front.SetLoadQuerier(d.control)
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -173,19 +173,25 @@
 	return eligible, local
 }
 
+// usualSample is the number of sampled targets up to which a choice needs no memory for
+// their description.
+const usualSample = 16
+
 // pickEligible picks the sampled target with the lowest cost. Targets that became unusable
 // since the sample was drawn are left out. The caller must hold st.mu.
 func (st *serviceState) pickEligible(now time.Time, req *request, sampled, tried []*target, rng *rand.Rand, p *paths, cfg Config) *target {
-	typical := st.typicalLoad(now, req)
+	typical, remoteTypical := st.typicalLoads(now, req)
 	expected, weights := st.expectedServiceTimeLocked(req), req.costWeights(now, st.retryChance(now, req, tried))
 	usable := slices.DeleteFunc(slices.Clone(sampled), func(t *target) bool { return !t.Usable() || !p.reachable(t.Host.Name) || wasTried(tried, t) })
-	all := make([]int, len(usable))
+	all, candidates := make([]int, len(usable)), make([]balance.Candidate, 0, usualSample)
 	for i := range all {
 		all[i] = i
+		candidates = append(candidates, usable[i].candidate(now, req, expected, typical, p, cfg))
+	}
+	if cfg.areas != nil {
+		all, weights.RemoteWeight = st.applyDistances(now, req, usable, candidates, all, remoteTypical, cfg.areas), 0
 	}
-	i := balance.Pick(rng, all, func(k int) float64 {
-		return balance.Cost(usable[k].candidate(now, req, expected, typical, p, cfg), weights)
-	})
+	i := balance.Pick(rng, all, func(k int) float64 { return balance.Cost(candidates[k], weights) })
 	if i < 0 {
 		return nil
 	}
--- a/internal/front/cost.go
+++ b/internal/front/cost.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/core/area"
 	"github.com/radishhoist/radishhoist/internal/core/balance"
 	"github.com/radishhoist/radishhoist/internal/core/chance"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
@@ -44,23 +45,39 @@
 	defaultSlotLoad = 0.3
 )
 
-// typicalLoad is the load per slot of the eligible targets, from recent load reports. Distant
-// hosts report theirs only with responses. The caller must hold st.mu.
-func (st *serviceState) typicalLoad(now time.Time, req *request) balance.TypicalLoad {
-	slots, running, waiting := 0, 0, time.Duration(0)
+// typicalLoads are the loads per slot of the eligible targets, from recent load reports: of
+// those in this area, and of those in others. Where data centres lie in one area, all targets
+// are in this one. Distant hosts report their load only with responses. The caller must hold
+// st.mu.
+func (st *serviceState) typicalLoads(now time.Time, req *request) (near, remote balance.TypicalLoad) {
+	var sums [2]loadSum
 	for _, i := range st.candidates.eligible {
 		t := st.targets[i]
-		if now.Sub(t.observed.loadAt) > loadMaxAge {
+		side, maxAge := 0, loadMaxAge
+		if t.distance == area.Remote {
+			side, maxAge = 1, remoteTypicalMaxAge
+		}
+		if now.Sub(t.observed.loadAt) > maxAge {
 			continue
 		}
-		slots += t.Slots
-		running += int(t.observed.load.Running)
-		waiting += req.queuedAhead(now, t.observed.load)
+		sums[side].slots += t.Slots
+		sums[side].running += int(t.observed.load.Running)
+		sums[side].waiting += req.queuedAhead(now, t.observed.load)
 	}
-	if slots == 0 {
+	return sums[0].typical(), sums[1].typical()
+}
+
+// loadSum is the sum of the loads of several targets.
+type loadSum struct {
+	slots, running int
+	waiting        time.Duration
+}
+
+func (s *loadSum) typical() balance.TypicalLoad {
+	if s.slots == 0 {
 		return balance.TypicalLoad{Running: defaultSlotLoad}
 	}
-	return balance.TypicalLoad{Running: float64(running) / float64(slots), QueuedWork: waiting / time.Duration(slots)}
+	return balance.TypicalLoad{Running: float64(s.running) / float64(s.slots), QueuedWork: s.waiting / time.Duration(s.slots)}
 }
 
 // queuedAhead estimates the work that will run before the request at an instance, as time
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -43,6 +43,15 @@
 	Service string
 	// Dialect names the HTTP headers used with callers and targets.
 	Dialect header.Dialect
+	// Areas maps each data centre to its area. Distances count in choices where there are
+	// several.
+	Areas map[string]string
+	// AreaLinkMbps is the capacity of the link between areas each way, in Mbit/s; 0 means
+	// that it is not known.
+	AreaLinkMbps int
+
+	// areas is derived from Areas by New.
+	areas *areas
 }
 
 // Limits holds the parameters of a Front that can change at run time.
@@ -86,6 +95,8 @@
 	f.dir.Store(&directory.Directory{})
 	f.services.byName = make(map[string]*serviceState)
 	f.counts, f.loadQueries = newCounters(), newLoadQueries()
+	f.cfg.areas = newAreas(cfg, f.counts.set)
+	f.counts.set.NewGauge("radishhoist_spill", func() float64 { return f.services.spilledRoutes(time.Now()) })
 	return f
 }
 
@@ -97,6 +108,7 @@
 // SetDirectory replaces the directory used to serve requests.
 func (f *Front) SetDirectory(d *directory.Directory) {
 	f.services.update(d, f.paths, f.cfg)
+	f.cfg.areas.setDirectory(d)
 	f.dir.Store(d)
 }
 
--- a/internal/front/loadquery.go
+++ b/internal/front/loadquery.go
@@ -9,7 +9,6 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/radishhoist/radishhoist/internal/core/balance"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
 
@@ -182,7 +181,7 @@
 	defer st.mu.Unlock()
 	st.refreshOldCandidates(now, req.service, f.paths, f.cfg)
 	eligible, local := st.eligibleFor(now, tried, usesRetryBudget)
-	for _, k := range balance.Sample(rng, len(eligible), localPositions(eligible, local)) {
+	for _, k := range st.samplePositions(now, req, eligible, local, rng, f.cfg) {
 		t := st.targets[eligible[k]]
 		if slices.Contains(sampled, t) {
 			continue
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -95,6 +95,8 @@
 // relay streams the rest of the response to the caller.
 func (resp *response) relay(w http.ResponseWriter, req *request) *verdict.Error {
 	defer resp.close()
+	buffered := resp.length
+	defer func() { resp.attempt.front.cfg.areas.recordBytes(resp.attempt.target, 0, int64(resp.length-buffered)) }()
 	ctx, cancel := context.WithDeadline(req.http.Context(), req.deadline)
 	defer cancel()
 	for {
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -115,6 +115,7 @@
 	o := e.front.runAttempt(ctx, e.req, p, claim)
 	e.recordAttempt(p.entry, o)
 	e.req.state.observe(e.req, p.target, o)
+	e.front.recordTransfer(e.req, p.target, o)
 	if o.succeeded() {
 		e.front.guard.RecordCompletion(e.req.fingerprint, p.target.softwareVersion())
 	}
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/core/area"
 	"github.com/radishhoist/radishhoist/internal/core/chance"
 	"github.com/radishhoist/radishhoist/internal/core/detect"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
@@ -34,6 +35,9 @@
 	// leaving are the instances that have stated in a response to this host that they are
 	// leaving, by target.key.
 	leaving map[string]leavingMark
+	// routeAreas, by route, and groups are used where data centres lie in several areas.
+	routeAreas map[string]*routeArea
+	groups     distanceGroups
 }
 
 // target is an instance in one version of the directory, with this front's observations of
@@ -42,6 +46,7 @@
 type target struct {
 	*directory.Target
 	hash     uint64
+	distance area.Distance
 	observed *observations
 }
 
@@ -128,7 +133,7 @@
 	st.expireLeaving(now)
 	st.targets = make([]*target, 0, len(svc.Targets))
 	for _, t := range svc.Targets {
-		current := &target{Target: t, hash: guard.NameHash(t.Name), observed: &observations{}}
+		current := &target{Target: t, hash: guard.NameHash(t.Name), distance: cfg.areas.distance(t.Host.DC), observed: &observations{}}
 		if previous, ok := old[current.key()]; ok && previous.StartedMS == t.StartedMS {
 			current.observed = previous.observed
 		}
