--- a/internal/front/areas.go
+++ b/internal/front/areas.go
@@ -140,9 +140,11 @@
 
 // applyDistances completes the candidates of a choice with what depends on their distance,
 // and returns the positions of those that may be chosen: all of them while the route's
-// requests may leave their area, otherwise those of the own area, if there are any. all holds
-// all positions and is reordered. The caller must hold st.mu.
-func (st *serviceState) applyDistances(now time.Time, req *request, targets []*target, candidates []balance.Candidate, all []int, remoteTypical balance.TypicalLoad, a *areas) []int {
+// requests may leave their area or where all of its candidates are likely to fail, otherwise
+// those of the own area, if there are any. all holds all positions and is reordered. first
+// reports that this is the first attempt of the request: the candidates of others are those
+// left over, and their waits do not count. The caller must hold st.mu.
+func (st *serviceState) applyDistances(now time.Time, req *request, targets []*target, candidates []balance.Candidate, all []int, remoteTypical balance.TypicalLoad, first bool, a *areas) []int {
 	route := st.routeArea(req.route.Name)
 	own := 0
 	for k, t := range targets {
@@ -158,23 +160,30 @@
 			c.RoundTrip = time.Duration(a.roundTrip.Load())
 		}
 	}
-	if own == 0 {
+	if own == 0 || own == len(all) {
 		return all
 	}
-	if own < len(all) && route.observeWaits(now, req, targets, candidates) {
+	w := areaWaits(targets, candidates)
+	if first && w.ownKnown && w.otherKnown &&
+		route.spill.Observe(now, w.own, w.other, w.roundTrip+area.TransferPrice(route.transfer.Mean(), area.Remote)) {
 		a.changes.Inc()
 	}
-	if !route.spill.Spilled(now) || a.lossSuspected(now) || route.transfer.Large() && a.link.Full(now) {
+	if a.lossSuspected(now) || route.transfer.Large() && a.link.Full(now) || w.ownKnown && !route.spill.Spilled(now) {
 		return all[:own]
 	}
 	return all
 }
 
-// observeWaits compares the shortest expected waits among the candidates of the own area and
-// among those elsewhere, and reports whether the spill of the route changed.
-func (r *routeArea) observeWaits(now time.Time, req *request, targets []*target, candidates []balance.Candidate) bool {
-	// Where all candidates of the own area are likely to fail, the wait is the objective.
-	own, other, roundTrip, known := req.route.Objective(), time.Duration(0), time.Duration(0), false
+// waits are the shortest expected waits among the candidates of the own area and among those
+// elsewhere that are unlikely to fail, as far as there are any.
+type waits struct {
+	own, other           time.Duration
+	ownKnown, otherKnown bool
+	// roundTrip is the round trip to the candidate elsewhere.
+	roundTrip time.Duration
+}
+
+func areaWaits(targets []*target, candidates []balance.Candidate) (w waits) {
 	for k, t := range targets {
 		c := candidates[k]
 		if c.FailureProbability > waitFailureMax {
@@ -183,15 +192,14 @@
 		wait := balance.Wait(c)
 		switch {
 		case t.distance != area.Remote:
-			own = min(own, wait)
-		case !known || wait < other:
-			other, roundTrip, known = wait, c.RoundTrip, true
+			if !w.ownKnown || wait < w.own {
+				w.own, w.ownKnown = wait, true
+			}
+		case !w.otherKnown || wait < w.other:
+			w.other, w.otherKnown, w.roundTrip = wait, true, c.RoundTrip
 		}
 	}
-	if !known {
-		return false
-	}
-	return r.spill.Observe(now, own, other, roundTrip+area.TransferPrice(r.transfer.Mean(), area.Remote))
+	return w
 }
 
 // recordTransfer records the bytes of an attempt, and whether another area could be reached.
