fleetsim: areas, varying demand, losses of data centres

Choices by area had no scenario with a delay between areas. A scenario may now distribute its data centres over areas, vary the demand of each with a phase, separate areas, lose data centres, and replace the choice by a round robin. Bytes between areas and changes of the spill are recorded.

--- a/internal/fleetsim/callers.go
+++ b/internal/fleetsim/callers.go
@@ -27,6 +27,7 @@
 		}
 	}
 	f.scheduleHostFaults()
+	f.scheduleDCLosses()
 	f.scheduleLeavings()
 	for _, l := range f.scenario.Losses {
 		time.AfterFunc(l.At, func() { f.crashInstances(l) })
@@ -56,7 +57,7 @@
 
 // sendKind sends the requests of one kind that callers send.
 func (f *fleet) sendKind(k RequestKind, rng *rand.Rand) {
-	f.sendAtRandomTimes(k.RatePerSecond, rng, func(h *host, n int) { f.sendAndRecord(h, k, fmt.Sprintf("%s-%d", k.Name, n)) })
+	f.sendAtRandomTimes(k.RatePerSecond*f.scenario.demandPeak(), rng, func(h *host, n int) { f.sendAndRecord(h, k, fmt.Sprintf("%s-%d", k.Name, n)) })
 }
 
 // sendAtRandomTimes sends numbered requests from random hosts as a Poisson process, and waits until
@@ -68,7 +69,10 @@
 		if f.now() > f.scenario.Duration {
 			break
 		}
-		h := f.hosts[rng.IntN(len(f.hosts))]
+		h, ok := f.randomSender(rng)
+		if !ok {
+			continue
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -134,6 +138,9 @@
 	if d == nil {
 		return http.StatusBadGateway, ""
 	}
+	if f.scenario.Areas.RoundRobin {
+		return f.sendRoundRobin(ctx, h, k, path, id), ""
+	}
 	d.front.ServeHTTP(w, r)
 	f.recordPassedOn(h, w.Header())
 	var p verdict.Problem
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -50,6 +50,8 @@
 	starts  int
 	// reportLimiter selects the recipients of load reports within the rate limit.
 	reportLimiter *loadreport.Limiter
+	// turn is the index of the host to which a round robin sent last.
+	turn int
 }
 
 // fleet is the state of one simulation.
@@ -104,6 +106,7 @@
 	}
 	time.Sleep(s.WarmUp)
 	f.sendRequests()
+	f.countSpillChanges()
 	cancel()
 	time.Sleep(drainTime)
 	return f.result
@@ -165,7 +168,7 @@
 }
 
 func (f *fleet) newHost(n int, s Service, name, version string) *host {
-	h := &host{fleet: f, name: "h" + name, dc: dcName(n % f.scenario.DCs), reportLimiter: loadreport.New(f.newRand())}
+	h := &host{fleet: f, name: "h" + name, dc: dcName(n % f.scenario.DCs), reportLimiter: loadreport.New(f.newRand()), turn: n}
 	f.byName[h.name] = h
 	stats := &InstanceStats{Service: s.Name}
 	f.result.Instances[name] = stats
@@ -195,6 +198,9 @@
 	if a.dc == b.dc {
 		return f.scenario.LocalDelay
 	}
+	if f.crossesAreas(a, b) {
+		return f.scenario.Areas.Delay
+	}
 	return f.scenario.RemoteDelay
 }
 
@@ -233,6 +239,7 @@
 		})
 	fr := front.New(front.Config{
 		Host: h.name, DC: h.dc, BufferBodyBytes: 1 << 10, MaxConns: 1 << 10, Service: h.instance.service.Name, Dialect: dialect,
+		Areas: h.fleet.scenario.areasByDC(), AreaLinkMbps: h.fleet.scenario.Areas.LinkMbps,
 	}, front.Limits{MaxBodyBytes: 1 << 20}, log, peers{h}, g, nil)
 	fr.SetLoadQuerier(h)
 	h.mu.Lock()
@@ -355,7 +362,11 @@
 	now := f.now()
 	for _, c := range f.scenario.Partitions {
 		dc := dcName(c.DC)
-		if (a.dc == dc) != (b.dc == dc) && now >= c.At && now < c.At+c.Duration {
+		separated := (a.dc == dc) != (b.dc == dc)
+		if c.WholeArea {
+			separated = f.crossesAreas(a, b)
+		}
+		if separated && now >= c.At && now < c.At+c.Duration {
 			return c.At + c.Duration + repairDelay - now
 		}
 	}
@@ -375,7 +386,7 @@
 	}
 	local, remote := wire.Pipe()
 	go to.serve(remote)
-	return delayedStream{local, p.from.fleet.delay(p.from, to), to.instance}, nil, nil
+	return delayedStream{local, p.from.fleet.delay(p.from, to), to.instance, p.from.fleet.crossesAreas(p.from, to)}, nil, nil
 }
 
 func (h *host) serve(s wire.Stream) {
@@ -395,11 +406,16 @@
 	wire.Stream
 	delay    time.Duration
 	instance *instance
+	// crossesAreas reports that the ends are in different areas.
+	crossesAreas bool
 }
 
 // Send implements wire.Stream.
 func (d delayedStream) Send(ctx context.Context, ms ...msg.Message) error {
 	time.Sleep(d.delay)
+	if d.crossesAreas {
+		d.instance.host.fleet.recordAreaBytes(ms...)
+	}
 	return d.Stream.Send(ctx, ms...)
 }
 
@@ -410,6 +426,9 @@
 		return m, err
 	}
 	time.Sleep(d.delay)
+	if d.crossesAreas {
+		d.instance.host.fleet.recordAreaBytes(m)
+	}
 	switch m := m.(type) {
 	case *msg.Grant:
 		d.instance.setTrueHealth(&m.Load)
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -126,7 +126,11 @@
 			return
 		}
 		status := i.run(r)
-		text := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\n%sContent-Length: 2\r\n\r\nok", status, r.Header.Get("X-Request-Id"), i.statedRateLimit()+i.statedLeaving())
+		body := "ok"
+		if k, ok := i.host.fleet.findKind(r.URL.Path); ok && k.ResponseBytes > 0 && status < http.StatusBadRequest {
+			body = strings.Repeat("x", k.ResponseBytes)
+		}
+		text := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("X-Request-Id"), i.statedRateLimit()+i.statedLeaving(), len(body), body)
 		if _, err := nc.Write([]byte(text)); err != nil {
 			return
 		}
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -29,6 +29,8 @@
 	MaxAttempts         int
 	// SharedPath makes all requests of the kind use one path.
 	SharedPath bool
+	// ResponseBytes is the size of the response body, 0 for two bytes.
+	ResponseBytes int
 	// CalledKind is the kind that an instance calls while it runs a request of this one, with
 	// probability CallProbability.
 	CalledKind      string
@@ -73,12 +75,15 @@
 	Instances int
 }
 
-// Partition separates one data centre from the others for a time. No stream can be opened
-// between them, and other messages are delayed until the first repair after it.
+// Partition separates one data centre, or its whole area, from the others for a time. No
+// stream can be opened between them, and other messages are delayed until the first repair
+// after it.
 type Partition struct {
 	At, Duration time.Duration
 	// DC is the index of the data centre.
 	DC int
+	// WholeArea separates the area of the data centre.
+	WholeArea bool
 }
 
 // Scenario describes one simulation.
@@ -87,6 +92,7 @@
 	// one-way delay of a message between two of them, LocalDelay within one.
 	DCs                     int
 	RemoteDelay, LocalDelay time.Duration
+	Areas                   Areas
 	Services                []Service
 	Kinds                   []RequestKind
 	Health                  Health
@@ -154,6 +160,12 @@
 	LateArrivals map[string]int
 	// LeavingResponses is the number of responses by which instances stated it.
 	LeavingResponses int
+	// AreaBytes are the bytes of requests and responses between areas in both directions, by
+	// second since the start of the callers.
+	AreaBytes []int
+	// SpillChanges is the number of changes of the hosts that are up at the end between
+	// sending requests of a route to another area and not.
+	SpillChanges int
 }
 
 // CrashStats are the observations of one crashing request.
