front: current loads of the whole area for a choice

Where there are several areas, requests stay in theirs, but the loads of its other data centres counted as current for 1 s, so that choices went by old ones. They count for 0.1 s now, as those of the own data centre; replies arrive within the 2 ms that a choice waits. In one area nothing changes.

--- a/internal/front/areas.go
+++ b/internal/front/areas.go
@@ -70,6 +70,10 @@
 	return a.distances.Distance(dc)
 }
 
+// near reports whether a target is in this area. Replies to load queries arrive in time for
+// the choice from there, and requests stay there, so that current loads are worth asking for.
+func (a *areas) near(t *target) bool { return a != nil && t.distance != area.Remote }
+
 // setDirectory counts the hosts of the area.
 func (a *areas) setDirectory(d *directory.Directory) {
 	if a == nil {
--- a/internal/front/loadquery.go
+++ b/internal/front/loadquery.go
@@ -196,7 +196,7 @@
 
 // maxLoadAge is the age up to which the load of a target counts as current.
 func maxLoadAge(t *target, cfg Config) time.Duration {
-	if t.Host.DC == cfg.DC {
+	if t.Host.DC == cfg.DC || cfg.areas.near(t) {
 		return localLoadMaxAge
 	}
 	return remoteLoadMaxAge
