--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -50,6 +50,15 @@
 	// LearnRefusals judges instances that refuse requests by comparison with their service,
 	// and does not ask for retry budget where it is known to be used up.
 	LearnRefusals bool
+	// Areas maps each data centre to its area. Distances count in choices where there are
+	// several.
+	Areas map[string]string
+	// AreaLinkMbps is the capacity of the link between areas each way, in Mbit/s; 0 means
+	// that it is not known.
+	AreaLinkMbps int
+
+	// areas is derived from Areas by New.
+	areas *areas
 }
 
 // Limits holds the parameters of a Front that can change at run time.
@@ -97,6 +106,8 @@
 	f.services.byName = make(map[string]*serviceState)
 	f.counts, f.loadQueries = newCounters(), newLoadQueries()
 	f.pipeline = f.newPipeline()
+	f.cfg.areas = newAreas(cfg, f.counts.set)
+	f.counts.set.NewGauge("radishhoist_spill", func() float64 { return f.services.spilledRoutes(time.Now()) })
 	return f
 }
 
@@ -109,6 +120,7 @@
 func (f *Front) SetDirectory(d *directory.Directory) {
 	f.services.update(d, f.paths, f.cfg)
 	f.registerShedShares(d)
+	f.cfg.areas.setDirectory(d)
 	f.dir.Store(d)
 }
 
