pipeline: set the write deadline for each recorded part that is forwarded

Cause: recorder.forward set it once, before the first part, so that a deadline set by the handler meanwhile was lost. Change: it is set before each part, with the handler's latest timeout. Result: the second part of TestWriteDeadlineSetDuringForwardIsKept has 30 s instead of 10 s; go test -race ./internal/pipeline passes.

--- a/internal/pipeline/recorder.go
+++ b/internal/pipeline/recorder.go
@@ -138,10 +138,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.changed.Broadcast()
-	if r.writeTimeout != 0 {
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.writeTimeout))
-	}
 	for r.err == nil {
+		// The handler may have set its deadline anew while a part was written.
+		if r.writeTimeout != 0 {
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.writeTimeout))
+		}
 		status, body, flush := 0, r.body, r.flush
 		if r.recorded != nil {
 			status = r.status
