retry: the wait for budget counts how far it is overdrawn

Cause: Wait started from Available, which is 0 at least. Change: it starts from the same sum without the lower bound. Result: TestWaitCountsOverdrawnBudget waits 8.5 s instead of 5.5 s and the retry is then permitted; go test ./internal/core/retry and the Budget tests of ./internal/guard pass.

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -109,19 +109,22 @@
 func (b *Budget) Release() { b.held = max(b.held-1, 0) }
 
 // Available returns the number of retries that the budget permits now.
-func (b *Budget) Available(now time.Time) float64 {
+func (b *Budget) Available(now time.Time) float64 { return max(b.left(now), 0) }
+
+// left is Available, but negative where calls of retried runs have overdrawn the budget.
+func (b *Budget) left(now time.Time) float64 {
 	left := b.allowance(now) - float64(b.held)
 	for i := range b.buckets {
 		left -= b.buckets[i].retries
 	}
-	return max(left, 0)
+	return left
 }
 
 // Wait returns the time until Hold is expected to permit a retry, because earlier ones have
 // left the window, and false if that is not expected. It assumes that requests keep
 // arriving as in the current window.
 func (b *Budget) Wait(now time.Time, minRemaining float64) (time.Duration, bool) {
-	missing := 1 + minRemaining*b.allowance(now) - b.Available(now)
+	missing := 1 + minRemaining*b.allowance(now) - b.left(now)
 	interval := max(b.limits.Window/bucketsPerWindow, time.Millisecond)
 	untilNext := interval - now.Sub(b.created)%interval
 	for k := range bucketCount + 1 {
