admit: teams of the fleet get records in the order of their use

Cause: SetFleetUse added teams in the order of a map, each with a search of all records, and a team could replace one that uses more. Change: they are added in the order of their use, and replace only records with less.

--- a/internal/core/admit/fairshare.go
+++ b/internal/core/admit/fairshare.go
@@ -1,7 +1,9 @@
 package admit
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -137,12 +139,18 @@
 	if r == nil {
 		r = &teamRecord{}
 		s.records = append(s.records, r)
-	} else {
+	}
+	s.replace(r, team)
+	return r
+}
+
+// replace gives a record to another team.
+func (s *teamShares) replace(r *teamRecord, team uint32) {
+	if s.teams[r.team] == r {
 		delete(s.teams, r.team)
 	}
 	*r = teamRecord{team: team}
 	s.teams[team] = r
-	return r
 }
 
 // leastUsed returns the record to replace, nil if there is room for another one.
@@ -276,11 +284,48 @@
 	for _, r := range s.records {
 		r.fleetKnown, r.fleet, r.sinceFleet = false, 0, 0
 	}
+	var added []TeamUse
 	for team, slots := range use {
-		if !(slots >= 0) || math.IsInf(slots, 1) {
-			continue
+		switch r, ok := s.teams[team]; {
+		case !(slots >= 0) || math.IsInf(slots, 1):
+		case ok:
+			r.setFleet(slots * useTimeConstant * s.scale)
+		default:
+			added = append(added, TeamUse{Team: team, SlotTime: slots})
+		}
+	}
+	// Which teams keep their records must not depend on the order of a map.
+	slices.SortFunc(added, func(a, b TeamUse) int {
+		return cmp.Or(cmp.Compare(b.SlotTime, a.SlotTime), cmp.Compare(a.Team, b.Team))
+	})
+	s.addFleetUse(added)
+}
+
+// addFleetUse adds records for teams without one, which are sorted by use in descending order.
+// Beyond maxTeams they replace those that use less, see leastUsed.
+func (s *teamShares) addFleetUse(added []TeamUse) {
+	room := min(max(maxTeams-len(s.records), 0), len(added))
+	for _, u := range added[:room] {
+		s.record(u.Team).setFleet(u.SlotTime * useTimeConstant * s.scale)
+	}
+	if added = added[room:]; len(added) == 0 {
+		return
+	}
+	var replaceable []*teamRecord
+	for _, r := range s.records {
+		if r.held == 0 {
+			replaceable = append(replaceable, r)
+		}
+	}
+	slices.SortStableFunc(replaceable, func(a, b *teamRecord) int { return cmp.Compare(a.use(), b.use()) })
+	for i, u := range added[:min(len(added), len(replaceable))] {
+		fleet := u.SlotTime * useTimeConstant * s.scale
+		if replaceable[i].use() >= fleet {
+			return
 		}
-		r := s.record(team)
-		r.fleetKnown, r.fleet = true, slots*useTimeConstant*s.scale
+		s.replace(replaceable[i], u.Team)
+		replaceable[i].setFleet(fleet)
 	}
 }
+
+func (r *teamRecord) setFleet(slotTime float64) { r.fleetKnown, r.fleet = true, slotTime }
