--- a/internal/core/share/share_test.go
+++ b/internal/core/share/share_test.go
@@ -214,3 +214,21 @@
 		x.FleetUse("s", 8)
 	}
 }
+
+// Guards against reports that arrived during a suspension and are read after the first Tick
+// that follows it: they may be as old as the suspension.
+func TestReportsAreIgnoredAfterSuspension(t *testing.T) {
+	now := time.Unix(1000, 0)
+	local := []Local{{Service: "s", Slots: 8}}
+	one := msg.TeamSlots{Team: 1, Slots: 500}
+	x := newExchange("s", "a")
+	x.Tick(now, local)
+	assert.Assert(t, x.Receive(now, report("a", one)))
+	now = now.Add(10 * time.Second)
+	x.Tick(now, local)
+	assert.Assert(t, x.FleetUse("s", 8) == nil)
+	assert.Assert(t, !x.Receive(now, report("a", one)))
+	now = now.Add(Interval)
+	x.Tick(now, local)
+	assert.Assert(t, x.Receive(now, report("a", one)))
+}
