--- a/internal/core/refusal/budget.go
+++ b/internal/core/refusal/budget.go
@@ -69,9 +69,14 @@
 	return b.left == 0 && now.Sub(b.at) < currentMaxAge
 }
 
+// minSpentGuards is the number of guards known to have no budget left from which the others
+// are taken to have none either, unless one is known to have some. Guards share the traffic of
+// their service evenly, so that their parts of the budget run out at about the same time.
+const minSpentGuards = 3
+
 // Askable sets ask[k] for each guard that may be asked for a retry and returns whether there
-// is any. Guards that are known to have no budget left are not asked. If all those of which
-// anything is known have none, the others are not asked either.
+// is any. Guards that are known to have no budget left are not asked. If there are
+// minSpentGuards of them and none that is known to have some, the others are not asked either.
 func Askable(now time.Time, l Level, guards []*GuardBudget, ask []bool) bool {
 	spentGuards, availableGuards := 0, 0
 	for k, b := range guards {
@@ -83,7 +88,7 @@
 		}
 		ask[k] = b.knowledge(now, l) != spent
 	}
-	if spentGuards > 0 && availableGuards == 0 {
+	if spentGuards >= minSpentGuards && availableGuards == 0 {
 		clear(ask)
 		return false
 	}
--- a/internal/front/loadquery.go
+++ b/internal/front/loadquery.go
@@ -171,6 +171,7 @@
 	case <-q.complete:
 	case <-timeout.C:
 		f.counts.unansweredQueries.Add(f.loadQueries.unanswered(q))
+		f.loadQueries.recordMissingReplies(q)
 	case <-ctx.Done():
 	}
 	return sampled
--- a/internal/front/result.go
+++ b/internal/front/result.go
@@ -35,6 +35,10 @@
 // have exclusive access.
 func (e *execution) addFailure(fail *verdict.Error) {
 	e.failures = append(e.failures, fail)
+	if e.guardsAsked > 0 && !reachedInstance(fail) && fail.Reason != verdict.ReasonRetryBudget {
+		// The guard had budget but no room, so that it does not count as asked for budget.
+		e.guardsAsked--
+	}
 	e.reachedInstance = e.reachedInstance || reachedInstance(fail)
 }
 
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -33,7 +33,7 @@
 	// summary describes the attempts so far.
 	summary attemptSummary
 	// guardsAsked is the number of attempts that draw on the retry budget, whether or not the
-	// guard granted them.
+	// guard granted them, without those that were refused for another reason.
 	guardsAsked int
 	// retryBudgetWait is the time until retry budget is expected again, 0 if the request did
 	// not lack any.
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -63,6 +63,9 @@
 	// unansweredSince is when the first load query was sent since the guard's load was last
 	// received; zero for none.
 	unansweredSince time.Time
+	// missedReply reports that the guard has not replied in time for a choice for which
+	// others have, and has not replied since.
+	missedReply bool
 	// trialWantedAt is when its guard began to ask for a trial.
 	trialWantedAt time.Time
 	// failureEstimate is the guard's estimate of the probability that the instance is
@@ -281,7 +284,8 @@
 	if load.WantsTrial && !o.wantsTrial(now) {
 		o.trialWantedAt = now
 	}
-	o.load, o.loadAt, o.unansweredSince = load, now, time.Time{}
+	o.load, o.loadAt = load, now
+	o.unansweredSince, o.missedReply = time.Time{}, false
 	o.budget.Report(now, int(load.RetryBudgetLeft))
 	o.failureEstimate = chance.EstimateAt(now, load.FailureProbability())
 	o.shedShare = chance.DecayingShareAt(now, float64(load.ShedShare)/msg.Thousandths)
--- a/internal/front/unanswered.go
+++ b/internal/front/unanswered.go
@@ -29,6 +29,27 @@
 	}
 }
 
+// recordMissingReplies marks the hosts that have not replied to the queries of a choice in
+// time, if others have. If none has, this host may have been paused itself.
+func (l *loadQueries) recordMissingReplies(q *loadQuery) {
+	var missing []*target
+	l.mu.Lock()
+	for i, t := range q.targets {
+		if !q.answered[i] {
+			missing = append(missing, t)
+		}
+	}
+	l.mu.Unlock()
+	if len(missing) == len(q.targets) {
+		return
+	}
+	q.state.mu.Lock()
+	defer q.state.mu.Unlock()
+	for _, t := range missing {
+		t.observed.missedReply = !t.observed.unansweredSince.IsZero()
+	}
+}
+
 // unansweredLoss is the probability that a request to the target is lost because its host
 // does not reply to load queries. Hosts of other data centres cannot reply within
 // loadQueryTimeout. The caller must hold the service's lock.
@@ -36,10 +57,10 @@
 	if t.observed.unansweredSince.IsZero() {
 		return 0
 	}
-	switch elapsed := now.Sub(t.observed.unansweredSince); {
-	case elapsed >= longUnanswered:
+	switch {
+	case now.Sub(t.observed.unansweredSince) >= longUnanswered:
 		return longUnansweredLoss
-	case elapsed >= loadQueryTimeout && t.Host.DC == dc:
+	case t.observed.missedReply && t.Host.DC == dc:
 		return shortUnansweredLoss
 	default:
 		return 0
