--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -190,7 +190,7 @@
 		candidates = append(candidates, usable[i].candidate(now, req, expected, typical, p, cfg))
 	}
 	if cfg.areas != nil {
-		all, weights.RemoteWeight = st.applyDistances(now, req, usable, candidates, all, remoteTypical, len(tried) == 0, cfg.areas), 0
+		all = st.applyDistances(now, req, usable, candidates, all, remoteTypical, len(tried) == 0, cfg.areas)
 	}
 	i := balance.Pick(rng, all, func(k int) float64 { return balance.Cost(candidates[k], weights) })
 	if i < 0 {
