front: instances count as room by comparison with the best candidate

An instance with a failure probability over 0.3 did not count as room in its area. Where a whole service refuses requests, all of its instances come near that, and requests would leave their area although the other one refuses as many. The limit is now 0.15 above the lowest of the sample; a test holds a service that refuses over half of its requests in its area.

--- a/internal/front/areas.go
+++ b/internal/front/areas.go
@@ -42,9 +42,11 @@
 	// remoteTypicalMaxAge bounds the age of load reports that count in the typical load of the
 	// other areas. Fewer of them arrive than of the own area's.
 	remoteTypicalMaxAge = 3 * time.Second
-	// waitFailureMax is the failure probability up to which a candidate counts in the
-	// expected wait of its area. Instances that fail most requests at once have free slots.
-	waitFailureMax = 0.3
+	// waitFailureExcess is the excess of the failure probability over that of the best
+	// candidate up to which a candidate counts as room in its area. Instances that fail most
+	// requests at once have free slots. A service that refuses requests at all of its
+	// instances has room nowhere else.
+	waitFailureExcess = 0.15
 )
 
 // newAreas returns nil if the configuration does not name several areas.
@@ -188,9 +190,13 @@
 }
 
 func areaWaits(targets []*target, candidates []balance.Candidate) (w waits) {
+	lowest := 1.0
+	for k := range candidates {
+		lowest = min(lowest, candidates[k].FailureProbability)
+	}
 	for k, t := range targets {
 		c := candidates[k]
-		if c.FailureProbability > waitFailureMax {
+		if c.FailureProbability > lowest+waitFailureExcess {
 			continue
 		}
 		wait := balance.Wait(c)
--- a/internal/front/areas_test.go
+++ b/internal/front/areas_test.go
@@ -22,6 +22,8 @@
 	now   time.Time
 	paths *paths
 	rng   *rand.Rand
+	// remote is the load of the other area, idle by default.
+	remote msg.Load
 }
 
 func newAreaChoice(serviceTime, objective time.Duration, bytes int64) *areaChoice {
@@ -37,11 +39,11 @@
 	return c
 }
 
-// remoteShare sets the load and failure estimate of the own area, with an idle other one, and
-// returns the share of 200 choices in 4 s that leave it.
+// remoteShare sets the load and failure estimate of the own area, and returns the share of 200 choices in 4 s that leave it.
 func (c *areaChoice) remoteShare(own msg.Load, tried ...*target) float64 {
 	const choices = 200
 	own.Slots, own.RetryBudgetLeft = 11, 9
+	c.remote.Slots, c.remote.RetryBudgetLeft = 11, 9
 	f := &Front{cfg: c.cfg, paths: c.paths}
 	remote := 0
 	for range choices {
@@ -50,7 +52,7 @@
 		for _, t := range c.req.state.targets {
 			load := own
 			if t.distance == area.Remote {
-				load = msg.Load{Slots: 11, RetryBudgetLeft: 9}
+				load = c.remote
 			}
 			t.observed.updateLoad(c.now, load)
 		}
@@ -114,13 +116,16 @@
 }
 
 // Instances that are likely to fail requests have free slots: they must neither hide that the
-// area has no room nor keep a request in it. The candidates of a retry are those left over and
+// area has no room nor keep a request in it, unless all of the service are. The candidates of a retry are those left over and
 // must not make other requests leave.
 func TestFailingInstancesAreNoRoom(t *testing.T) {
 	c := newAreaChoice(150*time.Millisecond, 600*time.Millisecond, 1<<10)
 	failing := msg.Load{FailureEstimate: 900}
 	assert.Equal(t, c.remoteShare(failing), 1.0)
 	assert.Assert(t, !c.req.state.routeArea("").spill.Spilled(c.now))
+	refusing := newAreaChoice(150*time.Millisecond, 600*time.Millisecond, 1<<10)
+	refusing.remote = msg.Load{FailureEstimate: 200, ShedShare: 550}
+	assert.Equal(t, refusing.remoteShare(msg.Load{FailureEstimate: 250, ShedShare: 600}), 0.0)
 	retry := newAreaChoice(150*time.Millisecond, 600*time.Millisecond, 1<<10)
 	retry.remoteShare(queue(time.Second), retry.req.state.targets[0])
 	assert.Assert(t, !retry.req.state.routeArea("").spill.Spilled(retry.now))
