--- a/internal/front/loadquery.go
+++ b/internal/front/loadquery.go
@@ -9,7 +9,6 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/radishhoist/radishhoist/internal/core/balance"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
 
@@ -172,6 +171,7 @@
 	case <-q.complete:
 	case <-timeout.C:
 		f.counts.unansweredQueries.Add(f.loadQueries.unanswered(q))
+		f.loadQueries.recordMissingReplies(q)
 	case <-ctx.Done():
 	}
 	return sampled
@@ -196,7 +196,7 @@
 	defer st.mu.Unlock()
 	st.refreshOldCandidates(now, req.service, f.paths, f.cfg)
 	eligible, local := st.eligibleFor(now, tried, usesRetryBudget)
-	for _, k := range balance.Sample(rng, len(eligible), localPositions(eligible, local)) {
+	for _, k := range st.samplePositions(now, req, eligible, local, rng, f.cfg) {
 		t := st.targets[eligible[k]]
 		if slices.Contains(sampled, t) {
 			continue
@@ -211,7 +211,7 @@
 
 // maxLoadAge is the age up to which the load of a target counts as current.
 func maxLoadAge(t *target, cfg Config) time.Duration {
-	if t.Host.DC == cfg.DC {
+	if t.Host.DC == cfg.DC || cfg.areas.near(t) {
 		return localLoadMaxAge
 	}
 	return remoteLoadMaxAge
--- a/internal/front/refusal_test.go
+++ b/internal/front/refusal_test.go
@@ -270,7 +270,7 @@
 }
 
 // BenchmarkChoice measures one choice among 50 instances with and without LearnRefusals.
-func BenchmarkChoice(b *testing.B) {
+func BenchmarkChoiceWithRefusals(b *testing.B) {
 	for _, learn := range []bool{false, true} {
 		b.Run(fmt.Sprint("learn=", learn), func(b *testing.B) {
 			front := newModelService(1, 50, 0, learn).fronts[0]
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -33,7 +33,7 @@
 	// summary describes the attempts so far.
 	summary attemptSummary
 	// guardsAsked is the number of attempts that draw on the retry budget, whether or not the
-	// guard granted them.
+	// guard granted them, without those that were refused for another reason.
 	guardsAsked int
 	// retryBudgetWait is the time until retry budget is expected again, 0 if the request did
 	// not lack any.
@@ -125,6 +125,7 @@
 	o := e.front.runAttempt(ctx, e.req, p, claim)
 	e.recordAttempt(p.entry, o)
 	e.req.state.observe(e.req, p.target, o)
+	e.front.recordTransfer(e.req, p.target, o)
 	if o.succeeded() {
 		e.front.guard.RecordCompletion(e.req.fingerprint, p.target.softwareVersion())
 	}
