front: find the instance of a load report by binary search

Every load report compared its instance's name with all targets of the service, under the lock of the service. The targets are sorted by name, as the directory is, so a binary search finds it.

BenchmarkHandleLoadReport with 984 instances: 3,807 ns before, 276 ns after; with 24 instances 232 ns before, 291 ns after.

--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,7 +24,8 @@
 // serviceState is this front's view of one service.
 type serviceState struct {
 	mu sync.Mutex
-	// targets are those of the current directory. candidates holds indexes into them.
+	// targets are those of the current directory, sorted by name. candidates holds indexes
+	// into them.
 	targets    []*target
 	candidates candidateSets
 	// samples is a ring buffer of recent latency samples, each sent to one guard at most.
@@ -324,10 +327,13 @@
 func (st *serviceState) updateLoad(now time.Time, l msg.InstanceLoad) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	for _, t := range st.targets {
-		if t.Name == l.Instance {
-			t.observed.updateLoad(now, l.Load)
+	// The targets are sorted by name. Hosts may run instances of the same name.
+	first, _ := slices.BinarySearchFunc(st.targets, l.Instance, func(t *target, name string) int { return strings.Compare(t.Name, name) })
+	for _, t := range st.targets[first:] {
+		if t.Name != l.Instance {
+			return
 		}
+		t.observed.updateLoad(now, l.Load)
 	}
 }
 
