fleetsim: share the directory and tick and deliver in fewer goroutines

Each simulated host built a directory of its own from the same records and hosts, its guard ticked in a goroutine of its own and each copy of a load report started another one. The race detector keeps a trace of 256 KB for each goroutine at once and takes several microseconds to start one. Now the hosts share the directory and the lists of remote hosts, eight goroutines run the ticks, and one delivers a message to all hosts with the same delay.

--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -25,6 +25,9 @@
 const (
 	// guardTickInterval is the interval at which guards check their queues, as in the daemon.
 	guardTickInterval = 20 * time.Millisecond
+	// tickGroups is the number of goroutines that run the ticks of all guards. With one for each
+	// host, the race detector kept a trace of several hundred kilobytes for each of them.
+	tickGroups = 8
 	// queuePerSlot, grantTTL and targetIdle are the daemon's defaults.
 	queuePerSlot = 4
 	grantTTL     = 250 * time.Millisecond
@@ -101,8 +104,10 @@
 		f.result.CrashingRequests[c.Path] = &CrashStats{}
 	}
 	f.createHosts()
+	for group := range slices.Chunk(f.hosts, max(len(f.hosts)/tickGroups, 1)) {
+		go f.runTicks(group)
+	}
 	for _, h := range f.hosts {
-		go h.runTicks()
 		go h.instance.simulateHealth()
 	}
 	time.Sleep(s.WarmUp)
@@ -128,7 +133,8 @@
 	f.updateDirectories()
 }
 
-// updateDirectories gives every host a directory of all current instances.
+// updateDirectories gives every host the directory of all current instances. The hosts share
+// it, because a Directory is immutable and its size grows with the number of hosts.
 func (f *fleet) updateDirectories() {
 	all := make([]*directory.Host, 0, len(f.hosts))
 	for _, h := range f.hosts {
@@ -138,9 +144,9 @@
 		}
 		all = append(all, described)
 	}
+	d := directory.Build(f.compiledRecords, all)
 	for _, h := range f.hosts {
 		if current := h.daemon(); current != nil {
-			d := directory.Build(f.compiledRecords, all)
 			current.front.SetDirectory(d)
 			current.guard.Apply(d)
 		}
@@ -245,16 +251,19 @@
 	h.starts++
 }
 
-func (h *host) runTicks() {
+// runTicks runs the ticks of the guards of a group of hosts.
+func (f *fleet) runTicks(group []*host) {
 	ticker := time.NewTicker(guardTickInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case now := <-ticker.C:
-			if d := h.daemon(); d != nil && h.freezeTimeLeft() == 0 {
-				d.guard.Tick(now)
+			for _, h := range group {
+				if d := h.daemon(); d != nil && h.freezeTimeLeft() == 0 {
+					d.guard.Tick(now)
+				}
 			}
-		case <-h.fleet.ctx.Done():
+		case <-f.ctx.Done():
 			return
 		}
 	}
@@ -331,31 +340,46 @@
 	}
 }
 
+// sendTo delivers a message to hosts. Those with the same delay get it from one goroutine, because
+// starting one takes longer than most deliveries, so deliver must not block.
 func (h *host) sendTo(names []string, deliver func(*host)) {
+	byDelay := make(map[time.Duration][]*host, 1)
 	for _, name := range names {
 		other := h.fleet.byName[name]
 		if h.fleet.partitionTimeLeft(h, other) > 0 {
 			continue
 		}
-		time.AfterFunc(h.fleet.delay(h, other), func() { deliver(other) })
+		delay := h.fleet.delay(h, other)
+		byDelay[delay] = append(byDelay[delay], other)
+	}
+	for delay, hosts := range byDelay {
+		time.AfterFunc(delay, func() {
+			for _, other := range hosts {
+				deliver(other)
+			}
+		})
 	}
 }
 
 // groupHostsByDC sets localHosts and remoteHosts of every host, in the order in which the hosts
-// were created.
+// were created. The hosts of a data centre share remoteHosts.
 func (f *fleet) groupHostsByDC() {
-	for _, h := range f.hosts {
-		byDC := make([][]string, f.scenario.DCs)
-		for n, other := range f.hosts {
-			switch {
-			case other == h:
-			case other.dc == h.dc:
-				h.localHosts = append(h.localHosts, other.name)
-			default:
-				byDC[n%f.scenario.DCs] = append(byDC[n%f.scenario.DCs], other.name)
+	byDC := make([][]string, f.scenario.DCs)
+	for n, h := range f.hosts {
+		byDC[n%f.scenario.DCs] = append(byDC[n%f.scenario.DCs], h.name)
+	}
+	remoteHosts := make([][][]string, f.scenario.DCs)
+	for dc := range remoteHosts {
+		for other, names := range byDC {
+			if other != dc && len(names) > 0 {
+				remoteHosts[dc] = append(remoteHosts[dc], names)
 			}
 		}
-		h.remoteHosts = slices.DeleteFunc(byDC, func(names []string) bool { return len(names) == 0 })
+	}
+	for n, h := range f.hosts {
+		dc := n % f.scenario.DCs
+		h.remoteHosts = remoteHosts[dc]
+		h.localHosts = slices.DeleteFunc(slices.Clone(byDC[dc]), func(name string) bool { return name == h.name })
 	}
 }
 
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -115,10 +116,7 @@
 // serve responds to the requests of one connection, one at a time.
 func (i *instance) serve(nc net.Conn) {
 	defer i.disconnect(nc)
-	go func() {
-		<-i.host.fleet.ctx.Done()
-		_ = nc.Close()
-	}()
+	defer context.AfterFunc(i.host.fleet.ctx, func() { _ = nc.Close() })()
 	in := bufio.NewReader(nc)
 	for {
 		r, err := http.ReadRequest(in)
