fleetsim: no goroutine for connections, running requests and health

The race detector keeps a trace of up to 256 KB for each live goroutine. With 354 hosts some 2,150 of 8,500 goroutines read requests from an idle connection or slept while a request ran, and 354 waited for the next change of an instance's health. Requests are now parsed where the guard writes them, and runs and changes of health are timers.

--- a/internal/fleetsim/crash.go
+++ b/internal/fleetsim/crash.go
@@ -92,8 +92,8 @@
 
 // closeConns closes all connections. The caller must hold i.mu.
 func (i *instance) closeConns() {
-	for nc := range i.conns {
-		_ = nc.Close()
+	for c := range i.conns {
+		c.closeByInstance()
 	}
 }
 
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -108,7 +108,7 @@
 		go f.runTicks(group)
 	}
 	for _, h := range f.hosts {
-		go h.instance.simulateHealth()
+		h.instance.simulateHealth()
 	}
 	time.Sleep(s.WarmUp)
 	f.sendRequests()
@@ -178,7 +178,7 @@
 	f.byName[h.name] = h
 	stats := &InstanceStats{Service: s.Name}
 	f.result.Instances[name] = stats
-	h.instance = &instance{host: h, name: name, version: version, service: s, stats: stats, requestRNG: f.newRand(), healthRNG: f.newRand(), conns: make(map[net.Conn]struct{})}
+	h.instance = &instance{host: h, name: name, version: version, service: s, stats: stats, requestRNG: f.newRand(), healthRNG: f.newRand(), conns: make(map[*conn]struct{})}
 	h.startDaemon()
 	h.instance.announce()
 	return h
--- a/internal/fleetsim/instance.go
+++ b/internal/fleetsim/instance.go
@@ -1,9 +1,7 @@
 package fleetsim
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -52,32 +50,33 @@
 	incarnation int
 	down        bool
 	// conns are the open connections, which are closed when the instance crashes.
-	conns map[net.Conn]struct{}
+	conns map[*conn]struct{}
 }
 
-// simulateHealth alternates the instance between healthy and sick, for random durations.
+// simulateHealth alternates the instance between healthy and sick, for random durations. It uses
+// timers, not a goroutine that waits, since the race detector keeps a trace for each goroutine.
 func (i *instance) simulateHealth() {
 	health := i.host.fleet.scenario.Health
 	if health.MeanSick <= 0 {
 		return
 	}
 	sickShare := health.MeanSick.Seconds() / (health.MeanSick + health.MeanHealthy).Seconds()
-	sick := i.healthRNG.Float64() < sickShare
-	for i.host.fleet.ctx.Err() == nil {
-		i.setSick(sick)
-		i.publishTrueHealth()
-		mean := health.MeanHealthy
-		if sick {
-			mean = health.MeanSick
-		}
-		duration := time.Duration(i.healthRNG.ExpFloat64() * float64(mean))
-		select {
-		case <-time.After(duration):
-		case <-i.host.fleet.ctx.Done():
-		}
-		sick = !sick
+	context.AfterFunc(i.host.fleet.ctx, func() { i.setSick(false) })
+	i.changeHealth(i.healthRNG.Float64() < sickShare)
+}
+
+// changeHealth makes the instance sick or healthy until its next change.
+func (i *instance) changeHealth(sick bool) {
+	if i.host.fleet.ctx.Err() != nil {
+		return
 	}
-	i.setSick(false)
+	i.setSick(sick)
+	i.publishTrueHealth()
+	mean := i.host.fleet.scenario.Health.MeanHealthy
+	if sick {
+		mean = i.host.fleet.scenario.Health.MeanSick
+	}
+	time.AfterFunc(time.Duration(i.healthRNG.ExpFloat64()*float64(mean)), func() { i.changeHealth(!sick) })
 }
 
 func (i *instance) setSick(sick bool) {
@@ -100,70 +99,51 @@
 	if i.down {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
-	local, remote := net.Pipe()
-	i.conns[remote] = struct{}{}
-	go i.serve(remote)
-	return local, nil
+	c := newConn(i)
+	i.conns[c] = struct{}{}
+	return c, nil
 }
 
-func (i *instance) disconnect(nc net.Conn) {
-	_ = nc.Close()
+func (i *instance) disconnect(c *conn) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	delete(i.conns, nc)
+	delete(i.conns, c)
 }
 
-// serve responds to the requests of one connection, one at a time.
-func (i *instance) serve(nc net.Conn) {
-	defer i.disconnect(nc)
-	defer context.AfterFunc(i.host.fleet.ctx, func() { _ = nc.Close() })()
-	in := bufio.NewReader(nc)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		status := i.run(r)
-		text := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\n%sContent-Length: 2\r\n\r\nok", status, r.Header.Get("X-Request-Id"), i.statedRateLimit()+i.statedLeaving()+statedNotRun(status))
-		if _, err := nc.Write([]byte(text)); err != nil {
-			return
-		}
-	}
-}
-
-// run executes one request, adds its duration to the statistics and returns the status.
-func (i *instance) run(r *http.Request) int {
-	start := time.Now()
-	status := i.execute(r)
+// recordRun adds the duration of a request that began at start to the statistics.
+func (i *instance) recordRun(start time.Time, status int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.stats.BusyTime += time.Since(start)
 	if status >= http.StatusInternalServerError {
 		i.stats.FailedTime += time.Since(start)
 	}
-	return status
 }
 
-// execute simulates the execution of a request, including its call to another service and its
-// failures, and returns the status.
-func (i *instance) execute(r *http.Request) int {
+// run simulates the run of a request, including its call to another service and its failures,
+// and calls respond with the status. No goroutine waits while the request runs.
+func (i *instance) run(r *http.Request, respond func(status int)) {
 	f := i.host.fleet
 	kind, ok := f.findKind(r.URL.Path)
 	if !ok {
-		return http.StatusNotFound
+		respond(http.StatusNotFound)
+		return
 	}
 	id := r.Header.Get("X-Request-Id")
 	refused := i.refuses()
 	f.recordArrival(i, id, kind, refused)
 	if refused {
-		return http.StatusServiceUnavailable
+		respond(http.StatusServiceUnavailable)
+		return
 	}
 	if c, ok := f.findCrashingRequest(r.URL.Path); ok && !(c.OldVersionOnly && i.version == newVersion) {
 		i.runCrashingRequest(c)
-		return http.StatusInternalServerError
+		respond(http.StatusInternalServerError)
+		return
 	}
 	if c, ok := f.findCrashingCall(r.URL.Path); ok {
-		return f.statusOf(i.host, c.Kind, c.Path, id+".1")
+		respond(f.statusOf(i.host, c.Kind, c.Path, id+".1"))
+		return
 	}
 	i.mu.Lock()
 	i.running++
@@ -174,23 +154,23 @@
 	utilization := float64(i.running) / float64(i.service.Slots)
 	serviceTime := kind.ServiceTime.Seconds() * math.Exp(serviceTimeSigma*i.requestRNG.NormFloat64()-serviceTimeSigma*serviceTimeSigma/2) * (1 + fullLoadSlowdown*utilization*utilization)
 	i.mu.Unlock()
-	defer func() {
+	end := func(status int) {
 		i.mu.Lock()
 		i.running--
 		i.mu.Unlock()
-	}()
-	if failsAtOnce {
-		time.Sleep(sickResponseTime)
-		return http.StatusInternalServerError
-	}
-	time.Sleep(time.Duration(serviceTime * float64(time.Second)))
-	if makesCall && f.statusOf(i.host, kind.CalledKind, "/"+kind.CalledKind+"/"+id, id+".1") >= http.StatusInternalServerError {
-		return http.StatusInternalServerError
+		respond(status)
 	}
-	if failsAfterRun {
-		return http.StatusInternalServerError
+	if failsAtOnce {
+		time.AfterFunc(sickResponseTime, func() { end(http.StatusInternalServerError) })
+		return
 	}
-	return http.StatusOK
+	time.AfterFunc(time.Duration(serviceTime*float64(time.Second)), func() {
+		status := http.StatusOK
+		if makesCall && f.statusOf(i.host, kind.CalledKind, "/"+kind.CalledKind+"/"+id, id+".1") >= http.StatusInternalServerError || failsAfterRun {
+			status = http.StatusInternalServerError
+		}
+		end(status)
+	})
 }
 
 // findKind returns the kind of requests that a path belongs to.
