guard: no goroutine that waits for the front of a running request

Each running request had a goroutine that waited for the front to cancel. The end of the front is now a context, on which a run that the front may cancel registers its own cancellation. The context exists from the start of the exchange, since a request may wait for a clearance before its front is read.

--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -29,18 +29,12 @@
 	ctx, cancel := context.WithDeadlineCause(x.ctx, x.deadline, errDeadline)
 	defer cancel()
 	defer context.AfterFunc(x.inst.processCtx, cancel)()
-	go func() {
-		select {
-		case <-x.frontGone:
-			// A request that is not idempotent continues: aborting it midway is worse
-			// than a response that nobody receives. If its body is incomplete,
-			// bodyReader aborts it.
-			if m.Idempotent {
-				cancel()
-			}
-		case <-ctx.Done():
-		}
-	}()
+	if m.Idempotent {
+		// A request that is not idempotent continues when the front is gone: aborting it midway
+		// is worse than a response that nobody receives. If its body is incomplete, bodyReader
+		// aborts it.
+		defer context.AfterFunc(x.frontCtx, cancel)()
+	}
 	started := time.Now()
 	x.inst.start(started, x.waiter, m)
 	run := x.guard.retryBudgets.begin(started, x.inst.service, x.retryReserved, m.Idempotent, x.hints)
@@ -265,7 +259,7 @@
 	var m msg.Message
 	select {
 	case m = <-b.x.inbox:
-	case <-b.x.frontGone:
+	case <-b.x.frontCtx.Done():
 		// Messages received before the disconnect are still in the inbox.
 		select {
 		case m = <-b.x.inbox:
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -21,6 +21,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	x := &exchange{guard: g, stream: s, ctx: ctx, arrived: time.Now()}
+	x.frontCtx, x.cancelFront = context.WithCancel(context.Background())
+	defer x.cancelFront()
 	defer x.releaseRetry()
 	x.serve(first)
 }
@@ -39,10 +41,11 @@
 	// queueID identifies the request in the instance's queue.
 	queueID admit.ID
 	waiter  *waiter
-	// inbox receives the front's messages, and frontGone is closed when the front
-	// cancels or disconnects.
-	inbox     chan msg.Message
-	frontGone chan struct{}
+	// inbox receives the front's messages, and frontCtx is cancelled by cancelFront when the
+	// front cancels or disconnects.
+	inbox       chan msg.Message
+	frontCtx    context.Context
+	cancelFront context.CancelFunc
 	// deadline is when the caller stops waiting, by this host's clock.
 	deadline time.Time
 	// hints is the front's information on the request; retryReserved reports that a retry
@@ -111,7 +114,6 @@
 	x.waiter = &waiter{fingerprint: x.fingerprint, overdueAfter: overdueAfter(hints)}
 	x.queueID = inst.offer(x.arrived, r, x.waiter)
 	x.inbox = make(chan msg.Message, 1)
-	x.frontGone = make(chan struct{})
 	go x.read()
 	return true
 }
@@ -134,7 +136,7 @@
 // read moves the front's messages to the inbox until the front cancels or
 // disconnects, or the exchange ends.
 func (x *exchange) read() {
-	defer close(x.frontGone)
+	defer x.cancelFront()
 	for {
 		m, err := x.stream.Recv(x.ctx)
 		if err != nil {
@@ -160,7 +162,7 @@
 			return
 		}
 		x.call(m)
-	case <-x.frontGone:
+	case <-x.frontCtx.Done():
 		x.abandon()
 	}
 }
@@ -173,7 +175,7 @@
 			x.refuseDecision(d)
 			return
 		}
-	case <-x.frontGone:
+	case <-x.frontCtx.Done():
 		x.abandon()
 		return
 	}
@@ -187,7 +189,7 @@
 		x.runReserved(m)
 	case d := <-x.waiter.decisions:
 		x.refuseDecision(d)
-	case <-x.frontGone:
+	case <-x.frontCtx.Done():
 		x.abandon()
 	}
 }
--- a/internal/guard/suspects.go
+++ b/internal/guard/suspects.go
@@ -272,7 +272,7 @@
 		}
 		select {
 		case <-time.After(wait):
-		case <-x.frontGone:
+		case <-x.frontCtx.Done():
 			return
 		case <-x.ctx.Done():
 			return
