--- a/internal/guard/call_test.go
+++ b/internal/guard/call_test.go
@@ -7,8 +7,10 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -115,3 +117,40 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, f.Verdict, verdict.NotRun)
 }
+
+// Guards against goroutines that only wait for the front of a running request, of which an instance
+// with many slots has as many, and against an idempotent run that goes on after its front has
+// cancelled it.
+func TestRunningRequestsUseFewGoroutines(t *testing.T) {
+	// Of the goroutines of a request, Serve and read belong to the guard, one to the stand-in for
+	// the instance.
+	const requests, perRequest = 4, 3
+	synctest.Test(t, func(t *testing.T) {
+		g := New(Config{
+			Host: "h", QueuePerSlot: 2, GrantTTL: time.Minute, TargetIdleTimeout: time.Minute,
+			Dial: func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() { _, _ = io.Copy(io.Discard, far) }()
+				context.AfterFunc(t.Context(), func() { _ = far.Close() })
+				return near, nil
+			},
+		}, Limits{AnnounceExpiry: time.Hour},
+			slog.New(slog.NewTextHandler(io.Discard, nil)), allowAllFence{}, Hooks{Changed: func() {}, LoadReport: func(*msg.LoadReport, loadreport.Scope) {}})
+		assert.NilError(t, g.Announce(time.Now(), "i", Announcement{Service: "s", Address: "10.0.0.1:80", Slots: requests, Connections: requests}))
+		before := runtime.NumGoroutine()
+		var fronts []wire.Stream
+		for range requests {
+			near, far := wire.Pipe()
+			fronts = append(fronts, near)
+			go g.Serve(far, &msg.Run{RequestID: "r", Service: "s", Instance: "i", TimeoutMS: 20000, Idempotent: true, Method: "GET", URI: "/", Host: "s.example"})
+		}
+		synctest.Wait()
+		assert.Check(t, runtime.NumGoroutine()-before <= requests*perRequest, "%d goroutines", runtime.NumGoroutine()-before)
+		assert.Check(t, g.instances["i"].load().Running == requests, "%d running", g.instances["i"].load().Running)
+		for _, s := range fronts {
+			s.Close()
+		}
+		synctest.Wait()
+		assert.Check(t, g.instances["i"].load().Running == 0, "%d running", g.instances["i"].load().Running)
+	})
+}
