--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -132,10 +132,10 @@
 	PipelineDepth int
 	// FairShares divides the slots of a service among teams by weight, over all hosts.
 	// LearnRefusals judges instances that refuse requests by comparison with their service,
-	// and saves retry budget. LearnSpeed measures the speed of instances at their guards.
-	FairShares, LearnRefusals, LearnSpeed bool
+	// and saves retry budget.
+	FairShares, LearnRefusals bool
 
-	fairShares, learnRefusals, learnSpeed toggle
+	fairShares, learnRefusals toggle
 }
 
 // Default returns the default settings. Required keys such as addresses are empty.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -73,24 +73,23 @@
 	})
 	withAdapter := strings.Replace(validSettings, "[platform]\n", "[platform]\nadapter = "+adapter+"\n", 1)
 	for _, c := range []struct {
-		name, text                            string
-		fairShares, learnRefusals, learnSpeed bool
+		name, text                string
+		fairShares, learnRefusals bool
 	}{
 		{name: "nothing asked for", text: withAdapter},
 		{name: "other terms", text: withAdapter + "terms = base,drain\n"},
 		{name: "one area", text: withAdapter + "[peers]\nareas = a:north,b:north\n"},
 		{name: "the term of another adapter", text: validSettings + "terms = " + term + "\n"},
 		{name: "overload", text: withAdapter + "terms = base," + term + "\n", fairShares: true, learnRefusals: true},
-		{name: "several areas", text: withAdapter + "[peers]\nareas = a:north,b:south\n", learnRefusals: true, learnSpeed: true},
+		{name: "several areas", text: withAdapter + "[peers]\nareas = a:north,b:south\n", learnRefusals: true},
 		{name: "turned off", text: withAdapter + "terms = " + term + "\n[teams]\nfair_shares = no\n"},
-		{name: "turned on", text: validSettings + "[guard]\nlearn_speed = yes\n", learnSpeed: true},
+		{name: "turned on", text: validSettings + "[retry]\nlearn_refusals = yes\n", learnRefusals: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			cfg, err := Parse("f.ini", []byte(c.text))
 			assert.NilError(t, err)
 			assert.Equal(t, cfg.FairShares, c.fairShares)
 			assert.Equal(t, cfg.LearnRefusals, c.learnRefusals)
-			assert.Equal(t, cfg.LearnSpeed, c.learnSpeed)
 		})
 	}
 	assert.Equal(t, Default().PipelineDepth, 1)
--- a/internal/settings/toggles.go
+++ b/internal/settings/toggles.go
@@ -34,7 +34,6 @@
 	overload := known && slices.Contains(c.Terms, term)
 	c.FairShares = c.fairShares.resolve(overload)
 	c.LearnRefusals = c.learnRefusals.resolve(c.FairShares || c.hasSeveralAreas())
-	c.LearnSpeed = c.learnSpeed.resolve(c.hasSeveralAreas())
 }
 
 // hasSeveralAreas reports whether the data centres lie in more than one area.
