--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -160,7 +160,7 @@
 	return q
 }
 
-// advance tells the shares of the teams the current time.
+// advance sets the current time of the shares of the teams.
 func (q *Queue) advance(now time.Time) {
 	if q.fair != nil {
 		q.fair.advance(now)
--- a/internal/core/admit/fairshare.go
+++ b/internal/core/admit/fairshare.go
@@ -19,9 +19,7 @@
 	maxScaleHalfLives = 60
 	// pauseCredit is the number of requests by which a team that returns after a pause may be
 	// ahead of those that wait. The requests of a team that sends few come at irregular
-	// intervals: with a credit of a twentieth of the use of those that wait, 81 teams that sent
-	// four fifths of their small shares were served 0.897 of their requests beside a heavy one,
-	// with 1, 2 and 3 requests 0.958, 0.966 and 0.965.
+	// intervals: with less credit it is served less than its share beside a heavy team.
 	pauseCredit = 2
 )
 
--- a/internal/core/refusal/budget.go
+++ b/internal/core/refusal/budget.go
@@ -16,7 +16,7 @@
 	// its route allows more attempts. Each refusal costs a round trip, and guards of one
 	// service run out of budget at about the same time.
 	MaxGuardsAsked = 3
-	// MaxWait is the longest wait for retry budget that callers are told.
+	// MaxWait is the longest wait for retry budget in a Retry-After.
 	MaxWait = time.Second
 )
 
--- a/internal/front/refusal.go
+++ b/internal/front/refusal.go
@@ -77,7 +77,7 @@
 }
 
 // retryLevel is the order in which guards grant the request a retry. Guards also distinguish
-// calls, which a front cannot tell from callers' requests.
+// calls, which a front cannot distinguish from requests of callers.
 func (e *execution) retryLevel(now time.Time, hedge bool) refusal.Level {
 	return refusal.Retry{
 		NotRun: !e.req.idempotent, Hedge: hedge,
--- a/internal/msg/sharereport.go
+++ b/internal/msg/sharereport.go
@@ -17,7 +17,7 @@
 	Slots uint32
 }
 
-// ShareReport is a datagram by which a guard tells another guard of the same service how
+// ShareReport is a datagram by which a guard reports to another guard of the same service how
 // much of its slots each team uses.
 type ShareReport struct {
 	// Host is the name of the sender.
