--- a/internal/core/admit/admit.go
+++ b/internal/core/admit/admit.go
@@ -27,7 +27,7 @@
 	// Class is the fairness class of the caller's team. It is not used with
 	// Config.FairShares.
 	Class uint32
-	// Team is the hash of the team's name, 0 for none, and Weight the team's weight in the
+	// Team is the hash of the team's name, the empty name for none, and Weight the weight in the
 	// division of slots; 0 stands for 1. They are used with Config.FairShares only.
 	Team   uint32
 	Weight float64
@@ -362,8 +362,8 @@
 }
 
 // Tick expires grants and refuses waiting requests that can no longer meet their
-// deadline or are past their objective (see Config.KeepLate for late ones). It must be called every few tens of
-// milliseconds.
+// deadline or are past their objective (see Config.KeepLate for late ones). It must be
+// called every few tens of milliseconds.
 func (q *Queue) Tick(now time.Time) []Decision {
 	q.advance(now)
 	var out []Decision
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -68,9 +68,9 @@
 	return e.front.sampleCandidates(ctx, e.req, tried, usesRetryBudget, rng)
 }
 
-// nextPick chooses the target of the next attempt among the sampled candidates. It returns false if no target is left or
-// no attempt is allowed. hedge says that another attempt is running. The caller must hold
-// e.mu or have exclusive access.
+// nextPick chooses the target of the next attempt among the sampled candidates. It returns
+// false if no target is left or no attempt is allowed. hedge says that another attempt is
+// running. The caller must hold e.mu or have exclusive access.
 func (e *execution) nextPick(sampled []*target, hedge bool) (pick, bool) {
 	if e.attemptsExhausted() {
 		return pick{}, false
