front: attempts at hosts that send no frames go on

Cause: after two frame checks the front gave the attempt up at once. Change: the attempt goes on beside its retries; its response is delivered if no retry has one first. Where nothing else is left, a host that has sent no frame since is awaited up to the objective, others up to the deadline.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -25,6 +25,9 @@
 	targetObserved bool
 	failed         bool
 	serviceTime    time.Duration
+	// unfinished is the attempt if it goes on because its host sends no frames; fail then
+	// states what is known so far.
+	unfinished *attempt
 }
 
 // attempt is one attempt in progress.
@@ -192,12 +195,17 @@
 	// Send the next request over a new connection, because this one may deliver no more
 	// frames.
 	a.conn.MarkSuspect()
-	if a.req.idempotent || a.state.Phase() == once.Reserving {
-		return a.abort(errors.New("no frame received from the host"))
+	switch {
+	case a.state.Phase() == once.Reserving:
+		return a.abort(errNoFrame)
+	case a.req.idempotent:
+		return &outcome{fail: verdict.New(verdict.MayHaveRun, verdict.ReasonLinkLost, errNoFrame.Error()), unfinished: a}
 	}
 	return nil
 }
 
+var errNoFrame = errors.New("no frame received from the host")
+
 // frameReceived reports whether the host has sent any frame since the attempt began.
 func (a *attempt) frameReceived() bool { return a.conn == nil || a.conn.LastRead().After(a.startedAt) }
 
--- a/internal/front/hedge.go
+++ b/internal/front/hedge.go
@@ -89,6 +89,7 @@
 			o.discard()
 		}
 	}
+	e.silent.cancel()
 	return e.summary
 }
 
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -46,6 +46,8 @@
 	// fallback is a complete response with a retryable status. The caller gets it if no
 	// attempt does better.
 	fallback *response
+	// silent are the attempts that go on at hosts that send no frames.
+	silent silentAttempts
 }
 
 // attemptSummary describes the attempts of a request. While they run it belongs to the
@@ -123,14 +125,9 @@
 // runAttempt makes one attempt at a chosen target and records its outcome.
 func (e *execution) runAttempt(ctx context.Context, p pick, claim *claimTask) *outcome {
 	o := e.front.runAttempt(ctx, e.req, p, claim)
-	e.recordAttempt(p.entry, o)
-	e.req.state.observe(e.req, p.target, o)
-	e.front.recordTransfer(e.req, p.target, o)
-	if o.succeeded() {
-		e.front.guard.RecordCompletion(e.req.fingerprint, p.target.softwareVersion())
-	}
-	if o.load.RetryBudgetOverdrawn {
-		e.front.guard.PauseRetries(time.Now())
+	e.recordOutcome(p, o)
+	if o.unfinished != nil {
+		e.continueSilent(ctx, p, o.unfinished)
 	}
 	if !p.options.allowLate && o.fail != nil && (o.fail.Reason == verdict.ReasonQueueFull || o.fail.Reason == verdict.ReasonTeamShare) {
 		e.clearTried(p.target)
@@ -144,6 +141,19 @@
 	return o
 }
 
+// recordOutcome passes the outcome of an attempt to all that learn from it.
+func (e *execution) recordOutcome(p pick, o *outcome) {
+	e.recordAttempt(p.entry, o)
+	e.req.state.observe(e.req, p.target, o)
+	e.front.recordTransfer(e.req, p.target, o)
+	if o.succeeded() {
+		e.front.guard.RecordCompletion(e.req.fingerprint, p.target.softwareVersion())
+	}
+	if o.load.RetryBudgetOverdrawn {
+		e.front.guard.PauseRetries(time.Now())
+	}
+}
+
 // clearTried makes a target eligible again that could not have responded within the
 // objective. A late response from a healthy instance is better than a failure from a
 // failing one.
@@ -179,7 +189,7 @@
 	for {
 		o := exec.primaryAttempt(ctx)
 		if o == nil {
-			return exec.finalResult()
+			return exec.lastResult(ctx)
 		}
 		if exec.accept(o) {
 			return o.response, nil
@@ -187,8 +197,11 @@
 		if o := exec.awaitHedge(); o != nil && exec.accept(o) {
 			return o.response, nil
 		}
+		if o := exec.takeSilent(); o != nil && exec.accept(o) {
+			return o.response, nil
+		}
 		if ctx.Err() != nil || !exec.req.canResend() {
-			return exec.finalResult()
+			return exec.lastResult(ctx)
 		}
 		f.counts.retries.Inc()
 	}
@@ -215,14 +228,16 @@
 	return o
 }
 
-// bindCancel cancels the attempt's context, or, for a streamed response, leaves that to the
-// response's close.
+// bindCancel cancels the attempt's context, or leaves that to the close of a streamed
+// response or to the request's end if the attempt goes on.
 func (o *outcome) bindCancel(cancel context.CancelFunc) {
-	if o.fail == nil && o.response.streaming {
+	switch {
+	case o.unfinished != nil:
+	case o.fail == nil && o.response.streaming:
 		o.response.cancel = cancel
-		return
+	default:
+		cancel()
 	}
-	cancel()
 }
 
 // runNonIdempotent makes attempts one after the other. A further attempt is made only if the
