guard, front: short requests while a stopped host waits for long ones

Change: as long as requests from before the drain run, the guard accepts idempotent requests that are expected to end three times as early as the exit, and announces its instances as finishing. Fronts send them requests of up to 500 ms of expected service time. Older builds take the state as leaving.

--- a/internal/core/directory/directory.go
+++ b/internal/core/directory/directory.go
@@ -22,6 +22,9 @@
 	Serving InstanceState = iota
 	// Leaving instances finish their requests and accept no new ones.
 	Leaving
+	// Finishing instances accept only short idempotent requests: their host is shutting down
+	// and waits for earlier requests. Hosts that do not know this state take it as Leaving.
+	Finishing
 )
 
 // Instance is a running instance of a service, as announced by its guard.
@@ -74,6 +77,10 @@
 	return t.Host.Alive && !t.Host.Leaving && t.State == Serving
 }
 
+// UsableForShort reports whether the target may get new short idempotent requests although it
+// is not Usable.
+func (t *Target) UsableForShort() bool { return t.Host.Alive && t.State == Finishing }
+
 // Service is one service with its targets, sorted by name.
 type Service struct {
 	Name    string
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -162,8 +162,11 @@
 
 // eligibleFor returns the indexes of the targets that a request may use, in all data centres
 // and in this one. The caller must hold st.mu.
-func (st *serviceState) eligibleFor(now time.Time, tried []*target, usesRetryBudget bool) (eligible, local []int) {
+func (st *serviceState) eligibleFor(now time.Time, req *request, tried []*target, usesRetryBudget bool, dc string) (eligible, local []int) {
 	eligible, local = st.candidates.eligible, st.candidates.local
+	if len(st.candidates.finishing) > 0 && st.isShort(req) {
+		eligible, local = st.withFinishing(eligible, local, dc)
+	}
 	if len(tried) > 0 {
 		eligible, local = st.untried(eligible, tried), st.untried(local, tried)
 	}
@@ -174,6 +177,32 @@
 	return eligible, local
 }
 
+// maxShortServiceTime is the expected service time up to which a request counts as short. A
+// finishing instance has some seconds left and needs a margin, so that it would refuse longer
+// requests most of the time.
+const maxShortServiceTime = 500 * time.Millisecond
+
+// isShort reports whether a request may be sent to finishing targets. The caller must hold
+// st.mu.
+func (st *serviceState) isShort(req *request) bool {
+	return req.idempotent && req.idempotencyKey == "" && st.expectedServiceTimeLocked(req) <= maxShortServiceTime
+}
+
+// withFinishing adds the finishing targets to both lists, which stay in ascending order. The
+// caller must hold st.mu.
+func (st *serviceState) withFinishing(eligible, local []int, dc string) (all, allLocal []int) {
+	all, allLocal = slices.Clone(eligible), slices.Clone(local)
+	for _, i := range st.candidates.finishing {
+		all = append(all, i)
+		if st.targets[i].Host.DC == dc {
+			allLocal = append(allLocal, i)
+		}
+	}
+	slices.Sort(all)
+	slices.Sort(allLocal)
+	return all, allLocal
+}
+
 // usualSample is the number of sampled targets up to which a choice needs no memory for
 // their description.
 const usualSample = 16
@@ -183,7 +212,9 @@
 func (st *serviceState) pickEligible(now time.Time, req *request, sampled, tried []*target, rng *rand.Rand, p *paths, cfg Config) *target {
 	typical, remoteTypical := st.typicalLoads(now, req)
 	expected, weights := st.expectedServiceTimeLocked(req), req.costWeights(now, st.retryChance(now, req, tried))
-	usable := slices.DeleteFunc(slices.Clone(sampled), func(t *target) bool { return !t.Usable() || !p.reachable(t.Host.Name) || wasTried(tried, t) })
+	usable := slices.DeleteFunc(slices.Clone(sampled), func(t *target) bool {
+		return !t.Usable() && !(t.UsableForShort() && st.isShort(req)) || !p.reachable(t.Host.Name) || wasTried(tried, t)
+	})
 	all, candidates := make([]int, len(usable)), make([]balance.Candidate, 0, usualSample)
 	for i := range all {
 		all[i] = i
--- a/internal/front/choose_test.go
+++ b/internal/front/choose_test.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
+	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/msg"
 )
 
@@ -48,3 +49,41 @@
 	}
 	assert.Equal(t, hash.Sum64(), want)
 }
+
+// Guards against requests at an instance whose host is about to exit that the exit would cut off, or
+// that cannot be sent again then. Short idempotent requests must reach it.
+func TestFinishingTargetsGetShortIdempotentRequestsOnly(t *testing.T) {
+	now, rng := time.Now(), rand.New(rand.NewPCG(7, 8))
+	cfg := Config{Host: "front", DC: "dc0"}
+	f := &Front{cfg: cfg, paths: newPaths(slog.Default())}
+	for _, c := range []struct {
+		name       string
+		idempotent bool
+		mean       time.Duration
+		want       bool
+	}{
+		{"short", true, 150 * time.Millisecond, true},
+		{"long", true, 2 * time.Second, false},
+		{"not idempotent", false, 150 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			req := newServiceInDCs(8, now, cfg)
+			req.idempotent = c.idempotent
+			req.state.latencies[req.route.Name] = &latency{mean: c.mean}
+			for _, target := range req.state.targets[:4] {
+				target.Host.Leaving, target.State = true, directory.Finishing
+			}
+			req.state.candidates.computedAt = time.Time{}
+			chosen := 0
+			for range 200 {
+				sampled, _ := req.state.sample(now, req, nil, false, rng, f)
+				req.state.mu.Lock()
+				if target := req.state.pickEligible(now, req, sampled, nil, rng, f.paths, cfg); target.State == directory.Finishing {
+					chosen++
+				}
+				req.state.mu.Unlock()
+			}
+			assert.Equal(t, chosen > 0, c.want, "%d of 200", chosen)
+		})
+	}
+}
--- a/internal/front/leaving.go
+++ b/internal/front/leaving.go
@@ -28,6 +28,10 @@
 // its responses to this host. The caller must hold the service's lock.
 func (t *target) Usable() bool { return !t.observed.leaving && t.Target.Usable() }
 
+// UsableForShort reports whether the target may get new short idempotent requests only. The
+// caller must hold the service's lock.
+func (t *target) UsableForShort() bool { return !t.observed.leaving && t.Target.UsableForShort() }
+
 // recordLeaving records that a response of a target states that it is leaving.
 func (st *serviceState) recordLeaving(now time.Time, t *target) {
 	st.mu.Lock()
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -98,7 +98,9 @@
 	// eject.Select has not ejected. ejected are those that it has.
 	eligible, local, ejected []int
 	// excluded are targets whose path is excluded.
-	excluded   []int
+	excluded []int
+	// finishing are targets for short idempotent requests only.
+	finishing  []int
 	computedAt time.Time
 }
 
@@ -197,6 +199,8 @@
 			if t.Host.DC == cfg.DC {
 				sets.local = append(sets.local, i)
 			}
+		case t.UsableForShort() && p.reachable(t.Host.Name):
+			sets.finishing = append(sets.finishing, i)
 		case t.Usable():
 			sets.excluded = append(sets.excluded, i)
 		}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -127,6 +127,10 @@
 	presets         map[string]detect.Params
 	presetsComplete bool
 	draining        bool
+	// beforeDrain counts the requests in progress that began before Drain. While there are
+	// any, the instances of finishing are Finishing.
+	beforeDrain int
+	finishing   []*instance
 	// active counts the requests in progress; idle is closed when the count next
 	// reaches zero.
 	active int
@@ -298,37 +302,6 @@
 	return !stopping || !now.Add(shutdownMargin*expect).After(end)
 }
 
-// Drain refuses new requests on every instance, also on those that announce themselves
-// later; running requests continue. It cannot be undone.
-func (g *Guard) Drain() {
-	g.mu.Lock()
-	g.draining = true
-	all := g.list()
-	g.mu.Unlock()
-	for _, inst := range all {
-		inst.drain()
-	}
-	g.onChanged()
-}
-
-// beginRequest counts the start of a request.
-func (g *Guard) beginRequest() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.active++
-}
-
-// endRequest counts the end of a request.
-func (g *Guard) endRequest() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.active--
-	if g.active == 0 && g.idle != nil {
-		close(g.idle)
-		g.idle = nil
-	}
-}
-
 // Wait blocks until no request runs or holds a slot, or until done is closed, and
 // reports whether all requests have ended.
 func (g *Guard) Wait(done <-chan struct{}) bool {
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -79,6 +79,8 @@
 	// closed reports that the instance never accepts requests again: it was removed, or
 	// this host is stopping.
 	closed bool
+	// finishing reports that it accepts only short idempotent requests, see Guard.Drain.
+	finishing bool
 	// terminated reports that the instance's port refuses connections: it has terminated,
 	// whether or not it announced its shutdown. It gets no requests until it announces
 	// itself again, because each would waste one of its attempts there.
@@ -236,14 +238,6 @@
 	return true
 }
 
-// drain refuses queued and new requests for good; running requests continue.
-func (i *instance) drain() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.closed = true
-	i.updateQueue()
-}
-
 // updateQueue makes the queue accept or refuse requests according to the instance's
 // state. The caller must hold i.mu.
 func (i *instance) updateQueue() {
@@ -364,8 +358,11 @@
 		// with every response, and so would the announcement.
 		out.Evidence = uint32(i.detector.SuspicionEvidence() * evidenceScale)
 	}
-	if i.unavailable() {
+	switch {
+	case i.unavailable():
 		out.State = directory.Leaving
+	case i.finishing:
+		out.State = directory.Finishing
 	}
 	return out
 }
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -15,8 +15,7 @@
 
 // Serve handles one request stream from a front until it ends.
 func (g *Guard) Serve(s wire.Stream, first msg.Message) {
-	g.beginRequest()
-	defer g.endRequest()
+	defer g.endRequest(g.beginRequest())
 	defer s.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -54,6 +53,8 @@
 	retryReserved bool
 	// fingerprint is the request's fingerprint, 0 if it has none.
 	fingerprint crash.Fingerprint
+	// idempotent reports that the request may be sent again after it may have run.
+	idempotent bool
 	// nestedRetryChance is the probability that the run is a call made by a retried
 	// run, in thousandths.
 	nestedRetryChance uint16
@@ -66,6 +67,7 @@
 	switch m := first.(type) {
 	case *msg.Run:
 		x.requestID = m.RequestID
+		x.idempotent = m.Idempotent
 		if x.admit(m.Service, m.Instance, m.TimeoutMS, x.guard.admissionRequest(m.Class, m.Priority, m.SubPriority), m.Hints, m.Sample) {
 			x.serveRun(m)
 		}
@@ -96,7 +98,8 @@
 	if objective > 0 {
 		r.Objective = x.arrived.Add(objective - time.Duration(hints.ElapsedMS)*time.Millisecond)
 	}
-	if !x.guard.finishesBeforeShutdown(x.arrived, time.Duration(hints.ExpectedMS)*time.Millisecond) {
+	expected := time.Duration(hints.ExpectedMS) * time.Millisecond
+	if !x.guard.finishesBeforeShutdown(x.arrived, expected) || inst.isFinishing() && !x.idempotent {
 		x.refuse(refusal(verdict.ReasonDraining, "this host is stopping and the request is expected to take too long"))
 		return false
 	}
@@ -109,7 +112,10 @@
 		x.refuse(retryBudgetRefusal(wait))
 		return false
 	}
-	r.ExpectedServiceTime, r.AllowLate = time.Duration(hints.ExpectedMS)*time.Millisecond, hints.AllowLate
+	r.ExpectedServiceTime, r.AllowLate = expected, hints.AllowLate
+	if inst.isFinishing() {
+		r.Deadline = x.guard.latestEnd(r.Deadline, expected)
+	}
 	inst.observe(x.arrived, sample)
 	x.waiter = &waiter{fingerprint: x.fingerprint, overdueAfter: overdueAfter(hints)}
 	x.queueID = inst.offer(x.arrived, r, x.waiter)
