guard: doubtful instances with running requests ask for trials

Cause: an instance in doubt asked for a trial only with no request running; one that was unresponsive holds slots with requests that it never responds to, up to the route's timeout. Change: it asks from 1.5 s after its last start on, with up to half of its slots in use.

--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -161,20 +161,29 @@
 	// budget on instances that stay unhealthy for seconds; a longer one delays the return
 	// of those that have recovered.
 	trialDelay = time.Second
+	// busyTrialDelay is the time since the last start from which an instance in doubt that
+	// still has running requests, in up to half of its slots, asks for a trial.
+	busyTrialDelay = 1500 * time.Millisecond
 	// idleDelay is how long an instance that is considered healthy must be idle
 	// before it asks for work.
 	idleDelay = 300 * time.Millisecond
 )
 
 // wantsWork reports whether the instance should ask for a request: it is idle for long
-// enough or, if its health is in doubt, has no recent failure. The caller must hold
-// i.mu.
+// enough or, if its health is in doubt, has no recent failure. An instance in doubt may have
+// running requests: one that was unresponsive for a while may never respond to them, but to
+// new ones. The caller must hold i.mu.
 func (i *instance) wantsWork(now time.Time) bool {
-	if i.unavailable() || i.queue.BusySlots()+i.queue.Queued() > 0 || i.queue.RateLimitWait(now) > 0 {
+	if i.unavailable() || i.queue.Queued() > 0 || i.queue.RateLimitWait(now) > 0 {
 		return false
 	}
-	if i.failureEstimate.SickForSelection(now, i.guard.model) < trialFailureThreshold {
-		return now.Sub(i.lastEnded) >= idleDelay
+	inDoubt := i.failureEstimate.SickForSelection(now, i.guard.model) >= trialFailureThreshold
+	switch busy := i.queue.BusySlots(); {
+	case !inDoubt:
+		return busy == 0 && now.Sub(i.lastEnded) >= idleDelay
+	case now.Sub(i.lastFailed) < trialDelay:
+		return false
+	default:
+		return busy == 0 || 2*busy <= i.slots && now.Sub(i.lastStarted) >= busyTrialDelay
 	}
-	return now.Sub(i.lastFailed) >= trialDelay
 }
--- a/internal/guard/estimate_test.go
+++ b/internal/guard/estimate_test.go
@@ -99,3 +99,19 @@
 	i.requestWork(now.Add(trialDelay))
 	assert.DeepEqual(t, *requests, []loadreport.Scope{loadreport.ToFew})
 }
+
+// Guards against recovered instances that got no request for 4 to 8 s because requests from the time
+// when they were unresponsive still held slots.
+func TestDoubtfulInstanceWithRunningRequestsRequestsTrial(t *testing.T) {
+	i, requests := recordWorkRequests(t)
+	now := time.Now()
+	i.failureEstimate, i.lastFailed, i.lastStarted, i.publishedAt = chance.EstimateAt(now, 0.9), now, now, now
+	fillSlots(i, now, i.slots/2)
+	i.requestWork(now.Add(busyTrialDelay - 1))
+	assert.Equal(t, len(*requests), 0)
+	i.requestWork(now.Add(busyTrialDelay))
+	assert.DeepEqual(t, *requests, []loadreport.Scope{loadreport.ToFew})
+	fillSlots(i, now, 1)
+	i.requestWork(now.Add(2 * busyTrialDelay))
+	assert.Equal(t, len(*requests), 1, "more than half of the slots are in use")
+}
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -44,10 +44,11 @@
 	reference detect.Reference
 	// failureEstimate is the probability that the instance fails most requests.
 	failureEstimate chance.Estimate
-	// lastFailed is when a request last failed, and lastEnded when one last ended, with
-	// any result.
-	lastFailed time.Time
-	lastEnded  time.Time
+	// lastFailed is when a request last failed, lastStarted when one last began, and
+	// lastEnded when one last ended, with any result.
+	lastFailed  time.Time
+	lastStarted time.Time
+	lastEnded   time.Time
 	// shedShare is the share of recent requests that the instance refused, see countsAsShed.
 	shedShare chance.DecayingShare
 	// lastAborted is when a request was last aborted.
@@ -324,6 +325,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	w.started, w.run = now, m
+	i.lastStarted = now
 	i.counts.Ran++
 }
 
