--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -162,8 +162,10 @@
 	// of those that have recovered.
 	trialDelay = time.Second
 	// busyTrialDelay is the time since the last start from which an instance in doubt that
-	// still has running requests, in up to half of its slots, asks for a trial.
-	busyTrialDelay = 1500 * time.Millisecond
+	// still has running requests, in up to half of its slots, asks for a trial. It is longer
+	// than trialDelay: a trial at an unresponsive instance occupies a slot, and its caller
+	// learns of the failure late.
+	busyTrialDelay = 4 * time.Second
 	// idleDelay is how long an instance that is considered healthy must be idle
 	// before it asks for work.
 	idleDelay = 300 * time.Millisecond
