standin, lab: arrivals, refusals and full slots of an instance; output by line

Change: the target stand-in has a mode that refuses a share of its arrivals with status 503 and the header that says not run, and records all arrivals by mark and the times at which all slots were in use. A fleet of processes can pass on the output of each process by line.

--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -39,7 +39,10 @@
 	// PlatformURL is the platform URL in the settings of hosts started from now on, for
 	// example that of a proxy; empty means Platform.
 	PlatformURL string
-	Hosts       []*Host
+	// OnOutput, if set, is called with each line of the output of processes started from now
+	// on. Calls for the same process do not overlap.
+	OnOutput func(process string, line []byte)
+	Hosts    []*Host
 
 	mu    sync.Mutex
 	procs []*Process
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -42,6 +42,9 @@
 
 func (f *Fleet) start(name, program string, args ...string) (*Process, error) {
 	output := &tailWriter{dst: f.logs}
+	if f.OnOutput != nil {
+		output.onLine = func(line []byte) { f.OnOutput(name, line) }
+	}
 	cmd := exec.Command(filepath.Join(f.binDir, program), args...)
 	cmd.Stdout, cmd.Stderr = output, output
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -115,7 +118,11 @@
 
 // tailWriter forwards the output of a process and keeps its last maxTailBytes.
 type tailWriter struct {
-	dst  io.Writer
+	dst io.Writer
+	// onLine, if set, is called with each complete line; unfinished is the start of the next.
+	onLine     func([]byte)
+	unfinished []byte
+
 	mu   sync.Mutex
 	tail []byte
 }
@@ -130,9 +137,26 @@
 		t.tail = append(t.tail[:0], t.tail[over:]...)
 	}
 	t.mu.Unlock()
+	if t.onLine != nil {
+		t.splitLines(p)
+	}
 	return t.dst.Write(p)
 }
 
+// splitLines calls onLine with the lines that p completes. The output of a process is written
+// by one goroutine.
+func (t *tailWriter) splitLines(p []byte) {
+	t.unfinished = append(t.unfinished, p...)
+	for {
+		end := bytes.IndexByte(t.unfinished, '\n')
+		if end < 0 {
+			return
+		}
+		t.onLine(t.unfinished[:end])
+		t.unfinished = t.unfinished[end+1:]
+	}
+}
+
 func (t *tailWriter) lastLine() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -41,6 +41,9 @@
 	// Swap sets the id of another request in the response to a Behaviour.Share of
 	// requests.
 	Swap Mode = "swap"
+	// Refuse responds to a Behaviour.Share of requests at once with status 503 and the header
+	// that says that the request did not run, whether or not a slot is free.
+	Refuse Mode = "refuse"
 	// Stuck never responds.
 	Stuck Mode = "stuck"
 	// Flap alternates between Good and Slow, each for Behaviour.PeriodMS, and starts
@@ -102,9 +105,16 @@
 	statements     statements
 	// runsByMark are the numbers of runs by the value of MarkHeader.
 	runsByMark map[string]int
+	// arrivals are the arrivals of requests, including refused ones, by the value of
+	// MarkHeader, in Unix milliseconds.
+	arrivals   map[string][]int64
 	totalRuns  int
 	running    int
 	maxRunning int
+	// full are the times at which all slots were in use, and fullSince is when the current
+	// one began.
+	full      []Span
+	fullSince time.Time
 }
 
 const announceInterval = time.Second
@@ -117,7 +127,7 @@
 	}
 	cfg.Address = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{cfg: cfg, stop: cancel, done: make(chan struct{}), behaviour: Behaviour{Mode: Good}, behaviourSince: time.Now(), runsByMark: make(map[string]int)}
+	s := &Server{cfg: cfg, stop: cancel, done: make(chan struct{}), behaviour: Behaviour{Mode: Good}, behaviourSince: time.Now(), runsByMark: make(map[string]int), arrivals: make(map[string][]int64)}
 	s.mux = http.NewServeMux()
 	s.mux.HandleFunc("PUT /standin/behaviour", s.putBehaviour)
 	s.mux.HandleFunc("GET /standin/runs", s.getRuns)
@@ -176,6 +186,11 @@
 	// stand-in had stated for some time that it is leaving.
 	OverRateLimit        int `json:"overRateLimit,omitempty"`
 	ArrivalsWhileLeaving int `json:"arrivalsWhileLeaving,omitempty"`
+	// Arrivals are the times at which requests with a MarkHeader arrived, by its value, in
+	// Unix milliseconds. Unlike ByMark, they include requests that were refused.
+	Arrivals map[string][]int64 `json:"arrivals,omitempty"`
+	// Full are the times at which all slots were in use.
+	Full []Span `json:"full,omitempty"`
 	// PID is the id of the process that responds.
 	PID int `json:"pid"`
 }
@@ -189,6 +204,10 @@
 	for k, v := range s.runsByMark {
 		out.ByMark[k] = v
 	}
+	out.Arrivals, out.Full = make(map[string][]int64, len(s.arrivals)), s.fullSpans()
+	for k, v := range s.arrivals {
+		out.Arrivals[k] = v[:len(v):len(v)]
+	}
 	return out
 }
 
@@ -220,6 +239,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if s.refuse(w, r) {
+		return
+	}
 	b := s.beginRequest(r)
 	defer s.endRequest()
 	if b.Mode == Stuck {
@@ -237,9 +259,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.totalRuns++
-	s.statements.observeArrival(time.Now(), s.behaviour)
-	s.running++
-	s.maxRunning = max(s.maxRunning, s.running)
+	s.observeArrival(r)
+	s.countRunning(1)
 	if mark := r.Header.Get(MarkHeader); mark != "" {
 		s.runsByMark[mark]++
 	}
@@ -253,7 +274,7 @@
 func (s *Server) endRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running--
+	s.countRunning(-1)
 }
 
 // sleepFor waits for d and reports whether it has passed: false if the context ended
