soak: two services, teams, areas, refusing instances, and their invariants

Change: a second service of three instances with few slots gets requests of four teams, with fair_shares, learn_refusals, areas and area_link set. New faults, each from a random source of its own so that the other faults of a seed stay: target-refuses, service-refuses and team-surge, and a surge at the end of each run, in the time without other faults. New invariants: a team below its share is served 0.9 of its requests in surges, a host refuses nothing while its instance has a free slot, and arrivals beyond the first of each request stay within the retry budget in any 10 s. The case of TestEachCheckFindsItsViolation that cuts all requests after the faults also cuts the arrivals, since retries without requests would exceed the budget; it is as strict as before.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -14,6 +14,8 @@
 type Request struct {
 	Mark string
 	Host int
+	// Service is the service of the request's route, and Team the team that sent it, if any.
+	Service, Team string
 	// Idempotent is set for requests that may run more than once.
 	Idempotent bool
 	// Crashing marks the request that crashes every instance that runs it.
@@ -55,6 +57,11 @@
 	Runs map[string]int
 	// Crashes are the times at which the crashing request crashed an instance.
 	Crashes []time.Duration
+	// Arrivals are all arrivals of requests at instances, including refused ones.
+	Arrivals []Arrival
+	// Instances are the instances by name, and Refusals what their hosts refused.
+	Instances map[string]Instance
+	Refusals  []Refusal
 	// OverRateLimit is the largest number of requests by which an instance got more than the
 	// rate limit that it stated allows. ArrivalsWhileLeaving is the number of requests that
 	// instances got although they had stated that they are leaving.
@@ -91,6 +98,9 @@
 	NoOtherBlocked      = "no other request is refused as crashing its targets"
 	WithinRateLimit     = "an instance gets no more requests than the rate limit it states allows"
 	NothingWhileLeaving = "an instance that states that it is leaving gets no requests 2 s later"
+	FairShare           = "a team below its share is served while another team sends too much"
+	FreeSlotUsed        = "a host refuses no request while its instance has a free slot"
+	WithinRetryBudget   = "all hosts together stay within the retry budget of a service"
 )
 
 const (
@@ -115,6 +125,9 @@
 	out = append(out, o.checkVersions()...)
 	out = append(out, o.checkCrashes()...)
 	out = append(out, o.checkStatements()...)
+	out = append(out, o.checkShares()...)
+	out = append(out, o.checkFreeSlots()...)
+	out = append(out, o.checkRetryBudgets()...)
 	return append(out, o.checkRecovery()...)
 }
 
@@ -164,7 +177,8 @@
 // ended less than settlePeriod before it.
 func (o *Observations) affectedByFault(host int, at time.Duration) bool {
 	for _, f := range o.Faults {
-		if f.Kind.affectsTarget() || !f.Kind.affectsPlatform() && f.Host != host {
+		ofHost := f.Host == host && (f.Kind.affectsDaemon() || f.Kind.affectsLink())
+		if !f.Kind.affectsPlatform() && !ofHost {
 			continue
 		}
 		if f.At <= at && at < f.End()+settlePeriod {
@@ -243,15 +257,18 @@
 	return newest
 }
 
-// checkRecovery checks the share of requests served after all faults have ended.
+// checkRecovery checks the share of requests served after all faults have ended, except those of
+// heavyTeam, which still sends too much.
 func (o *Observations) checkRecovery() []Violation {
 	last := time.Duration(0)
 	for _, f := range o.Faults {
-		last = max(last, f.End())
+		if f.Kind != TeamSurge {
+			last = max(last, f.End())
+		}
 	}
 	sent, served := 0, 0
 	for _, req := range o.Requests {
-		if req.Sent < last+recoveryTime || req.Crashing {
+		if req.Sent < last+recoveryTime || req.Crashing || req.Team == heavyTeam {
 			continue
 		}
 		sent++
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,13 +13,14 @@
 const second = time.Second
 
 // passingRun returns the observations of a run without violations, with a graceful stop of host 1,
-// an unresponsive platform, and requests and changes before, during and after these faults.
+// an unresponsive platform, a surge, and requests and changes before, during and after these faults.
 func passingRun() *Observations {
-	return &Observations{
+	o := &Observations{
 		Length: 40 * second, ApplyWithin: 2 * second,
 		Faults: []Fault{
 			{Kind: Terminate, Host: 1, At: 5 * second, Length: 3 * second},
 			{Kind: PlatformSilent, At: 10 * second, Length: 2 * second},
+			{Kind: TeamSurge, At: 12 * second, Length: 8 * second},
 		},
 		Requests: []Request{
 			{Mark: "a", Sent: 4 * second, Done: 4 * second, Status: 200, Served: true},
@@ -35,7 +37,28 @@
 			// A restarted process may start without any records.
 			{Host: 1, Incarnation: 0, QueriedAt: 4 * second, Version: 3, Number: 1}, {Host: 1, Incarnation: 1, QueriedAt: 9 * second, Version: 0},
 		},
+		Instances: map[string]Instance{"i": {Service: service, Full: []Span{{14 * second, 15 * second}}}},
+		Refusals: []Refusal{
+			{Instance: "i", Reason: verdict.ReasonQueueFull, At: 15400 * time.Millisecond},
+			{Instance: "i", Reason: verdict.ReasonRetryBudget, At: 18 * second},
+			{Instance: "i", Reason: verdict.ReasonDeadline, At: 18 * second, Expired: true},
+		},
+	}
+	// The budget of these requests in a window is eight retries and a tenth of thirty.
+	for n := range 30 {
+		mark, at := fmt.Sprint("light-", n), 15*second+time.Duration(n)*60*time.Millisecond
+		req := Request{Mark: mark, Service: contendedService, Team: teamNames()[0], Host: 2, Sent: at, Done: at, Status: 200, Served: true}
+		if n < 3 {
+			req.Status, req.Served = 502, false
+		}
+		o.Requests = append(o.Requests, req)
+		o.Runs[mark] = 1
+		o.Arrivals = append(o.Arrivals, Arrival{contendedService, mark, at})
+		if n < 11 {
+			o.Arrivals = append(o.Arrivals, Arrival{contendedService, mark, 19 * second})
+		}
 	}
+	return o
 }
 
 func TestPassingRunHasNoViolations(t *testing.T) {
@@ -58,11 +81,18 @@
 		{AppliedInTime, func(r *Observations) { r.Samples[3].Number = 1 }},
 		{MonotonicVersion, func(r *Observations) { r.Samples[2].Version = 2 }},
 		{RecoversAfterFaults, func(r *Observations) { r.Requests[3].Served, r.Requests[3].Status = false, 502 }},
-		{RecoversAfterFaults, func(r *Observations) { r.Requests = r.Requests[:3] }},
+		{RecoversAfterFaults, func(r *Observations) { r.Requests, r.Arrivals = r.Requests[:3], nil }},
 		{NoOtherBlocked, func(r *Observations) { r.Requests[2].Blocked = true }},
 		{WithinRateLimit, func(r *Observations) { r.OverRateLimit = 1 }},
 		{NothingWhileLeaving, func(r *Observations) { r.ArrivalsWhileLeaving = 1 }},
 		{BoundedCrashes, func(r *Observations) { r.Crashes = append(r.Crashes, 25*second, 26*second, 27*second, 28*second) }},
+		{FairShare, func(r *Observations) { r.Requests[10].Served, r.Requests[10].Status = false, 502 }},
+		{FreeSlotUsed, func(r *Observations) { r.Refusals[0].At += 200 * time.Millisecond }},
+		{FreeSlotUsed, func(r *Observations) { r.Refusals[1].Reason = verdict.ReasonTeamShare }},
+		{FreeSlotUsed, func(r *Observations) { r.Refusals[2].Expired = false }},
+		{WithinRetryBudget, func(r *Observations) {
+			r.Arrivals = append(r.Arrivals, Arrival{contendedService, "light-20", 20 * second})
+		}},
 	} {
 		r := passingRun()
 		c.inject(r)
@@ -85,6 +115,16 @@
 	r.Samples[0].QueriedAt = 15100 * time.Millisecond
 	assert.Equal(t, len(r.Check()), 1)
 
+	// Faults of the service, and a crash, excuse what hosts refuse.
+	r = passingRun()
+	r.Requests[10].Served, r.Requests[10].Status = false, 502
+	r.Faults = append(r.Faults, Fault{Kind: ServiceRefuses, At: 12 * second, Length: 2 * second})
+	r.Refusals[1].Reason = verdict.ReasonTeamShare
+	r.Instances["i"] = Instance{Service: service, Full: r.Instances["i"].Full, Crashes: []time.Duration{13500 * time.Millisecond}}
+	assert.Equal(t, len(r.Check()), 0, "%v", r.Check())
+	r.Faults[3].Host, r.Faults[3].Kind, r.Refusals[1].At = 8, Kill, 18600*time.Millisecond
+	assert.Equal(t, len(r.Check()), 2, "%v", r.Check())
+
 	r = passingRun()
 	r.Faults[0].Kind = Kill
 	r.Requests[1].Status, r.Requests[1].Served = 0, false
@@ -117,5 +157,5 @@
 		}
 		assert.Assert(t, overlapping > 0)
 	}
-	assert.Equal(t, len(counts), len(faultKinds)+len(addedFaultKinds)+1, "with PlatformRestored")
+	assert.Equal(t, len(counts), len(faultKinds)+len(addedFaultKinds)+len(loadFaults)+1, "with PlatformRestored")
 }
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -26,6 +26,9 @@
 	}
 	fmt.Fprintf(out, "seed %d: %d faults, %d of %d requests served, %d changes acknowledged, %d version samples, %d instances crashed: %d violations\n",
 		seed, len(o.Faults), served, len(o.Requests), len(o.Acked), len(o.Samples), len(o.Crashes), len(violations))
+	sent, teamServed := o.lightInSurge("")
+	fmt.Fprintf(out, "  %d of %d requests of teams below their share served in surges, %d refusals logged, retry budgets used: %s %s, %s %s\n",
+		teamServed, sent, len(o.Refusals), service, o.peakRetryWindow(service), contendedService, o.peakRetryWindow(contendedService))
 	if len(violations) == 0 {
 		return nil
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,11 +9,13 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/radishhoist/radishhoist/internal/core/header"
 	"github.com/radishhoist/radishhoist/internal/lab"
 	"github.com/radishhoist/radishhoist/internal/objects"
 	"github.com/radishhoist/radishhoist/internal/sleep"
@@ -64,6 +66,8 @@
 type node struct {
 	host   *lab.Host
 	target *lab.Target
+	// contended is the host's instance of contendedService, nil if it has none.
+	contended *lab.Target
 	// platformProxy forwards the daemon's connections to the platform.
 	platformProxy *proxy
 	// daemonMu is held from the start of a daemon fault until the daemon runs again. A stop may
@@ -71,14 +75,17 @@
 	daemonMu sync.Mutex
 }
 
-// run is the state of a run in progress. mu protects incarnations and observed.
+// run is the state of a run in progress. mu protects incarnations, refusals and observed.
 type run struct {
 	cfg       Config
 	fleet     *lab.Fleet
 	nodes     []*node
 	startTime time.Time
+	// surge is set while heavyTeam sends too much.
+	surge atomic.Bool
 
-	mu sync.Mutex
+	mu       sync.Mutex
+	refusals []refusalLine
 	// incarnations counts the restarts of each host's process.
 	incarnations []int
 	observed     Observations
@@ -92,7 +99,8 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	r := &run{cfg: cfg, fleet: lab.NewFleet(ctx, cfg.Bin, dir, cfg.Logs), incarnations: make([]int, cfg.Hosts)}
-	r.observed = Observations{Runs: make(map[string]int), Length: cfg.Duration, ApplyWithin: applyWithin}
+	r.fleet.OnOutput = r.observeLine
+	r.observed = Observations{Runs: make(map[string]int), Instances: make(map[string]Instance), Length: cfg.Duration, ApplyWithin: applyWithin}
 	defer r.stop()
 	if err := r.startFleet(ctx); err != nil {
 		return nil, err
@@ -101,6 +109,7 @@
 	if ctx.Err() != nil {
 		return nil, errors.Wrap(ctx.Err(), "soak run cancelled")
 	}
+	r.collectRefusals()
 	return &r.observed, r.collectRuns()
 }
 
@@ -119,8 +128,11 @@
 	if err := r.fleet.PutDemoRecords(ctx); err != nil {
 		return err
 	}
+	if err := r.putLoadRecords(ctx); err != nil {
+		return err
+	}
 	platform := strings.TrimPrefix(r.fleet.Platform, "http://")
-	settings := fmt.Sprintf("[control]\napply_within = %s\n[guard]\ndrain_timeout = %s\n", applyWithin, drainTimeout)
+	settings := fmt.Sprintf("[control]\napply_within = %s\n[guard]\ndrain_timeout = %s\n", applyWithin, drainTimeout) + loadSettings
 	for i := range r.cfg.Hosts {
 		platformProxy, err := startProxy(fmt.Sprintf("%s:%d", r.address(100+i), lab.PlatformPort), platform)
 		if err != nil {
@@ -135,15 +147,22 @@
 		if n.target, err = r.fleet.StartTarget(n.host, service, 1, slots, serviceTime); err != nil {
 			return err
 		}
+		if i >= contendedInstances {
+			continue
+		}
+		if n.contended, err = r.fleet.StartTarget(n.host, contendedService, 1, contendedSlots, contendedServiceTime); err != nil {
+			return err
+		}
 	}
-	return r.fleet.WaitUntilServing(startTimeout, map[string]int{service: r.cfg.Hosts})
+	return r.fleet.WaitUntilServing(startTimeout, map[string]int{service: r.cfg.Hosts, contendedService: contendedInstances})
 }
 
 func (r *run) address(n int) string { return fmt.Sprintf("127.0.%d.%d", r.cfg.NetOctet, n) }
 
-// runTraffic sends requests, writes changes and injects faults for the length of the run.
+// runTraffic sends requests, writes changes and injects faults for the length of the run. If a fault
+// ends late, such as a graceful stop, it continues until faultFreeEnd after that.
 func (r *run) runTraffic(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, r.cfg.Duration)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.startTime = time.Now()
 	var wg sync.WaitGroup
@@ -153,11 +172,19 @@
 		}
 		wg.Go(func() { r.sampleVersions(ctx, i) })
 	}
+	for _, team := range teamNames() {
+		wg.Go(func() { r.sendTeamRequests(ctx, team) })
+	}
 	wg.Go(func() { r.writeChanges(ctx) })
 	wg.Go(func() { r.sendCrashingRequests(ctx) })
+	var faults sync.WaitGroup
 	for _, f := range Schedule(r.cfg.Seed, r.cfg.Hosts, r.cfg.Duration) {
-		wg.Go(func() { r.inject(ctx, f) })
+		faults.Go(func() { r.inject(ctx, f) })
 	}
+	faults.Wait()
+	r.inject(ctx, lastSurge(r.elapsed(), r.cfg.Duration))
+	r.observed.Length = r.elapsed()
+	cancel()
 	wg.Wait()
 }
 
@@ -211,9 +238,15 @@
 	case CutSilent, CutReset, CutSlow:
 		n.platformProxy.setMode(f.Kind)
 		return func() { n.platformProxy.setMode("") }
-	case TargetFails, TargetSlow, TargetCuts, TargetLimits, TargetLeaves:
+	case TargetFails, TargetSlow, TargetCuts, TargetLimits, TargetLeaves, TargetRefuses:
 		_ = n.target.SetBehaviour(behaviours[f.Kind])
 		return func() { _ = n.target.SetBehaviour(target.Behaviour{Mode: target.Good}) }
+	case ServiceRefuses:
+		r.setContended(behaviours[f.Kind])
+		return func() { r.setContended(target.Behaviour{Mode: target.Good}) }
+	case TeamSurge:
+		r.surge.Store(true)
+		return func() { r.surge.Store(false) }
 	case PlatformRestored:
 		_ = r.fleet.SetPlatformFaults(platformd.Faults{Outage: true})
 		return func() {
@@ -233,6 +266,9 @@
 
 	TargetLimits: {Mode: target.Good, RateLimit: 2},
 	TargetLeaves: {Mode: target.Good, Leaving: true},
+
+	TargetRefuses:  {Mode: target.Refuse, Share: refusedShare},
+	ServiceRefuses: {Mode: target.Refuse, Share: refusedShare},
 }
 
 // lostRevisions is the number of writes that a restored platform has lost: some seconds of
@@ -325,12 +361,8 @@
 	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	for n := 0; sleep.For(ctx, callInterval); n++ {
-		req := Request{Mark: fmt.Sprintf("h%d-c%d-%d", host, caller, n), Host: host, Idempotent: n%2 == 0, Sent: r.elapsed()}
-		r.send(client, &req, "/plans/7")
-		req.Done = r.elapsed()
-		r.mu.Lock()
-		r.observed.Requests = append(r.observed.Requests, req)
-		r.mu.Unlock()
+		req := Request{Mark: fmt.Sprintf("h%d-c%d-%d", host, caller, n), Host: host, Service: service, Idempotent: n%2 == 0, Sent: r.elapsed()}
+		r.sendAndRecord(client, req, "/plans/7")
 	}
 }
 
@@ -351,14 +383,8 @@
 	}
 	var wg sync.WaitGroup
 	for n := 0; sleep.For(ctx, time.Duration(rng.ExpFloat64()*float64(meanCrashingInterval))); n++ {
-		req := Request{Mark: fmt.Sprintf("fatal-%d", n), Host: rng.IntN(r.cfg.Hosts), Crashing: true, Idempotent: true, Sent: r.elapsed()}
-		wg.Go(func() {
-			r.send(client, &req, "/plans"+target.CrashPathSuffix)
-			req.Done = r.elapsed()
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.observed.Requests = append(r.observed.Requests, req)
-		})
+		req := Request{Mark: fmt.Sprintf("fatal-%d", n), Host: rng.IntN(r.cfg.Hosts), Service: service, Crashing: true, Idempotent: true, Sent: r.elapsed()}
+		wg.Go(func() { r.sendAndRecord(client, req, "/plans"+target.CrashPathSuffix) })
 	}
 	wg.Wait()
 }
@@ -375,6 +401,9 @@
 		panic("soak: " + err.Error())
 	}
 	out.Header.Set(target.MarkHeader, req.Mark)
+	if req.Team != "" {
+		out.Header.Set(header.Team, req.Team)
+	}
 	resp, err := client.Do(out)
 	if err != nil {
 		return
@@ -389,20 +418,17 @@
 	req.Served = resp.StatusCode == http.StatusOK && strings.Contains(string(body), "mark="+req.Mark+" ")
 }
 
-// collectRuns adds up the runs of each request over all instances and collects the crash times.
+// collectRuns collects what the instances observed.
 func (r *run) collectRuns() error {
-	for _, n := range r.nodes {
-		runs, err := n.target.Runs()
-		if err != nil {
+	for i, n := range r.nodes {
+		if err := r.collectInstance(i, service, n.target); err != nil {
 			return errors.Wrapf(err, "get runs of %s", n.target.Name)
 		}
-		for mark, count := range runs.ByMark {
-			r.observed.Runs[mark] += count
+		if n.contended == nil {
+			continue
 		}
-		r.observed.OverRateLimit = max(r.observed.OverRateLimit, runs.OverRateLimit)
-		r.observed.ArrivalsWhileLeaving += runs.ArrivalsWhileLeaving
-		for _, ms := range runs.CrashTimes {
-			r.observed.Crashes = append(r.observed.Crashes, time.UnixMilli(ms).Sub(r.startTime))
+		if err := r.collectInstance(i, contendedService, n.contended); err != nil {
+			return errors.Wrapf(err, "get runs of %s", n.contended.Name)
 		}
 	}
 	return nil
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -32,4 +32,7 @@
 		t.Fatalf("%d violations; the logs of the processes are in %s", len(violations), path)
 	}
 	assert.Assert(t, len(r.Faults) > 5 && len(r.Acked) > 5 && len(r.Samples) > 100 && len(r.Requests) > 500)
+	// Guards against checks that pass because nothing was observed.
+	sent, _ := r.lightInSurge("")
+	assert.Assert(t, sent > lightTeams*minTeamRequests && len(r.Refusals) > 10 && r.peakRetryWindow(contendedService).retries > 5)
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -47,6 +47,12 @@
 	// PlatformRestored makes the platform refuse all calls and then come back from an
 	// earlier state.
 	PlatformRestored FaultKind = "platform-restored"
+	// TargetRefuses makes a host's instance refuse about half of its arrivals, whether or not
+	// a slot is free, and ServiceRefuses all instances of the contended service.
+	TargetRefuses  FaultKind = "target-refuses"
+	ServiceRefuses FaultKind = "service-refuses"
+	// TeamSurge makes one team send many times its usual rate to the contended service.
+	TeamSurge FaultKind = "team-surge"
 )
 
 // faultKinds are all kinds of fault, for Schedule to select from.
@@ -59,6 +65,18 @@
 // that the other faults of a seed do not depend on them.
 var addedFaultKinds = []FaultKind{TargetLimits, TargetLeaves}
 
+// loadFaults are kinds of fault that Schedule adds last, each from a random source of its own, with
+// the limits of their lengths and the maximum time between two of them.
+var loadFaults = []struct {
+	kind                         FaultKind
+	minLength, maxLength, maxGap time.Duration
+}{
+	{TargetRefuses, 1500 * time.Millisecond, 6 * time.Second, 4 * time.Second},
+	{ServiceRefuses, 3 * time.Second, 5 * time.Second, 8 * time.Second},
+	// A surge is longer than shareKnownTime, from which on shares are checked.
+	{TeamSurge, shareKnownTime + 2*time.Second, 8 * time.Second, 2 * time.Second},
+}
+
 // affectsPlatform reports whether the fault affects the platform rather than one host.
 func (k FaultKind) affectsPlatform() bool {
 	return k == PlatformSilent || k == PlatformRefuses || k == PlatformSlow || k == PlatformRestored
@@ -66,7 +84,15 @@
 
 // affectsTarget reports whether the fault affects an instance rather than a daemon.
 func (k FaultKind) affectsTarget() bool {
-	return k == TargetFails || k == TargetSlow || k == TargetCuts || k == TargetLimits || k == TargetLeaves
+	return k == TargetFails || k == TargetSlow || k == TargetCuts || k == TargetLimits || k == TargetLeaves || k == TargetRefuses
+}
+
+// affectsLink reports whether the fault affects the connections of a host to the platform.
+func (k FaultKind) affectsLink() bool { return k == CutSilent || k == CutReset || k == CutSlow }
+
+// affectsOneHost reports whether the fault affects a host or its instance.
+func (k FaultKind) affectsOneHost() bool {
+	return k.affectsTarget() || k.affectsDaemon() || k.affectsLink()
 }
 
 // affectsDaemon reports whether the fault affects the daemon process of a host.
@@ -75,7 +101,7 @@
 // Fault is one fault of a schedule. Times are relative to the start of traffic.
 type Fault struct {
 	Kind FaultKind
-	// Host is the index of the host, unused for platform faults.
+	// Host is the index of the host, for faults of one host.
 	Host       int
 	At, Length time.Duration
 }
@@ -86,8 +112,11 @@
 // String formats the fault for the report.
 func (f Fault) String() string {
 	where := fmt.Sprintf("host %d", f.Host)
-	if f.Kind.affectsPlatform() {
+	switch {
+	case f.Kind.affectsPlatform():
 		where = "platform"
+	case !f.Kind.affectsOneHost():
+		where = "service " + contendedService
 	}
 	return fmt.Sprintf("%6.2f s  %s for %.2f s, %s", f.At.Seconds(), f.Kind, f.Length.Seconds(), where)
 }
@@ -106,8 +135,8 @@
 )
 
 // Schedule generates the faults of a seed. At any time, a host's daemon, its connections to the
-// platform and its instance have at most one fault each, and so has the platform. At most half of
-// the daemons have a fault at the same time.
+// platform and its instance have at most one fault each, and so have the platform, and the instances
+// and the load of the contended service. At most half of the daemons have a fault at the same time.
 func Schedule(seed uint64, hosts int, length time.Duration) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	var out []Fault
@@ -145,9 +174,37 @@
 			out = append(out, f)
 		}
 	}
+	return addLoadFaults(out, seed, hosts, length)
+}
+
+// addLoadFaults adds the faults of loadFaults where the others allow it.
+func addLoadFaults(out []Fault, seed uint64, hosts int, length time.Duration) []Fault {
+	for i, kind := range loadFaults {
+		rng := rand.New(rand.NewPCG(seed, 4+uint64(i)))
+		for at := firstFault; ; {
+			at += time.Duration(rng.Int64N(int64(kind.maxGap)))
+			f := Fault{Kind: kind.kind, At: at}
+			if f.Kind.affectsOneHost() {
+				f.Host = rng.IntN(hosts)
+			}
+			f.Length = kind.minLength + time.Duration(rng.Int64N(int64(kind.maxLength-kind.minLength)))
+			if f.Length = min(f.Length, length-faultFreeEnd-f.At); f.Length < kind.minLength {
+				break
+			}
+			if canAdd(out, f, hosts) && canAddBefore(out, f) {
+				out = append(out, f)
+			}
+		}
+	}
 	return out
 }
 
+// lastSurge returns the surge that follows the schedule, in the time without other faults, which
+// affect nearly all of the surges that Schedule adds. after is when the last fault ended.
+func lastSurge(after, length time.Duration) Fault {
+	return Fault{Kind: TeamSurge, At: max(after, length-faultFreeEnd), Length: faultFreeEnd}
+}
+
 const (
 	// The added faults last longer than the others, because the effect of a statement is
 	// checked from 2 to 3 s after it.
@@ -160,7 +217,7 @@
 // component.
 func canAddBefore(scheduled []Fault, f Fault) bool {
 	for _, later := range scheduled {
-		if later.At >= f.At && later.At <= f.End()+f.cooldown() && later.component() == f.component() && (f.Kind.affectsPlatform() || later.Host == f.Host) {
+		if later.At >= f.At && later.At <= f.End()+f.cooldown() && later.component() == f.component() && (!f.Kind.affectsOneHost() || later.Host == f.Host) {
 			return false
 		}
 	}
@@ -177,7 +234,7 @@
 		if b.Kind.affectsDaemon() {
 			down++
 		}
-		if b.component() == f.component() && (f.Kind.affectsPlatform() || b.Host == f.Host) {
+		if b.component() == f.component() && (!f.Kind.affectsOneHost() || b.Host == f.Host) {
 			return false
 		}
 	}
@@ -203,7 +260,8 @@
 }
 
 // component identifies the component that the fault affects: the platform, or a host's instance,
-// daemon or connections to the platform.
+// daemon or connections to the platform, or the instances or the load of the contended service.
 func (f Fault) component() int {
-	return slices.Index([]bool{f.Kind.affectsPlatform(), f.Kind.affectsTarget(), f.Kind.affectsDaemon(), true}, true)
+	k := f.Kind
+	return slices.Index([]bool{k.affectsPlatform(), k.affectsTarget(), k.affectsDaemon(), k.affectsLink(), k == ServiceRefuses, true}, true)
 }
