lab: stand-ins do not exit when a connection is reset

Cause: radishhoist-lab ended on SIGPIPE so that a demo with a closed output leaves no processes. Change: SIGPIPE is left to the runtime: a closed output ends the process, and the kernel then ends its children.

--- a/cmd/radishhoist-lab/main.go
+++ b/cmd/radishhoist-lab/main.go
@@ -22,7 +22,9 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGPIPE)
+	// SIGPIPE is left out: it also comes from writes to connections that were reset, which
+	// ended stand-ins. Without it, a closed output ends the process, and the kernel its children.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	cmd := &cli.Command{
 		Name:     "radishhoist-lab",
--- a/internal/e2e/processes_test.go
+++ b/internal/e2e/processes_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/radishhoist/radishhoist/internal/lab"
 	"github.com/radishhoist/radishhoist/internal/logtest"
+	"github.com/radishhoist/radishhoist/record"
 )
 
 // Guards against processes that outlive their demo. They were stopped only by the last step
@@ -112,6 +113,25 @@
 	t.Errorf("process %d is still running", pid)
 }
 
+// Guards against stand-ins that exit when a connection is reset: SIGPIPE, which a closed output
+// raises, also comes from a write to a connection that has been reset. The platform of a soak run
+// exited 6 s after its start.
+func TestStandInSurvivesResets(t *testing.T) {
+	f := lab.NewFleet(context.Background(), binDir, t.TempDir(), &logtest.Buffer{})
+	defer f.Stop()
+	assert.NilError(t, f.StartPlatform("127.0.53.1"))
+	for range 50 {
+		c, err := net.Dial("tcp", strings.TrimPrefix(f.Platform, "http://"))
+		assert.NilError(t, err)
+		_, err = io.WriteString(c, "GET /v1/watch?after=0&waitMS=600 HTTP/1.1\r\nHost: platform\r\n\r\n")
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Millisecond)
+		assert.NilError(t, c.(*net.TCPConn).SetLinger(0))
+		assert.NilError(t, c.Close())
+	}
+	assert.NilError(t, f.Put(t.Context(), record.Key{Kind: record.KindTeam, Name: "a"}, &record.Team{Office: "a"}))
+}
+
 // A fleet must not use a process of another run that listens on its address. It fails
 // immediately with the name and the last output line of the process that could not start.
 func TestFleetFailsIfPortIsInUse(t *testing.T) {
