--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -139,12 +140,12 @@
 	DeadlineMS int64          `json:"deadlineMS"`
 }
 
-// refusalPrefix is part of all lines with event.RequestRefused. Only these lines are parsed.
-var refusalPrefix = fmt.Sprintf(`"event":%d,`, event.RequestRefused.Number)
+// refusalText is part of all lines with event.RequestRefused. Only these lines are parsed.
+var refusalText = fmt.Appendf(nil, `"event":%d,`, event.RequestRefused.Number)
 
 // observeLine records the refusals in the logs of the daemons. A host logs at most 200 per second.
 func (r *run) observeLine(_ string, line []byte) {
-	if !strings.Contains(string(line), refusalPrefix) {
+	if !bytes.Contains(line, refusalText) {
 		return
 	}
 	var l refusalLine
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -12,8 +12,9 @@
 	"github.com/radishhoist/radishhoist/internal/logtest"
 )
 
-// maxListedViolations limits the violations listed in a report.
-const maxListedViolations = 20
+// maxListedViolations limits the violations of each invariant that are listed in a report. A fault
+// that violates one thousands of times must not hide the others.
+const maxListedViolations = 10
 
 // Report writes a summary of the run and its violations, and returns the violations.
 func (o *Observations) Report(out io.Writer, seed uint64) []Violation {
@@ -32,8 +33,11 @@
 	if len(violations) == 0 {
 		return nil
 	}
-	for _, v := range violations[:min(len(violations), maxListedViolations)] {
-		fmt.Fprintln(out, "  "+v.String())
+	listed := make(map[string]int)
+	for _, v := range violations {
+		if listed[v.Invariant]++; listed[v.Invariant] <= maxListedViolations {
+			fmt.Fprintln(out, "  "+v.String())
+		}
 	}
 	for _, f := range o.Faults {
 		fmt.Fprintln(out, "    "+f.String())
