--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -6,14 +6,16 @@
 	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/radishhoist/radishhoist/internal/logtest"
 )
 
-// maxListedViolations limits the violations listed in a report.
-const maxListedViolations = 20
+// maxListedViolations limits the violations of each invariant that are listed in a report. A fault
+// that violates one thousands of times must not hide the others.
+const maxListedViolations = 10
 
 // Report writes a summary of the run and its violations, and returns the violations.
 func (o *Observations) Report(out io.Writer, seed uint64) []Violation {
@@ -26,11 +28,17 @@
 	}
 	fmt.Fprintf(out, "seed %d: %d faults, %d of %d requests served, %d changes acknowledged, %d version samples, %d instances crashed: %d violations\n",
 		seed, len(o.Faults), served, len(o.Requests), len(o.Acked), len(o.Samples), len(o.Crashes), len(violations))
+	sent, teamServed := o.lightInSurge("")
+	fmt.Fprintf(out, "  %d of %d requests of teams below their share served in surges, %d refusals logged, retry budgets used: %s %s, %s %s; timers late by up to %s\n",
+		teamServed, sent, len(o.Refusals), service, o.peakRetryWindow(service), contendedService, o.peakRetryWindow(contendedService), o.Stall.Round(time.Millisecond))
 	if len(violations) == 0 {
 		return nil
 	}
-	for _, v := range violations[:min(len(violations), maxListedViolations)] {
-		fmt.Fprintln(out, "  "+v.String())
+	listed := make(map[string]int)
+	for _, v := range violations {
+		if listed[v.Invariant]++; listed[v.Invariant] <= maxListedViolations {
+			fmt.Fprintln(out, "  "+v.String())
+		}
 	}
 	for _, f := range o.Faults {
 		fmt.Fprintln(out, "    "+f.String())
