guard: requests of routes that are not known yet add no retry budget

Cause: a guard takes a request as a caller's until its route is known to be used for calls only, which takes 40 requests. Until then calls added to the allowance of their service.

Change: a request of a route that is not known yet adds nothing. Routes of callers are known after two requests from idle hosts, as before.

--- a/internal/core/retry/routeclassifier.go
+++ b/internal/core/retry/routeclassifier.go
@@ -75,3 +75,10 @@
 	c, ok := rc.countsByRoute[route]
 	return ok && c.total >= minCallRequests && c.fromIdle <= maxCallIdleShare*c.total
 }
+
+// IsUnknown reports whether too few requests of the route have been observed to tell
+// whether callers or calls use it.
+func (rc *RouteClassifier) IsUnknown(route uint32) bool {
+	c, ok := rc.countsByRoute[route]
+	return !ok || c.total < minCallRequests && !rc.IsCallerRoute(route)
+}
--- a/internal/core/retry/routeclassifier_test.go
+++ b/internal/core/retry/routeclassifier_test.go
@@ -24,6 +24,7 @@
 	assert.Assert(t, rc.IsCallerRoute(callers))
 	assert.Assert(t, !rc.IsCallerRoute(calls))
 	assert.Assert(t, !rc.IsCallerRoute(unknown))
+	assert.Assert(t, rc.IsUnknown(unknown) && !rc.IsUnknown(callers) && !rc.IsUnknown(calls))
 }
 
 // A route that callers have stopped using must no longer be reported as used by them.
--- a/internal/guard/retrybudget.go
+++ b/internal/guard/retrybudget.go
@@ -187,7 +187,9 @@
 		return 0
 	}
 	fraction := min(hints.NestedRetryChance, msg.Thousandths)
-	if b.routeClassifier.IsCallRoute(hints.Route) {
+	// A route that is not known yet adds nothing to the allowance. When it did, the first
+	// calls after a start allowed half as many retries again as the budget of their service.
+	if b.routeClassifier.IsCallRoute(hints.Route) || b.routeClassifier.IsUnknown(hints.Route) {
 		b.budget.AddCall(now, float64(fraction)/msg.Thousandths)
 	} else {
 		b.budget.AddRequest(now, float64(fraction)/msg.Thousandths)
--- a/internal/guard/retrybudget_test.go
+++ b/internal/guard/retrybudget_test.go
@@ -203,6 +203,22 @@
 	g.retryBudgets.end(retried)
 }
 
+// Guards against the first calls after a start being counted as callers' requests, which
+// allowed retries beyond the bound until their route was known.
+func TestRequestsOfUnknownRoutesAddNothingToBudget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newRetryBudgets()
+	r.apply(now, testDirectory([]bool{true}), retryLimits())
+	for range 30 {
+		r.begin(now, "s", false, true, msg.AdmissionHints{Route: 1})
+	}
+	assert.Equal(t, r.remaining(now, "s"), uint16(0), "route not known yet")
+	for range 30 {
+		r.begin(now, "s", false, true, msg.AdmissionHints{Route: 2, OriginIdle: true})
+	}
+	assert.Equal(t, r.remaining(now, "s"), uint16(4), "callers use route 2; its first request came too early")
+}
+
 // A retry beyond the budget is refused before it reaches the instance, while a first
 // attempt never is. The reservation of a refused or abandoned retry is returned.
 func TestRetryBeyondBudgetIsRefusedAsNotRun(t *testing.T) {
