guard: no retry whose calls would overdraw the budget of the called service

Cause: a retried run makes its calls again, and these count at the called service, which cannot refuse them. The only limit was a pause of 1 s of the calling host after one of its calls found a budget empty, so that calls of up to 0.4 s of retries followed each pause.

Change: a host learns from the responses to its calls how many calls a run makes and how much is left at the guards of each called service. It grants a retry if its share of what is left covers the calls of its retried runs in progress and of this one. Where nothing is left, a small part of the reserve still permits some, so that the retries of the called service do not keep out those of the calling ones. Where calls are not known to be made, or the last report is over 1 s old, decisions are as before. Nothing new is sent.

--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -90,13 +90,18 @@
 // whether it does. minRemaining is the share of the allowance, 0 to 1, that must remain
 // for more important retries.
 func (b *Budget) Hold(now time.Time, minRemaining float64) bool {
-	if b.Available(now)-minRemaining*b.allowance(now) < 1 {
+	if !b.CanHold(now, minRemaining) {
 		return false
 	}
 	b.held++
 	return true
 }
 
+// CanHold reports whether Hold would permit a retry.
+func (b *Budget) CanHold(now time.Time, minRemaining float64) bool {
+	return b.Available(now)-minRemaining*b.allowance(now) >= 1
+}
+
 // UseHeld records that a held retry is sent now.
 func (b *Budget) UseHeld(now time.Time) {
 	b.Release()
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/radishhoist/radishhoist/internal/core/crash"
+	"github.com/radishhoist/radishhoist/internal/core/retry"
 	"github.com/radishhoist/radishhoist/internal/guard"
 	"github.com/radishhoist/radishhoist/verdict"
 )
@@ -149,6 +150,12 @@
 	if o.succeeded() {
 		e.front.guard.RecordCompletion(e.req.fingerprint, p.target.softwareVersion())
 	}
+	if o.load.Slots > 0 {
+		e.front.guard.ObserveCall(time.Now(), retry.Call{
+			Service: p.target.Service, Route: e.req.routeHash(), First: o.targetObserved && !p.options.usesRetryBudget,
+			OriginIdle: e.req.originIdle, BudgetLeft: o.load.RetryBudgetLeft,
+		})
+	}
 	if o.load.RetryBudgetOverdrawn {
 		e.front.guard.PauseRetries(time.Now())
 	}
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -33,6 +33,9 @@
 	}
 }
 
+// routeHash identifies the route in messages.
+func (r *request) routeHash() uint32 { return uint32(xxhash.Sum64String(r.route.Name)) }
+
 // hints returns what the guard needs for admission: the request's time budget and its part
 // in the retry budget.
 func (a *attempt) hints() msg.AdmissionHints {
@@ -42,7 +45,7 @@
 		ExpectedMS:      uint32(a.req.state.expectedServiceTimeAt(a.req, a.target).Milliseconds()),
 		AllowLate:       a.options.allowLate,
 		UsesRetryBudget: a.options.usesRetryBudget, Hedge: a.options.hedge,
-		NestedRetryChance: a.req.nestedRetryChance, OriginIdle: a.req.originIdle, Route: uint32(xxhash.Sum64String(a.req.route.Name)),
+		NestedRetryChance: a.req.nestedRetryChance, OriginIdle: a.req.originIdle, Route: a.req.routeHash(),
 		Fingerprint: uint64(a.req.fingerprint),
 	}
 }
--- a/internal/guard/refusal.go
+++ b/internal/guard/refusal.go
@@ -45,9 +45,13 @@
 	if paused := overdrawnPause - now.Sub(r.overdrawnAt); paused >= 0 {
 		return false, max(paused, time.Millisecond)
 	}
-	if b.budget.Hold(now, keep) {
+	if r.hold(now, b, keep) {
 		return true, 0
 	}
+	if b.budget.CanHold(now, keep) {
+		// A called service has no budget left, and when it will is not known here.
+		return false, refusals.MaxWait
+	}
 	wait, ok = b.budget.Wait(now, keep)
 	if !ok {
 		return false, refusals.MaxWait
--- a/internal/guard/retrybudget.go
+++ b/internal/guard/retrybudget.go
@@ -19,6 +19,11 @@
 	// still meet the latency objective. Hedges and retries after the objective must leave
 	// it unused.
 	timelyRetryPart = 0.5
+	// minimumCallPart is the part of a service's reserve that calls of retried runs may use
+	// although nothing is left of what guards grant, so that the retries of the called
+	// service do not keep out those of the calling ones. It must stay below
+	// 1 - guardBudgetPart.
+	minimumCallPart = 0.15
 	// overdrawnPause is how long a host grants no retries after a call made by one of
 	// its runs found the budget empty: about the duration of a run with its calls.
 	overdrawnPause = time.Second
@@ -40,6 +45,11 @@
 	runs           int
 	retryableRuns  int
 	retryFractions int
+	// held is the number of retries that were granted on this host and have not begun.
+	held int
+	// calls tracks the calls that the runs on this host make.
+	calls  *retry.Calls
+	limits Limits
 	// overdrawnAt is when a call made by one of this host's runs last found the
 	// retry budget of the called service empty.
 	overdrawnAt time.Time
@@ -64,13 +74,14 @@
 }
 
 func newRetryBudgets() *retryBudgets {
-	return &retryBudgets{byService: make(map[string]*serviceBudget)}
+	return &retryBudgets{byService: make(map[string]*serviceBudget), calls: retry.NewCalls()}
 }
 
 // apply adapts the budgets to a new directory.
 func (r *retryBudgets) apply(now time.Time, d *directory.Directory, l Limits) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.limits = l
 	for name := range r.byService {
 		if _, ok := d.Services[name]; !ok {
 			delete(r.byService, name)
@@ -92,6 +103,7 @@
 func (r *retryBudgets) setLimits(l Limits) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.limits = l
 	for _, b := range r.byService {
 		b.applyLimits(l)
 	}
@@ -128,7 +140,42 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b, ok := r.byService[service]
-	return ok && now.Sub(r.overdrawnAt) > overdrawnPause && b.budget.Hold(now, keep)
+	return ok && now.Sub(r.overdrawnAt) > overdrawnPause && r.hold(now, b, keep)
+}
+
+// hold reserves a retry if the budgets of its service and of the services that the runs on
+// this host call permit it. The caller must hold r.mu.
+func (r *retryBudgets) hold(now time.Time, b *serviceBudget, keep float64) bool {
+	if !b.budget.CanHold(now, keep) || !r.callsPermitted(now, b) {
+		return false
+	}
+	r.held++
+	return b.budget.Hold(now, keep)
+}
+
+// callsPermitted reports whether the services that the runs on this host call have budget
+// left for the calls of one more retry of the service. The caller must hold r.mu.
+func (r *retryBudgets) callsPermitted(now time.Time, b *serviceBudget) bool {
+	retriedRuns := float64(r.retryFractions)/msg.Thousandths + float64(r.held)
+	return r.calls.Permit(now, retriedRuns, func(service string) (retry.CalledBudget, bool) {
+		called, ok := r.byService[service]
+		if !ok {
+			return retry.CalledBudget{}, false
+		}
+		callers := float64(max(b.guards, 1))
+		return retry.CalledBudget{
+			GuardsPerCaller: float64(max(called.guards, 1)) / callers,
+			Minimum:         minimumCallPart * r.limits.RetryReserve / callers,
+			Window:          r.limits.RetryWindow,
+		}, true
+	})
+}
+
+// ObserveCall records the response to a request that began on this host.
+func (g *Guard) ObserveCall(now time.Time, call retry.Call) {
+	g.retryBudgets.mu.Lock()
+	defer g.retryBudgets.mu.Unlock()
+	g.retryBudgets.calls.Add(now, call)
 }
 
 // PauseRetries records that a call that may come from a retried run on this host has
@@ -144,6 +191,7 @@
 func (r *retryBudgets) release(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.held = max(r.held-1, 0)
 	if b, ok := r.byService[service]; ok {
 		b.budget.Release()
 	}
@@ -164,6 +212,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var run activeRun
+	r.calls.AddRun(now)
+	if reserved {
+		r.held = max(r.held-1, 0)
+	}
 	b, ok := r.byService[service]
 	switch {
 	case !ok:
