concurrency: probes last until enough requests have ended

Cause: at an instance of 4 slots a probe of 2 s often ended with fewer than ten requests and without a result, and the next one followed 150 s later.

Change: such a probe lasts for up to 6 s. An instance of one slot is not probed.

--- a/internal/core/concurrency/limiter.go
+++ b/internal/core/concurrency/limiter.go
@@ -44,7 +44,7 @@
 	searchDelay    = time.Second
 	searchRequests = 30
 	// probeLength is the time for which a probe lasts once its limit has settled, and maxProbeLength
-	// that of one that may have found a slowdown.
+	// that of one that may have found a slowdown or has had less than minRequests.
 	probeLength    = 2 * time.Second
 	maxProbeLength = 6 * time.Second
 	// settleServiceTimes is the number of mean service times after which a changed limit has settled:
@@ -223,7 +223,7 @@
 		} else {
 			l.startProbe(now, l.learned+1)
 		}
-	case l.learned < l.slots || now.Sub(l.waitingSince) < searchDelay || l.evidence[l.slots].requests < searchRequests:
+	case l.learned < l.slots || middle == l.slots || now.Sub(l.waitingSince) < searchDelay || l.evidence[l.slots].requests < searchRequests:
 	case since >= searchInterval || since >= hintedSearchInterval && l.better(now, middle, l.slots, 1, minGain):
 		l.startProbe(now, middle)
 	}
@@ -246,7 +246,7 @@
 }
 
 // judge makes the probed limit the learned one if it has more goodput, and ends the probe if that is
-// so, if it has less, or after probeLength, unless it may have found a slowdown. Only evidence of
+// so, if it has less, or after probeLength, or maxProbeLength if it may have found a slowdown. Only evidence of
 // probes can lower the limit: requests with fewer others beside them at other times may have been
 // faster for another reason, such as less demand at the services that the instance calls. For the
 // same reason a first limit is confirmed by a probe of all slots after it: an instance that gets
@@ -269,7 +269,7 @@
 		l.learned, l.probeAt, l.probed, l.confirming = l.probed, now, 0, false
 	case known >= minRequests && !more, known >= 2*minRequests && down && !l.better(now, l.probed, l.learned, 0, gain):
 		l.probed, l.confirming = 0, false
-	case settled >= probeLength && (!down || settled >= maxProbeLength || !l.better(now, l.probed, l.learned, 1, gain)):
+	case settled >= maxProbeLength, settled >= probeLength && known >= minRequests && (!down || !l.better(now, l.probed, l.learned, 1, gain)):
 		l.endProbe()
 	}
 }
