guard: limit running requests to the learned concurrency, off by default

Change: with [limits] learn_concurrency = yes the guard gives each instance's queue the slots of its Limiter, after its warm-up. Loads count the slots that are not used as running, and lengthen the waiting work by as much, so that fronts of all builds follow the limit and no message changes. Event 312 and the gauge radishhoist_slots_withheld show the limit. Without the setting the queue keeps its slots and loads are as before.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -22,6 +22,7 @@
 		}
 		return worst
 	})
+	set.NewGauge("radishhoist_slots_withheld", d.sumInstances(func(i guard.InstanceState) int { return i.SlotsWithheld }))
 	set.NewGauge("radishhoist_running", d.sumInstances(func(i guard.InstanceState) int { return i.Running }))
 	set.NewGauge("radishhoist_queued", d.sumInstances(func(i guard.InstanceState) int { return i.Queued }))
 	set.NewGauge("radishhoist_requests_stopped", func() float64 { return float64(d.guard.BlockedCount()) })
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,7 @@
 	InstanceEnded           = Event{309, "instance ended", slog.LevelWarn}
 	RequestStopped          = Event{310, "request stopped", slog.LevelWarn}
 	InstanceLimitChanged    = Event{311, "instance limit changed", slog.LevelInfo}
+	ConcurrencyLimitLearned = Event{312, "instance concurrency limit learned", slog.LevelInfo}
 	AnnounceRefused         = Event{305, "announce refused", slog.LevelWarn}
 	RecordApplied           = Event{400, "record applied", slog.LevelInfo}
 	RecordRefused           = Event{401, "record refused", slog.LevelError}
@@ -74,7 +75,7 @@
 		Started, Ready, Draining, Drained, DrainTimeout, StartFailed, Reloaded, ReloadRefused, SettingsWarning,
 		RequestFailed, RequestAnswered, ResponseAborted, LinkLost, PathExcluded, PathRestored, PeerRefused,
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
-		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged,
+		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged, ConcurrencyLimitLearned,
 		RecordApplied, RecordRefused, PlatformUnavailable, PlatformAvailable, WatchStarted, WatchStopped, RecordSetLoaded,
 		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten, PlatformRestored, RecordKept, RecordRestored,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -143,9 +143,10 @@
 	// slots.
 	rateLimitWait := min(i.queue.RateLimitWait(now), maxRateLimitWait)
 	waitingMS[admit.Priorities-1] += uint32(rateLimitWait.Milliseconds()) * uint32(i.slots)
+	running := i.concurrency.asIfFull(i.slots, i.queue.BusySlots(), &waitingMS)
 	return msg.Load{
 		WaitingMS: waitingMS,
-		Slots:     uint32(i.slots), Running: uint32(i.queue.BusySlots()), Queued: uint32(i.queue.Queued()),
+		Slots:     uint32(i.slots), Running: running, Queued: uint32(i.queue.Queued()),
 		Health: uint8(i.detector.Health()), Evidence: uint32(i.detector.Evidence() * evidenceScale),
 		FailureEstimate: uint16(failureProbability * msg.Thousandths), ShedShare: uint16(i.shedShare.At(now) * msg.Thousandths),
 		RetryBudgetLeft: i.reportedBudget(now),
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -46,6 +46,8 @@
 	// LearnRefusals counts every refusal of an instance in its shed share, and keeps scarce
 	// retry budget for the retries that save more.
 	LearnRefusals bool
+	// LearnConcurrency limits the running requests of an instance to those with the best goodput.
+	LearnConcurrency bool
 }
 
 // Limits holds the parameters of a Guard that may change while it runs.
--- a/internal/guard/health.go
+++ b/internal/guard/health.go
@@ -31,12 +31,14 @@
 func (i *instance) finish(now time.Time, id admit.ID, r result) {
 	i.mu.Lock()
 	ratio := i.waiters[id].latencyRatio(r.serviceTime)
+	i.endConcurrency(now, i.waiters[id], r)
 	delete(i.waiters, id)
 	serviceTime := r.serviceTime
 	if r.failed || r.shed || r.aborted {
 		serviceTime = 0
 	}
 	i.deliver(i.queue.Done(now, id, serviceTime))
+	i.applyConcurrency(now)
 	i.lastEnded = now
 	if r.failed {
 		i.counts.Failed++
@@ -97,6 +99,7 @@
 func (i *instance) tick(now time.Time) bool {
 	i.mu.Lock()
 	i.deliver(i.queue.Tick(now))
+	i.applyConcurrency(now)
 	ref := i.reference.At(now)
 	changed := false
 	for _, w := range i.waiters {
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -38,6 +38,8 @@
 
 	mu    sync.Mutex
 	queue *admit.Queue
+	// concurrency is the learned limit of running requests.
+	concurrency concurrencyLimit
 	// detector is given only latency ratios, so that it tests only for slowness.
 	// Failures are covered by failureEstimate.
 	detector  *detect.Detector
@@ -145,9 +147,10 @@
 			DialTimeout: dialTimeout, Dial: g.cfg.Dial, EchoesRequestID: g.cfg.Dialect.EchoesRequestID,
 		}),
 		queue: admit.NewQueue(queueConfig), rateLimitKnown: !mayBeLimited,
-		detector: detect.NewDetector(params),
-		waiters:  make(map[admit.ID]*waiter),
-		slots:    a.Slots, maxConns: a.connections(), softwareVersion: a.Version, lastAnnounced: now,
+		concurrency: newConcurrencyLimit(g.cfg.LearnConcurrency, a.Slots),
+		detector:    detect.NewDetector(params),
+		waiters:     make(map[admit.ID]*waiter),
+		slots:       a.Slots, maxConns: a.connections(), softwareVersion: a.Version, lastAnnounced: now,
 		warmUpEnd: now.Add(directory.DefaultWarmUp),
 	}
 }
@@ -166,7 +169,7 @@
 	changed := restored || i.slots != a.Slots || i.softwareVersion != a.Version || i.leaving != a.isLeaving()
 	if i.slots != a.Slots {
 		i.slots = a.Slots
-		i.deliver(i.queue.SetSlots(now, a.Slots))
+		i.resetConcurrency(now)
 	}
 	i.softwareVersion = a.Version
 	if i.leaving != a.isLeaving() {
@@ -298,6 +301,7 @@
 	w.decisions, w.expected = make(chan admit.Decision, decisionCapacity), r.ExpectedServiceTime
 	i.waiters[r.ID] = w
 	i.deliver(i.queue.Offer(now, r))
+	i.applyConcurrency(now)
 	return r.ID
 }
 
@@ -316,6 +320,7 @@
 	v, decisions := i.queue.Cancel(now, id)
 	i.counts.Cancelled++
 	i.deliver(decisions)
+	i.applyConcurrency(now)
 	return v
 }
 
@@ -324,6 +329,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	w.started, w.run = now, m
+	if i.concurrency.limiter != nil {
+		i.concurrency.limiter.Begin()
+	}
 	i.counts.Ran++
 }
 
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -23,6 +23,8 @@
 	// RateLimit is the rate limit that the instance states, in requests per second, 0 if
 	// none.
 	RateLimit float64 `json:"rateLimit,omitempty"`
+	// SlotsWithheld is the number of slots that are not used because of a learned limit.
+	SlotsWithheld int `json:"slotsWithheld,omitempty"`
 	// FailureEstimate is the estimated probability that the instance currently fails most
 	// requests.
 	FailureEstimate float64 `json:"sick"`
@@ -52,6 +54,7 @@
 		ShedShare:       i.shedShare.At(time.Now()),
 		RetryBudgetLeft: int(i.guard.retryBudgets.remaining(time.Now(), i.service)),
 		Leaving:         i.unavailable(),
+		SlotsWithheld:   i.concurrency.withheld(i.slots),
 		RateLimit:       i.rateLimit,
 		Health:          i.detector.Health().String(), Evidence: i.detector.Evidence(),
 		PeerSamples: i.reference.At(time.Now()).Count, Counts: i.counts,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -130,6 +130,8 @@
 	// PipelineDepth is the maximum number of requests of one caller's connection that are
 	// handled at the same time.
 	PipelineDepth int
+	// LearnConcurrency limits the running requests of an instance to those with the best goodput.
+	LearnConcurrency bool
 	// FairShares divides the slots of a service among teams by weight, over all hosts.
 	// LearnRefusals judges instances that refuse requests by comparison with their service,
 	// and saves retry budget.
--- a/internal/settings/toggles.go
+++ b/internal/settings/toggles.go
@@ -59,6 +59,25 @@
 	return k
 }
 
+// yesNoKey is a toggleKey without auto; the default is no.
+func yesNoKey(section, name, doc string, field func(*Config) *bool) key {
+	k := choice(section, name, toggleNames[toggleNo], doc, []string{toggleNames[toggleYes], toggleNames[toggleNo]}, nil)
+	k.get = func(c *Config) string {
+		if *field(c) {
+			return toggleNames[toggleYes]
+		}
+		return toggleNames[toggleNo]
+	}
+	k.set = func(c *Config, v string) error {
+		if v != toggleNames[toggleYes] && v != toggleNames[toggleNo] {
+			return errors.Errorf("%q is not an allowed value", v)
+		}
+		*field(c) = v == toggleNames[toggleYes]
+		return nil
+	}
+	return k
+}
+
 func termsKey() key {
 	return key{
 		section: "platform", name: "terms", unit: "word list", bound: "comma-separated words",
