area, front, control: hosts of an area exchange their use of the link

Cause: each host took its own bytes to other areas times the number of hosts of its area for the use of the link, which is far off where demand is uneven. Responses that a host sends to the fronts of other areas were not counted at all, and at the bound of 0.8 large transfers could leave and return with each small change.

Change: with [peers] area_link and several areas, each host reports the bytes a second that it sends to and receives from other areas to two random live hosts of its area every 500 ms (msg.LinkReport, prefix 0xc6). area.Link keeps the last report of 16 senders for 3 s; the use is the mean over them and the host itself times the number of live hosts of the area. A host without traffic reports too. Rates are in units of 256 bytes, rounded at random, so that a report takes at most 11 bytes. The daemon wraps streams from other areas, so that requests and responses count at both of their ends. Large transfers stay in their area above 0.8 and may leave again below 0.6. Metric radishhoist_area_link_use{direction}. area.HostMeter and area.LinkMeter are gone; their test moves to Link with the same bounds.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -63,6 +63,9 @@
 	// ShareReport is called with the use of teams at guards of other hosts. It must not
 	// block. Nil drops the reports.
 	ShareReport func(*msg.ShareReport)
+	// LinkReport is called with the use of the link between areas by the host at an address.
+	// It must not block. Nil drops the reports.
+	LinkReport func(sender string, r *msg.LinkReport)
 	// Crashed is called with each crash of an instance on any host, and Cleared with each
 	// request that was found not to have caused a crash. They must not block.
 	Crashed func(crash.Crash)
@@ -435,7 +438,7 @@
 			}
 			continue
 		}
-		if c.handleTeamPacket(buf[:n]) || c.handleLoadPacket(buf[:n], from) || c.handleSharePacket(buf[:n]) {
+		if c.handleTeamPacket(buf[:n]) || c.handleLoadPacket(buf[:n], from) || c.handleSharePacket(buf[:n]) || c.handleLinkPacket(buf[:n], from) {
 			continue
 		}
 		var p msg.MemberPacket
@@ -454,10 +457,10 @@
 
 // Traffic counts datagrams and control messages since the process started.
 type Traffic struct {
-	// PacketsIn counts the membership datagrams received, without team datagrams and share
-	// reports.
+	// PacketsIn counts the membership datagrams received, without team datagrams, share reports
+	// and link reports.
 	PacketsIn uint64 `json:"packetsIn"`
-	// PacketsOut counts the membership and team datagrams and the share reports sent.
+	// PacketsOut counts the membership and team datagrams and the share and link reports sent.
 	PacketsOut uint64 `json:"packetsOut"`
 	// MessagesIn counts the messages received.
 	MessagesIn uint64 `json:"messagesIn"`
--- a/internal/control/sharereport.go
+++ b/internal/control/sharereport.go
@@ -12,14 +12,17 @@
 
 // SendShareReport sends the use of teams to the host at an address. The datagram may be lost.
 func (c *Control) SendShareReport(address string, r *msg.ShareReport) {
+	if buf, err := r.MarshalMsg([]byte{shareReportPrefix}); err == nil {
+		c.sendReport(address, buf)
+	}
+}
+
+// sendReport sends a datagram to the host at an address and counts it as control traffic.
+func (c *Control) sendReport(address string, buf []byte) {
 	addr, err := netip.ParseAddrPort(address)
 	if err != nil || c.udp == nil {
 		return
 	}
-	buf, err := r.MarshalMsg([]byte{shareReportPrefix})
-	if err != nil {
-		return
-	}
 	c.mu.Lock()
 	c.traffic.PacketsOut++
 	c.traffic.BytesOut += uint64(len(buf))
--- a/internal/core/area/area.go
+++ b/internal/core/area/area.go
@@ -46,6 +46,9 @@
 	return nil
 }
 
+// Area returns the name of the own area.
+func (m *Map) Area() string { return m.area }
+
 // Distance returns the distance to a data centre. One whose area is not given counts as
 // remote, since traffic to it may use the link between areas.
 func (m *Map) Distance(dc string) Distance {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -130,6 +130,7 @@
 		Load:        d.guard.Load,
 		LoadReply:   func(r *msg.LoadReply) { d.front.HandleLoadReply(r) },
 		ShareReport: d.guard.ReceiveShareReport,
+		LinkReport:  func(sender string, r *msg.LinkReport) { d.front.ReceiveLinkReport(sender, r) },
 		Crashed:     d.guard.ApplyCrash,
 		Cleared:     d.guard.ApplyClearance,
 		Unblocked:   d.guard.ClearSuspect,
@@ -144,6 +145,7 @@
 	}, frontLimits(cfg), log, nil, d.guard, d.keys)
 	d.front.SetRateLimiter(d.teams)
 	d.front.SetLoadQuerier(d.control)
+	d.front.SetLinkReporter(d.control)
 	d.gauges = d.newGauges()
 	if err := d.listen(); err != nil {
 		d.close(failedStartTimeout)
@@ -252,7 +254,8 @@
 }
 
 // handleStream dispatches a stream opened by another host by its first message.
-func (d *Daemon) handleStream(_ *msg.Hello, s wire.Stream) {
+func (d *Daemon) handleStream(from *msg.Hello, s wire.Stream) {
+	s = d.front.CountLinkBytes(from.DC, s)
 	ctx, cancel := context.WithTimeout(context.Background(), firstMessageTimeout)
 	first, err := s.Recv(ctx)
 	cancel()
@@ -270,7 +273,7 @@
 	}
 }
 
-// tick runs the periodic tasks of the guard and the peer pool until the context ends.
+// tick runs the periodic tasks of the guard, the front and the peer pool until the context ends.
 func (d *Daemon) tick(ctx context.Context) {
 	ticker := time.NewTicker(guardTickInterval)
 	defer ticker.Stop()
@@ -280,6 +283,7 @@
 		select {
 		case now := <-ticker.C:
 			d.guard.Tick(now)
+			d.front.Tick(now)
 		case <-idleTicker.C:
 			d.pool.CloseIdle()
 		case <-ctx.Done():
--- a/internal/front/areas.go
+++ b/internal/front/areas.go
@@ -19,8 +19,7 @@
 // they lie in one.
 type areas struct {
 	distances *area.Map
-	meter     area.HostMeter
-	link      area.Link
+	link      *area.Link
 	// roundTrip is the smoothed round trip to other areas in nanoseconds. It is used for
 	// hosts to which this front has sent no request.
 	roundTrip atomic.Int64
@@ -56,7 +55,11 @@
 		return nil
 	}
 	a := &areas{distances: distances, changes: set.NewCounter("radishhoist_spill_changes_total")}
-	a.link = area.Link{BytesPerSecond: float64(cfg.AreaLinkMbps) * 1e6 / 8, Meter: &a.meter}
+	a.link = area.NewLink(distances.Area(), float64(cfg.AreaLinkMbps)*1e6/8, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if cfg.AreaLinkMbps > 0 {
+		set.NewGauge(`radishhoist_area_link_use{direction="out"}`, func() float64 { sent, _ := a.link.Use(time.Now()); return sent })
+		set.NewGauge(`radishhoist_area_link_use{direction="in"}`, func() float64 { _, received := a.link.Use(time.Now()); return received })
+	}
 	a.roundTrip.Store(int64(initialRoundTrip))
 	for d := range area.Distance(area.Distances) {
 		a.bytes[d] = set.NewCounter(`radishhoist_area_bytes_total{distance="` + d.String() + `"}`)
@@ -76,18 +79,18 @@
 // the choice from there, and requests stay there, so that current loads are worth asking for.
 func (a *areas) near(t *target) bool { return a != nil && t.distance != area.Remote }
 
-// setDirectory counts the hosts of the area.
-func (a *areas) setDirectory(d *directory.Directory) {
+// setDirectory sets the other hosts of the area, with which the use of the link is exchanged.
+func (a *areas) setDirectory(d *directory.Directory, self string) {
 	if a == nil {
 		return
 	}
-	hosts := 0
+	var addresses []string
 	for _, h := range d.Hosts {
-		if h.Alive && a.distance(h.DC) != area.Remote {
-			hosts++
+		if h.Alive && h.Name != self && a.distance(h.DC) != area.Remote {
+			addresses = append(addresses, h.PeerAddr)
 		}
 	}
-	a.meter.SetHosts(hosts)
+	a.link.SetPeers(addresses)
 }
 
 // lossSuspected reports whether the link to other areas may be broken.
@@ -248,7 +251,7 @@
 	}
 	a.bytes[t.distance].Add(int(sent + received))
 	if t.distance == area.Remote {
-		a.meter.Add(time.Now(), sent, received)
+		a.link.Add(time.Now(), sent, received)
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -74,6 +74,7 @@
 	peers           Peers
 	loadQuerier     LoadQuerier
 	loadQueries     *loadQueries
+	linkReporter    LinkReporter
 	guard           *guard.Guard
 	idempotencyKeys IdempotencyKeys
 
@@ -120,7 +121,7 @@
 func (f *Front) SetDirectory(d *directory.Directory) {
 	f.services.update(d, f.paths, f.cfg)
 	f.registerShedShares(d)
-	f.cfg.areas.setDirectory(d)
+	f.cfg.areas.setDirectory(d, f.cfg.Host)
 	f.dir.Store(d)
 }
 
