--- a/internal/fleetsim/areas.go
+++ b/internal/fleetsim/areas.go
@@ -19,9 +19,12 @@
 	// their order; up to 1 is one area. Delay is the one-way delay of a message between two.
 	Count int
 	Delay time.Duration
-	// LinkMbps is the capacity of the link between areas that fronts know, 0 for unknown.
-	// The simulated link has no limit.
-	LinkMbps int
+	// LinkMbps is the capacity of the link between two areas in each direction, 0 for no limit.
+	// Fronts know it unless LinkUnknown is set.
+	LinkMbps    int
+	LinkUnknown bool
+	// LinkReportLoss is the share of the reports on the use of the link that are lost.
+	LinkReportLoss float64
 	// Ignored makes fronts choose as in one area.
 	Ignored bool
 	// RoundRobin replaces the choice: each host sends to all live instances in turn.
@@ -74,6 +77,108 @@
 	return f.scenario.areaOf(a.dc) != f.scenario.areaOf(b.dc)
 }
 
+// linkFullWait is the wait from which the link between areas counts as full: several responses
+// wait for each other.
+const linkFullWait = 500 * time.Millisecond
+
+// areaLink is one direction of the link between two areas.
+type areaLink struct {
+	// freeAt is when the last byte queued so far has crossed, fullUntil when the wait for that
+	// falls below linkFullWait.
+	freeAt, fullUntil time.Duration
+	// rate is the mean rate of queued bytes per second with a time constant of linkRateTime, as
+	// of ratedAt.
+	rate    float64
+	ratedAt time.Duration
+}
+
+// linkRateTime is the time constant of the rates of area.Link.
+const linkRateTime = 5 * time.Second
+
+// addBytes adds queued bytes to the rate.
+func (l *areaLink) addBytes(now time.Duration, bytes int) {
+	l.rate = l.rate*math.Exp(-(now-l.ratedAt).Seconds()/linkRateTime.Seconds()) + float64(bytes)/linkRateTime.Seconds()
+	l.ratedAt = now
+}
+
+// linkDelay queues messages on the link between the areas of two hosts and returns how long they
+// take to cross it in addition to the delay of an empty one.
+func (f *fleet) linkDelay(from, to *host, ms ...msg.Message) time.Duration {
+	if f.scenario.Areas.LinkMbps == 0 {
+		return 0
+	}
+	bytes := 0
+	for _, m := range ms {
+		bytes += messageBytes(m)
+	}
+	now := f.now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.linkBetween(f.scenario.areaOf(from.dc), f.scenario.areaOf(to.dc))
+	l.addBytes(now, bytes)
+	l.freeAt = max(l.freeAt, now) + time.Duration(float64(bytes)*8/float64(f.scenario.Areas.LinkMbps)*float64(time.Microsecond))
+	if until := l.freeAt - linkFullWait; until > now {
+		f.result.LinkFull += until - max(l.fullUntil, now)
+		l.fullUntil = until
+	}
+	return l.freeAt - now
+}
+
+// linkBetween returns the link from one area to another. The caller must hold f.mu.
+func (f *fleet) linkBetween(from, to int) *areaLink {
+	l := f.links[[2]int{from, to}]
+	if l == nil {
+		l = &areaLink{}
+		f.links[[2]int{from, to}] = l
+	}
+	return l
+}
+
+// compareLinkUse compares once a second, until the callers end, what the fronts of two areas take
+// for the use of the link with what it is.
+func (f *fleet) compareLinkUse() {
+	a := &f.scenario.Areas
+	if f.scenario.frontLinkMbps() == 0 || f.scenario.areasByDC() == nil || a.Count != 2 {
+		return
+	}
+	for time.Sleep(time.Until(f.start.Add(linkRateTime))); f.now() < f.scenario.Duration; time.Sleep(time.Second) {
+		for _, h := range f.hosts {
+			d := h.daemon()
+			if d == nil {
+				continue
+			}
+			estimate := d.front.Metrics().GetOrCreateGauge(`radishhoist_area_link_use{direction="out"}`, nil).Get()
+			own := f.scenario.areaOf(h.dc)
+			f.mu.Lock()
+			l := f.linkBetween(own, 1-own)
+			l.addBytes(f.now(), 0)
+			use := l.rate * 8 / 1e6 / float64(a.LinkMbps)
+			f.result.LinkUse += use
+			f.result.LinkUseError += math.Abs(estimate - use)
+			f.mu.Unlock()
+		}
+	}
+}
+
+// frontLinkMbps is the capacity of the link that fronts know.
+func (s *Scenario) frontLinkMbps() int {
+	if s.Areas.LinkUnknown {
+		return 0
+	}
+	return s.Areas.LinkMbps
+}
+
+// SendLinkReport implements front.LinkReporter.
+func (h *host) SendLinkReport(address string, r *msg.LinkReport) {
+	f := h.fleet
+	f.mu.Lock()
+	lost := f.rng.Float64() < f.scenario.Areas.LinkReportLoss
+	f.mu.Unlock()
+	if !lost {
+		h.sendTo([]string{address}, func(to *host) { to.deliver(func(d *daemon) { d.front.ReceiveLinkReport(h.name, r) }) })
+	}
+}
+
 // randomSender returns the host that the next request is sent from, and false if the varying
 // demand has no request now. Callers propose requests at the greatest rate.
 func (f *fleet) randomSender(rng *rand.Rand) (*host, bool) {
--- a/internal/fleetsim/areas_test.go
+++ b/internal/fleetsim/areas_test.go
@@ -88,6 +88,46 @@
 	}
 }
 
+// narrowLink is uneven demand with large responses and a link of 4 Mbit/s, which fills while the
+// demand of one area exceeds what its instances can take.
+func narrowLink(change func(*Areas)) func(seed uint64) Scenario {
+	return func(seed uint64) Scenario {
+		s := unevenDemand(seed, 1.7)
+		s.Areas.LinkMbps, s.Duration = 4, 20*time.Second
+		for i := range s.Kinds {
+			if k := &s.Kinds[i]; k.Name == "status" || k.Name == "notes" {
+				k.ResponseBytes = 40 << 10
+			}
+		}
+		change(&s.Areas)
+		return s
+	}
+}
+
+// Guards against hosts that do not know how much all of them use a narrow link: bytes that are not
+// counted at one of the two ends of a request, and reports that do not arrive. Without reports,
+// each host takes its own use for the mean. The time for which the link is full is reported only:
+// it differs by several seconds between runs of one seed.
+func TestUseOfNarrowLinkIsKnown(t *testing.T) {
+	// With one seed the shares in time differ by up to 0.02 by chance.
+	const maxLoss, maxError = 0.03, 0.7
+	measure := func(choice string, change func(*Areas)) (share, useError float64) {
+		results := simulate(t, max(*seeds/2, 1), narrowLink(change))
+		var full time.Duration
+		use := 0.0
+		for _, r := range results {
+			full, use, useError = full+r.LinkFull, use+r.LinkUse, useError+r.LinkUseError
+		}
+		share, _ = inTimeShare(t, choice, results)
+		t.Logf("%s: a direction full for %.2f s a seed, mean error of the estimates %.3f of the use", choice, full.Seconds()/2/float64(len(results)), useError/use)
+		return share, useError / use
+	}
+	share, useError := measure("with reports", func(*Areas) {})
+	withoutShare, withoutError := measure("without reports", func(a *Areas) { a.LinkReportLoss = 1 })
+	assert.Assert(t, useError < maxError*withoutError)
+	assert.Assert(t, share > withoutShare-maxLoss)
+}
+
 // Guards against requests that go on to leave their area, or stay in it, after a data centre,
 // an area or the link between areas is lost. As many must be served in time as by choices that
 // ignore areas.
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -73,6 +73,8 @@
 	// arrivedIDs are the IDs of the requests that have reached an instance, ranIDs of those
 	// that an instance has not refused.
 	arrivedIDs, ranIDs map[string]bool
+	// links are the links between areas by direction.
+	links map[[2]int]*areaLink
 	// origins are the requests in progress by ID, informed what hosts have passed on.
 	origins  map[string]origin
 	informed map[informedKey]time.Duration
@@ -89,6 +91,7 @@
 		scenario: &s, ctx: ctx, start: time.Now().Add(s.WarmUp), rng: rand.New(rand.NewPCG(s.Seed, s.Seed+1)),
 		arrivedIDs:        make(map[string]bool),
 		ranIDs:            make(map[string]bool),
+		links:             make(map[[2]int]*areaLink),
 		origins:           make(map[string]origin),
 		informed:          make(map[informedKey]time.Duration),
 		informedOfLeaving: make(map[informedKey]time.Duration),
@@ -112,6 +115,7 @@
 	for _, h := range f.hosts {
 		h.instance.simulateHealth()
 	}
+	go f.compareLinkUse()
 	time.Sleep(s.WarmUp)
 	f.sendRequests()
 	f.countSpillChanges()
@@ -249,9 +253,10 @@
 	fr := front.New(front.Config{
 		Host: h.name, DC: h.dc, BufferBodyBytes: 1 << 10, MaxConns: 1 << 10, Service: h.instance.service.Name, Dialect: dialect,
 		LearnRefusals: h.fleet.scenario.LearnRefusals,
-		Areas:         h.fleet.scenario.areasByDC(), AreaLinkMbps: h.fleet.scenario.Areas.LinkMbps,
+		Areas:         h.fleet.scenario.areasByDC(), AreaLinkMbps: h.fleet.scenario.frontLinkMbps(),
 	}, front.Limits{MaxBodyBytes: 1 << 20}, log, peers{h}, g, nil)
 	fr.SetLoadQuerier(h)
+	fr.SetLinkReporter(h)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.current = &daemon{front: fr, guard: g}
@@ -268,6 +273,7 @@
 			for _, h := range group {
 				if d := h.daemon(); d != nil && h.freezeTimeLeft() == 0 {
 					d.guard.Tick(now)
+					d.front.Tick(now)
 				}
 			}
 		case <-f.ctx.Done():
@@ -422,11 +428,15 @@
 		return nil, nil, io.EOF
 	}
 	local, remote := wire.Pipe()
-	go to.serve(remote)
-	return delayedStream{local, p.from.fleet.delay(p.from, to), to.instance, p.from.fleet.crossesAreas(p.from, to)}, nil, nil
+	go to.serve(remote, p.from.dc)
+	return delayedStream{local, p.from.fleet.delay(p.from, to), p.from, to.instance, p.from.fleet.crossesAreas(p.from, to)}, nil, nil
 }
 
-func (h *host) serve(s wire.Stream) {
+// serve handles a stream from a host of a data centre.
+func (h *host) serve(s wire.Stream, dc string) {
+	if d := h.daemon(); d != nil {
+		s = d.front.CountLinkBytes(dc, s)
+	}
 	first, err := s.Recv(h.fleet.ctx)
 	time.Sleep(h.freezeTimeLeft())
 	d := h.daemon()
@@ -442,6 +452,7 @@
 type delayedStream struct {
 	wire.Stream
 	delay    time.Duration
+	from     *host
 	instance *instance
 	// crossesAreas reports that the ends are in different areas.
 	crossesAreas bool
@@ -449,10 +460,11 @@
 
 // Send implements wire.Stream.
 func (d delayedStream) Send(ctx context.Context, ms ...msg.Message) error {
-	time.Sleep(d.delay)
 	if d.crossesAreas {
-		d.instance.host.fleet.recordAreaBytes(ms...)
+		d.from.fleet.recordAreaBytes(ms...)
+		time.Sleep(d.from.fleet.linkDelay(d.from, d.instance.host, ms...))
 	}
+	time.Sleep(d.delay)
 	return d.Stream.Send(ctx, ms...)
 }
 
@@ -462,10 +474,11 @@
 	if err != nil {
 		return m, err
 	}
-	time.Sleep(d.delay)
 	if d.crossesAreas {
-		d.instance.host.fleet.recordAreaBytes(m)
+		d.from.fleet.recordAreaBytes(m)
+		time.Sleep(d.from.fleet.linkDelay(d.instance.host, d.from, m))
 	}
+	time.Sleep(d.delay)
 	switch m := m.(type) {
 	case *msg.Grant:
 		d.instance.setTrueHealth(&m.Load)
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -169,6 +169,12 @@
 	// AreaBytes are the bytes of requests and responses between areas in both directions, by
 	// second since the start of the callers.
 	AreaBytes []int
+	// LinkFull is the time for which new bytes would wait longer than linkFullWait for the link
+	// between areas, summed over its directions.
+	LinkFull time.Duration
+	// LinkUse is the sum of the use of the link between two areas as a share of its capacity, over
+	// hosts and seconds, and LinkUseError that of the errors of the hosts' estimates.
+	LinkUse, LinkUseError float64
 	// SpillChanges is the number of changes of the hosts that are up at the end between
 	// sending requests of a route to another area and not.
 	SpillChanges int
