concurrency: judge a probe by the requests that count at the same time

Cause: the number of requests of a probe was read before its decay, so that with just ten of them a probe could end as if it had shown less goodput.

Change: it is read after. Comments state what was measured only.

--- a/internal/core/concurrency/limiter.go
+++ b/internal/core/concurrency/limiter.go
@@ -15,14 +15,14 @@
 	// evidenceHalfLife is the half-life of past requests.
 	evidenceHalfLife = 40 * time.Second
 	// maxRequests bounds the decayed number of requests at a limit, so that those compared with a
-	// probe are from the seconds before it. With 150, instances that were slower at times for other
-	// reasons had false limits.
+	// probe are from the seconds before it: an instance may be slower at other times for other
+	// reasons.
 	maxRequests = 60
 	// minRequests is the decayed number of requests from which the goodput at a limit is known.
 	minRequests = 10
 	// confidence is the number of standard errors by which a lower limit must have more goodput than
-	// all slots. It is tested every learnInterval, so that 2 would give false limits. Beside a
-	// learned limit, localConfidence is enough to lower it by one.
+	// all slots. It is high because it is tested every learnInterval of a probe. Beside a learned
+	// limit, localConfidence is enough to lower it by one.
 	confidence      = 3
 	localConfidence = 1.5
 	// minGain is the smallest gain in goodput for which a limit is set, as a logarithm.
@@ -35,7 +35,7 @@
 	// probeInterval is the time between two probes beside a learned limit.
 	probeInterval = 10 * time.Second
 	// searchInterval is the time between two probes of an instance without a limit, for which it
-	// runs fewer requests than its slots; they take 2 % of its time at most. With signs of a slowdown
+	// runs fewer requests than its slots; they take about 1 % of its time. With signs of a slowdown
 	// it is hintedSearchInterval.
 	searchInterval       = 150 * time.Second
 	hintedSearchInterval = 15 * time.Second
@@ -246,18 +246,18 @@
 }
 
 // judge makes the probed limit the learned one if it has more goodput, and ends the probe if that is
-// so, if it has less, or after probeLength, or maxProbeLength if it may have found a slowdown. Only evidence of
-// probes can lower the limit: requests with fewer others beside them at other times may have been
-// faster for another reason, such as less demand at the services that the instance calls. For the
-// same reason a first limit is confirmed by a probe of all slots after it: an instance that gets
-// faster by itself, after a cold start, shows more goodput then.
+// so, if it has less, or after probeLength, or maxProbeLength if it may have found a slowdown. Only
+// evidence of probes can lower the limit: requests with fewer others beside them at other times may
+// have been faster for another reason, such as less demand at the services that the instance calls.
+// For the same reason a first limit is confirmed by a probe of all slots after it: an instance that
+// gets faster by itself, after a cold start, shows more goodput then.
 func (l *Limiter) judge(now time.Time, settled time.Duration) {
 	down, first, errors, gain := l.probed < l.learned, l.learned == l.slots, float64(confidence), minGain
 	if !first {
 		errors, gain = localConfidence, 0
 	}
-	known := l.evidence[l.probed].requests
 	more := l.better(now, l.probed, l.learned, 0, 0)
+	known := l.evidence[l.probed].requests
 	switch {
 	case down && l.better(now, l.probed, l.learned, errors, gain):
 		l.learned, l.probeAt, l.probed = l.probed, now, 0
