guard: calls are recognised after ten requests when retries are limited by them

Cause: a host recognised its calls after 40 requests of their route, over 5 s after a start.

Change: for this limit a route counts as a call's after ten requests of which none began on an idle host. The part that is kept for calls although nothing is left falls from 0.15 to 0.1 of the reserve, for more distance to the bound.

--- a/internal/core/retry/calls.go
+++ b/internal/core/retry/calls.go
@@ -59,12 +59,13 @@
 func (c *Calls) AddRun(now time.Time) { c.runs.add(now, callRateHalfLife, 1) }
 
 // Add records the response to a request that began on the host. Requests on routes that
-// are not known to be used only for calls are ignored.
+// do not look as if they were used only for calls are ignored. Waiting until that is known
+// took over 5 s after a start, in which calls overdrew the budget.
 func (c *Calls) Add(now time.Time, call Call) {
 	if call.First {
 		c.routes.Observe(now, call.Route, call.OriginIdle)
 	}
-	if !c.routes.IsCallRoute(call.Route) {
+	if !c.routes.IsLikelyCallRoute(call.Route) {
 		return
 	}
 	s, ok := c.byService[call.Service]
--- a/internal/core/retry/calls_test.go
+++ b/internal/core/retry/calls_test.go
@@ -27,8 +27,8 @@
 			c.Add(now, call)
 		}
 	}
-	observe(minCallRequests/2, 0)
-	assert.Assert(t, c.Permit(now, 100, budget), "the route is not known to be used for calls")
+	observe(minLikelyCallRequests/2, 0)
+	assert.Assert(t, c.Permit(now, 100, budget), "too few requests of the route")
 	observe(minCallRequests+200, 0)
 	for range 2 {
 		assert.Assert(t, c.Permit(now, 100, budget), "the minimum allows two retries at half a call for each run")
--- a/internal/core/retry/routeclassifier.go
+++ b/internal/core/retry/routeclassifier.go
@@ -22,6 +22,10 @@
 	// aborted may begin on an idle host.
 	maxCallIdleShare = 0.01
 	minCallRequests  = 40
+	// minLikelyCallRequests is the minimum decayed count of all requests for a route that is
+	// likely used by calls only. With a fifth from idle hosts, a caller's route has none
+	// among ten requests in one of nine cases.
+	minLikelyCallRequests = 10
 	// maxRoutes is the maximum number of routes tracked.
 	maxRoutes = 4096
 )
@@ -82,3 +86,10 @@
 	c, ok := rc.countsByRoute[route]
 	return !ok || c.total < minCallRequests && !rc.IsCallerRoute(route)
 }
+
+// IsLikelyCallRoute reports whether the route is known to be used only for calls, or is not
+// known yet and looks like it.
+func (rc *RouteClassifier) IsLikelyCallRoute(route uint32) bool {
+	c, ok := rc.countsByRoute[route]
+	return ok && c.total >= minLikelyCallRequests && c.fromIdle <= maxCallIdleShare*c.total
+}
--- a/internal/guard/retrybudget.go
+++ b/internal/guard/retrybudget.go
@@ -23,7 +23,7 @@
 	// although nothing is left of what guards grant, so that the retries of the called
 	// service do not keep out those of the calling ones. It must stay below
 	// 1 - guardBudgetPart.
-	minimumCallPart = 0.15
+	minimumCallPart = 0.1
 	// overdrawnPause is how long a host grants no retries after a call made by one of
 	// its runs found the budget empty: about the duration of a run with its calls.
 	overdrawnPause = time.Second
