guard: the test of an announced shutdown waits for its request to be sent

Cause: TestAnnouncedShutdownSuspectsNoRequest ended the instance once the guard counted the request as in flight, which is before it connects. The product is not at fault. Change: the test, and the others that use startWaiting, wait until the request has arrived at the instance; the checks are the same. New tests fix what is reported in the other orders: shutdown announced after the end of the connection (target-ended, the request is reported as a suspect), and the end before the request is sent (target-down, not run, no suspect), announced or not.

--- a/internal/guard/suspects_test.go
+++ b/internal/guard/suspects_test.go
@@ -18,6 +18,7 @@
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/loadreport"
 	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/targetconn"
 	"github.com/radishhoist/radishhoist/internal/wire"
 	"github.com/radishhoist/radishhoist/verdict"
 )
@@ -26,15 +27,17 @@
 // /break and does not respond on /wait.
 type crashingTarget struct {
 	listener net.Listener
-	mu       sync.Mutex
-	conns    []net.Conn
+	// waiting receives a value for each request that has arrived on /wait.
+	waiting chan struct{}
+	mu      sync.Mutex
+	conns   []net.Conn
 }
 
 func startCrashingTarget(t *testing.T) *crashingTarget {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	target := &crashingTarget{listener: l}
+	target := &crashingTarget{listener: l, waiting: make(chan struct{}, 4)}
 	t.Cleanup(target.crash)
 	go func() {
 		for {
@@ -64,6 +67,7 @@
 		case "/break":
 			_ = c.Close()
 		case "/wait":
+			t.waiting <- struct{}{}
 			time.Sleep(time.Hour)
 		default:
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
@@ -124,13 +128,17 @@
 }
 
 // startWaiting starts a request with the fingerprint 5 that gets no response, and
-// returns a channel with the guard's last message on it.
-func startWaiting(t *testing.T, g *Guard) <-chan msg.Message {
+// returns a channel with the guard's last message on it. It waits until the request has
+// arrived at the target: until it is sent, the end of the target leaves it not run, with the
+// reason target-down.
+func startWaiting(t *testing.T, g *Guard, target *crashingTarget) <-chan msg.Message {
 	t.Helper()
 	waiting := make(chan msg.Message, 1)
 	go func() { waiting <- send(t, g, "/wait", 5) }()
-	for len(g.all()[0].inFlight()) == 0 {
-		time.Sleep(time.Millisecond)
+	select {
+	case <-target.waiting:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the request did not arrive at the target")
 	}
 	return waiting
 }
@@ -140,7 +148,7 @@
 func TestCrashReportNamesInFlightRequests(t *testing.T) {
 	target := startCrashingTarget(t)
 	g, reports := newSuspectGuard(t, target.listener.Addr().String(), "s")
-	waiting := startWaiting(t, g)
+	waiting := startWaiting(t, g, target)
 	fail, ok := send(t, g, "/crash", 7).(*msg.Fail)
 	assert.Assert(t, ok)
 	assert.Equal(t, fail.Reason, verdict.ReasonTargetCrashed)
@@ -168,24 +176,77 @@
 	g, reports := newSuspectGuard(t, target.listener.Addr().String(), "s")
 	_, completed := send(t, g, "/", 5).(*msg.End)
 	assert.Assert(t, completed)
-	startWaiting(t, g)
+	startWaiting(t, g, target)
 	send(t, g, "/crash", 7)
 	assert.DeepEqual(t, (<-reports.crashes).Fingerprints, []crash.Fingerprint{7})
 }
 
+// announceShutdown announces that the target of newSuspectGuard is leaving.
+func announceShutdown(t *testing.T, g *Guard, target *crashingTarget) {
+	t.Helper()
+	assert.NilError(t, g.Announce(time.Now(), "i", Announcement{
+		Service: "s", Address: target.listener.Addr().String(), Slots: 4, Connections: 8, Version: "1", Leaving: true,
+	}))
+}
+
 // If an instance announced its shutdown, no request is suspected when it terminates.
 func TestAnnouncedShutdownSuspectsNoRequest(t *testing.T) {
 	target := startCrashingTarget(t)
 	g, reports := newSuspectGuard(t, target.listener.Addr().String(), "s")
-	waiting := startWaiting(t, g)
-	assert.NilError(t, g.Announce(time.Now(), "i", Announcement{
-		Service: "s", Address: target.listener.Addr().String(), Slots: 4, Connections: 8, Version: "1", Leaving: true,
-	}))
+	waiting := startWaiting(t, g, target)
+	announceShutdown(t, g, target)
 	target.crash()
 	assert.Equal(t, (<-waiting).(*msg.Fail).Reason, verdict.ReasonTargetCrashed)
 	assert.Equal(t, len(reports.crashes), 0)
 }
 
+// An announcement of the shutdown that arrives after the end of the connection does not change
+// the reason, but it is too late to clear the request, which is reported as suspected.
+func TestShutdownAnnouncedAfterEndReportsRequest(t *testing.T) {
+	target := startCrashingTarget(t)
+	g, reports := newSuspectGuard(t, target.listener.Addr().String(), "s")
+	waiting := startWaiting(t, g, target)
+	target.crash()
+	crashed := <-reports.crashes
+	announceShutdown(t, g, target)
+	assert.Equal(t, (<-waiting).(*msg.Fail).Reason, verdict.ReasonTargetCrashed)
+	assert.DeepEqual(t, crashed.Fingerprints, []crash.Fingerprint{5})
+	assert.Assert(t, g.all()[0].announced().State == directory.Leaving)
+}
+
+// A request that is admitted, but not sent when the instance ends, is known not to have run,
+// whenever the shutdown is announced. Its reason must be target-down and it is no suspect.
+func TestUnsentRequestAtShutdownDidNotRun(t *testing.T) {
+	for _, announced := range []bool{true, false} {
+		target := startCrashingTarget(t)
+		g, reports := newSuspectGuard(t, target.listener.Addr().String(), "s")
+		dialing, proceed := make(chan struct{}), make(chan struct{})
+		g.all()[0].client = targetconn.New(targetconn.Config{
+			Address: target.listener.Addr().String(), MaxConns: 8,
+			Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				select {
+				case dialing <- struct{}{}:
+					<-proceed
+				case <-proceed:
+				}
+				return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			},
+		})
+		unsent := make(chan msg.Message, 1)
+		go func() { unsent <- send(t, g, "/wait", 5) }()
+		<-dialing
+		if announced {
+			announceShutdown(t, g, target)
+		}
+		target.crash()
+		close(proceed)
+		fail := (<-unsent).(*msg.Fail)
+		assert.Equal(t, fail.Reason, verdict.ReasonTargetDown)
+		assert.Equal(t, fail.Verdict, verdict.NotRun)
+		assert.Equal(t, len(reports.crashes), 0)
+	}
+}
+
 // crashAt returns a crash on another host at the given second with one suspected
 // request.
 func crashAt(second int, fp crash.Fingerprint) crash.Crash {
@@ -271,7 +332,7 @@
 			g, reports := newSuspectGuard(t, target.listener.Addr().String(), "s")
 			g.ApplyCrash(crashAt(0, 5))
 			g.ApplyCrash(crashAt(1, 5))
-			waiting := startWaiting(t, g)
+			waiting := startWaiting(t, g, target)
 			send(t, g, "/crash", 7)
 			<-waiting
 			assert.Equal(t, g.CrashAssessment(5).Crashes, 3)
