front, guard, retry: what the review of the parts found

Cause: with areas, a choice with finishing targets could use the distances of another list; a response of a silent host waited for a hedge, and one that arrived between two attempts did not stop the next one; bytes of such attempts counted twice, and their pauses as round trips and service times; routes with few requests never added to the retry budget; on hosts that are never idle callers' routes counted as calls; finishing instances asked for trials.

--- a/internal/core/area/link.go
+++ b/internal/core/area/link.go
@@ -94,6 +94,9 @@
 	return &Link{capacity: bytesPerSecond, areaHash: uint16(xxhash.Sum64String(area)), rng: rng}
 }
 
+// HasCapacity reports whether the capacity is known. Otherwise nothing is reported or bounded.
+func (l *Link) HasCapacity() bool { return l.capacity > 0 }
+
 // SetPeers sets the addresses of the other live hosts of the area. The Link keeps the slice and
 // reorders it.
 func (l *Link) SetPeers(addresses []string) {
--- a/internal/core/concurrency/limiter.go
+++ b/internal/core/concurrency/limiter.go
@@ -199,10 +199,10 @@
 
 // better reports whether limit a has more goodput than limit b, by the given number of standard
 // errors and by gain.
-func (l *Limiter) better(now time.Time, a, b int, errors, gain float64) bool {
+func (l *Limiter) better(now time.Time, a, b int, standardErrors, gain float64) bool {
 	valueA, varianceA, okA := l.evidence[a].logGoodput(now, a)
 	valueB, varianceB, okB := l.evidence[b].logGoodput(now, b)
-	return okA && okB && valueA-valueB > gain+errors*math.Sqrt(varianceA+varianceB)
+	return okA && okB && valueA-valueB > gain+standardErrors*math.Sqrt(varianceA+varianceB)
 }
 
 // probe starts and ends probes. Beside a learned limit they try one more slot and one less in turn.
@@ -252,14 +252,14 @@
 // For the same reason a first limit is confirmed by a probe of all slots after it: an instance that
 // gets faster by itself, after a cold start, shows more goodput then.
 func (l *Limiter) judge(now time.Time, settled time.Duration) {
-	down, first, errors, gain := l.probed < l.learned, l.learned == l.slots, float64(confidence), minGain
+	down, first, standardErrors, gain := l.probed < l.learned, l.learned == l.slots, float64(confidence), minGain
 	if !first {
-		errors, gain = localConfidence, 0
+		standardErrors, gain = localConfidence, 0
 	}
 	more := l.better(now, l.probed, l.learned, 0, 0)
 	known := l.evidence[l.probed].requests
 	switch {
-	case down && l.better(now, l.probed, l.learned, errors, gain):
+	case down && l.better(now, l.probed, l.learned, standardErrors, gain):
 		l.learned, l.probeAt, l.probed = l.probed, now, 0
 		if first {
 			l.startProbe(now, l.slots)
--- a/internal/core/retry/calls.go
+++ b/internal/core/retry/calls.go
@@ -35,8 +35,11 @@
 // budgets of the called services. A call of a retried run counts in these and cannot be
 // refused there, so the retry must be refused instead. Calls is not safe for concurrent use.
 type Calls struct {
-	routes    *RouteClassifier
-	runs      decayingSum
+	routes *RouteClassifier
+	runs   decayingSum
+	// fromIdle counts the requests that began while nothing was running here. On a host that
+	// is never idle, callers' routes look like those of calls.
+	fromIdle  decayingSum
 	byService map[string]*calledService
 }
 
@@ -65,6 +68,9 @@
 	if call.First {
 		c.routes.Observe(now, call.Route, call.OriginIdle)
 	}
+	if call.OriginIdle {
+		c.fromIdle.add(now, routeCountsHalfLife, 1)
+	}
 	if !c.routes.IsLikelyCallRoute(call.Route) {
 		return
 	}
@@ -96,12 +102,12 @@
 }
 
 // Permit reports whether the called services have budget left for the calls of one more
-// retried run on this host, while the given number of retried runs have yet to make theirs
-// here and as many on every other calling host. It reserves the expected calls if only the
+// retried run on this host, if the given number of retried runs in progress have yet to make
+// theirs here and as many on every other calling host. It reserves the expected calls if only the
 // minimum permits them. Services that are not known to be called permit every retry.
 func (c *Calls) Permit(now time.Time, retriedRuns float64, budget func(service string) (CalledBudget, bool)) bool {
 	runs := c.runs.at(now, callRateHalfLife)
-	if runs == 0 {
+	if runs == 0 || c.fromIdle.at(now, routeCountsHalfLife) < minCallerRequests {
 		return true
 	}
 	type charge struct {
--- a/internal/core/retry/calls_test.go
+++ b/internal/core/retry/calls_test.go
@@ -18,9 +18,13 @@
 	}
 	c := NewCalls()
 	call := Call{Service: "called", Route: 1, First: true}
+	fromIdle := true
 	observe := func(n int, left uint16) {
-		for range n {
+		for k := range n {
 			now = now.Add(100 * time.Millisecond)
+			if fromIdle && k%10 == 0 {
+				c.Add(now, Call{Service: "other", Route: 2, First: true, OriginIdle: true})
+			}
 			c.AddRun(now)
 			c.AddRun(now)
 			call.BudgetLeft = left
@@ -39,4 +43,8 @@
 	observe(60, 1)
 	assert.Assert(t, c.Permit(now, 2, budget), "two retries left, one and a half calls expected")
 	assert.Assert(t, !c.Permit(now, 4, budget), "two and a half calls expected")
+
+	fromIdle = false
+	observe(1000, 0)
+	assert.Assert(t, c.Permit(now, 100, budget), "callers' routes look like those of calls on a host that is never idle")
 }
--- a/internal/core/retry/routeclassifier.go
+++ b/internal/core/retry/routeclassifier.go
@@ -41,7 +41,8 @@
 // that began on idle hosts, and all.
 type routeCounts struct {
 	fromIdle, total float64
-	at              time.Time
+	// firstAt is the time of the first request, at that of the latest one.
+	firstAt, at time.Time
 }
 
 // NewRouteClassifier returns a RouteClassifier without counts.
@@ -57,7 +58,7 @@
 		if len(rc.countsByRoute) >= maxRoutes {
 			rc.countsByRoute = make(map[uint32]*routeCounts)
 		}
-		c = &routeCounts{at: now}
+		c = &routeCounts{firstAt: now, at: now}
 		rc.countsByRoute[route] = c
 	}
 	decay := math.Exp2(-max(now.Sub(c.at), 0).Seconds() / routeCountsHalfLife.Seconds())
@@ -80,11 +81,12 @@
 	return ok && c.total >= minCallRequests && c.fromIdle <= maxCallIdleShare*c.total
 }
 
-// IsUnknown reports whether too few requests of the route have been observed to tell
-// whether callers or calls use it.
+// IsUnknown reports whether too few requests of the route have been observed yet to tell
+// whether callers or calls use it. A route with few requests does not stay unknown: its
+// requests would never add to the allowance.
 func (rc *RouteClassifier) IsUnknown(route uint32) bool {
 	c, ok := rc.countsByRoute[route]
-	return !ok || c.total < minCallRequests && !rc.IsCallerRoute(route)
+	return !ok || c.total < minCallRequests && c.at.Sub(c.firstAt) < routeCountsHalfLife && !rc.IsCallerRoute(route)
 }
 
 // IsLikelyCallRoute reports whether the route is known to be used only for calls, or is not
--- a/internal/front/arealink.go
+++ b/internal/front/arealink.go
@@ -40,7 +40,7 @@
 // host is in another area, the requests received and the responses sent count in the use of
 // the link; attempts of this front are counted by recordBytes.
 func (f *Front) CountLinkBytes(dc string, s wire.Stream) wire.Stream {
-	if f.cfg.areas.distance(dc) != area.Remote {
+	if f.cfg.areas.distance(dc) != area.Remote || !f.cfg.areas.link.HasCapacity() {
 		return s
 	}
 	return linkStream{s, f.cfg.areas.link}
--- a/internal/front/areas.go
+++ b/internal/front/areas.go
@@ -123,7 +123,7 @@
 		return balance.Sample(rng, len(eligible), localPositions(eligible, local))
 	}
 	groups := st.groups.byDistance
-	if len(eligible) != len(st.candidates.eligible) {
+	if !sameList(eligible, st.candidates.eligible) {
 		groups = st.groupByDistance(eligible)
 	} else if st.groups.computedAt != st.candidates.computedAt {
 		groups = st.groupByDistance(eligible)
@@ -132,6 +132,11 @@
 	return balance.SampleByDistance(rng, groups, st.routeArea(req.route.Name).spill.Spilled(now))
 }
 
+// sameList reports whether a and b are the same slice, not only equal ones.
+func sameList(a, b []int) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // distanceGroups are the positions in candidates.eligible by distance, as of computedAt.
 type distanceGroups struct {
 	byDistance [area.Distances][]int
@@ -222,10 +227,10 @@
 		return
 	}
 	if o.fail != nil {
-		if o.fail.Reason == verdict.ReasonLinkLost && t.distance == area.Remote {
+		if o.fail.Reason == verdict.ReasonLinkLost && t.distance == area.Remote && !o.resumed {
 			a.lostAt.Store(time.Now().UnixNano())
 		}
-		if reachedInstance(o.fail) {
+		if reachedInstance(o.fail) && o.unfinished == nil {
 			a.recordBytes(t, req.transferBytes(), 0)
 		}
 		return
--- a/internal/front/areas_test.go
+++ b/internal/front/areas_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/core/area"
+	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/verdict"
 )
@@ -153,3 +154,23 @@
 	f.recordTransfer(c.req, remote, &outcome{fail: verdict.New(verdict.NotRun, verdict.ReasonLinkLost, "")})
 	assert.Assert(t, c.cfg.areas.lossSuspected(time.Now()))
 }
+
+// Guards against choices among targets of the wrong distance: the groups by distance are cached for
+// the usual list of eligible targets, and another list may have the same length.
+func TestDistancesOfFinishingTargetsAreNotCached(t *testing.T) {
+	c := newAreaChoice(150*time.Millisecond, time.Second, 0)
+	st := c.req.state
+	c.req.idempotent = true
+	st.targets[1].Host.Leaving, st.targets[1].State = true, directory.Finishing
+	st.candidates.computedAt = time.Time{}
+	f := &Front{cfg: c.cfg, paths: c.paths}
+	st.sample(c.now, c.req, []*target{st.targets[0]}, false, c.rng, f)
+	st.sample(c.now, c.req, nil, false, c.rng, f)
+	c.req.idempotent = false
+	st.sample(c.now, c.req, nil, false, c.rng, f)
+	for distance, positions := range st.groups.byDistance {
+		for _, k := range positions {
+			assert.Equal(t, int(st.targets[st.candidates.eligible[k]].distance), distance)
+		}
+	}
+}
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -28,6 +28,9 @@
 	// unfinished is the attempt if it goes on because its host sends no frames; fail then
 	// states what is known so far.
 	unfinished *attempt
+	// resumed reports that it is the outcome of an attempt that was unfinished before. Its
+	// times include a pause of the host.
+	resumed bool
 }
 
 // attempt is one attempt in progress.
@@ -50,6 +53,8 @@
 	frameCheckAt time.Time
 	// frameChecks counts the frame checks. It is maxFrameChecks once no more are needed.
 	frameChecks int
+	// resumed reports that the attempt goes on at a host that has sent no frames.
+	resumed bool
 }
 
 // attemptOptions are the options that one attempt passes to the guard.
@@ -57,7 +62,8 @@
 	// allowLate asks for a place in the queue even if the response will miss the objective.
 	allowLate bool
 	// usesRetryBudget says that the request may have reached an instance before, so that the
-	// attempt draws on the retry budget. hedge says that another attempt is still running.
+	// attempt draws on the retry budget. hedge says that it is made beside another attempt
+	// because that one takes long.
 	usesRetryBudget, hedge bool
 }
 
@@ -270,7 +276,11 @@
 	o.serviceTime = time.Duration(m.ServiceUS) * time.Microsecond
 	o.failed = retryableStatus(a.response.head.Status)
 	queue := time.Duration(m.QueueUS) * time.Microsecond
-	a.front.paths.recordReply(a.target.Host.Name, time.Since(a.startedAt)-o.serviceTime-queue)
+	roundTrip := time.Since(a.startedAt) - o.serviceTime - queue
+	if a.resumed {
+		roundTrip = 0 // it includes the pause of the host
+	}
+	a.front.paths.recordReply(a.target.Host.Name, roundTrip)
 	return o
 }
 
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -162,10 +162,10 @@
 
 // eligibleFor returns the indexes of the targets that a request may use, in all data centres
 // and in this one. The caller must hold st.mu.
-func (st *serviceState) eligibleFor(now time.Time, req *request, tried []*target, usesRetryBudget bool, dc string) (eligible, local []int) {
+func (st *serviceState) eligibleFor(now time.Time, req *request, tried []*target, usesRetryBudget bool) (eligible, local []int) {
 	eligible, local = st.candidates.eligible, st.candidates.local
-	if len(st.candidates.finishing) > 0 && st.isShort(req) {
-		eligible, local = st.withFinishing(eligible, local, dc)
+	if st.candidates.finishing && st.isShort(req) {
+		eligible, local = st.candidates.short, st.candidates.localShort
 	}
 	if len(tried) > 0 {
 		eligible, local = st.untried(eligible, tried), st.untried(local, tried)
@@ -188,21 +188,6 @@
 	return req.idempotent && req.idempotencyKey == "" && st.expectedServiceTimeLocked(req) <= maxShortServiceTime
 }
 
-// withFinishing adds the finishing targets to both lists, which stay in ascending order. The
-// caller must hold st.mu.
-func (st *serviceState) withFinishing(eligible, local []int, dc string) (all, allLocal []int) {
-	all, allLocal = slices.Clone(eligible), slices.Clone(local)
-	for _, i := range st.candidates.finishing {
-		all = append(all, i)
-		if st.targets[i].Host.DC == dc {
-			allLocal = append(allLocal, i)
-		}
-	}
-	slices.Sort(all)
-	slices.Sort(allLocal)
-	return all, allLocal
-}
-
 // usualSample is the number of sampled targets up to which a choice needs no memory for
 // their description.
 const usualSample = 16
--- a/internal/front/requestlog.go
+++ b/internal/front/requestlog.go
@@ -26,8 +26,10 @@
 	Usable  int `json:"of"`
 	Ejected int `json:"leftOut"`
 	// Outcome is the status, or the reason of a failure with its verdict.
-	Outcome   string `json:"outcome"`
-	MS        int64  `json:"ms"`
+	Outcome string `json:"outcome"`
+	MS      int64  `json:"ms"`
+	// Resumed marks the second entry of an attempt that went on at a silent host.
+	Resumed   bool `json:"resumed,omitempty"`
 	startedAt time.Time
 }
 
@@ -59,7 +61,7 @@
 
 // recordAttempt adds a finished attempt to the summary, unless the request is over.
 func (e *execution) recordAttempt(entry attemptEntry, o *outcome) {
-	entry.MS = time.Since(entry.startedAt).Milliseconds()
+	entry.MS, entry.Resumed = time.Since(entry.startedAt).Milliseconds(), o.resumed
 	switch {
 	case o.fail != nil:
 		entry.Outcome = string(o.fail.Reason) + " " + o.fail.Verdict.String()
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -39,7 +39,8 @@
 	// retryBudgetWait is the time until retry budget is expected again, 0 if the request did
 	// not lack any.
 	retryBudgetWait time.Duration
-	// cancelPrimary cancels the primary attempt if the hedge responds first.
+	// cancelPrimary cancels the primary attempt if the hedge or an attempt at a silent host
+	// responds first.
 	cancelPrimary context.CancelFunc
 
 	// failures are those of the attempts that ended without a response.
@@ -215,14 +216,19 @@
 }
 
 // primaryAttempt makes one attempt, and starts a hedge if it takes too long. It returns nil
-// if no target is left.
+// if no target is left, or if an attempt at a silent host has succeeded meanwhile.
 func (e *execution) primaryAttempt(requestCtx context.Context) *outcome {
 	ctx, cancel := context.WithCancel(requestCtx)
 	e.awaitClearance(ctx)
 	sampled := e.sampleCandidates(ctx, false)
 	e.mu.Lock()
-	chosen, ok := e.nextPick(sampled, false)
 	e.cancelPrimary = cancel
+	if e.silent.succeeded {
+		e.mu.Unlock()
+		cancel()
+		return nil
+	}
+	chosen, ok := e.nextPick(sampled, false)
 	e.mu.Unlock()
 	if !ok {
 		cancel()
--- a/internal/front/service.go
+++ b/internal/front/service.go
@@ -99,9 +99,11 @@
 	eligible, local, ejected []int
 	// excluded are targets whose path is excluded.
 	excluded []int
-	// finishing are targets for short idempotent requests only.
-	finishing  []int
-	computedAt time.Time
+	// short and localShort are eligible and local with the finishing targets, which take
+	// short idempotent requests only. finishing reports that there are any.
+	short, localShort []int
+	finishing         bool
+	computedAt        time.Time
 }
 
 // sampleRingSize is the number of latency samples kept for each service.
@@ -195,12 +197,16 @@
 		case sets.result.Ejected[i]:
 			sets.ejected = append(sets.ejected, i)
 		case members[i].Usable:
-			sets.eligible = append(sets.eligible, i)
+			sets.eligible, sets.short = append(sets.eligible, i), append(sets.short, i)
 			if t.Host.DC == cfg.DC {
-				sets.local = append(sets.local, i)
+				sets.local, sets.localShort = append(sets.local, i), append(sets.localShort, i)
+			}
+		case t.UsableForShort() && p.reachable(t.Host.Name) && t.Health != detect.Suspect:
+			sets.finishing = true
+			sets.short = append(sets.short, i)
+			if t.Host.DC == cfg.DC {
+				sets.localShort = append(sets.localShort, i)
 			}
-		case t.UsableForShort() && p.reachable(t.Host.Name):
-			sets.finishing = append(sets.finishing, i)
 		case t.Usable():
 			sets.excluded = append(sets.excluded, i)
 		}
@@ -272,7 +278,7 @@
 	if !o.targetObserved {
 		return
 	}
-	if o.failed {
+	if o.failed || o.resumed {
 		return
 	}
 	ratio := float64(o.serviceTime) / float64(max(st.expectedServiceTimeLocked(req), 1))
--- a/internal/front/silent.go
+++ b/internal/front/silent.go
@@ -15,13 +15,15 @@
 type silentAttempts struct {
 	started []*silentAttempt
 	running int
-	// responses receives the outcome of each attempt that ends with a response.
+	// responses receives the outcome of each attempt that ends with a response. succeeded
+	// reports that one of them is no failure of the instance.
 	responses chan *outcome
+	succeeded bool
 	// changed has an entry once an attempt has ended.
 	changed chan struct{}
 }
 
-// silentAttempt is one of them.
+// silentAttempt is one attempt that goes on at a host that sends no frames.
 type silentAttempt struct {
 	attempt *attempt
 	cancel  context.CancelFunc
@@ -31,8 +33,9 @@
 // continueSilent lets an unfinished attempt go on in the background until it ends or the
 // request does.
 func (e *execution) continueSilent(ctx context.Context, p pick, a *attempt) {
-	// A hedge or a retry that succeeds cancels the context of the attempt.
+	// The context of the attempt may be cancelled when another attempt has a response.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	a.resumed = true
 	s := &silentAttempt{attempt: a, cancel: cancel}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -47,15 +50,16 @@
 	e.silent.running++
 	go func() {
 		o := a.receive(ctx)
-		o.target = p.target
+		o.target, o.resumed = p.target, true
 		o.bindCancel(cancel)
 		e.recordOutcome(p, o)
 		e.endSilent(s, o)
 	}()
 }
 
-// endSilent records the outcome of a silent attempt. A response ends the attempt that is
-// running now. A failure is not recorded: the request's failures have one of the attempt.
+// endSilent records the outcome of a silent attempt. A successful response cancels the
+// attempts that are running beside it. A failure is ignored: the one recorded when the
+// attempt became unfinished stands.
 func (e *execution) endSilent(s *silentAttempt, o *outcome) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -67,7 +71,11 @@
 	case o.fail == nil:
 		e.silent.responses <- o
 		if !retryableStatus(o.response.head.Status) {
+			e.silent.succeeded = true
 			e.cancelPrimary()
+			if e.hedge != nil {
+				e.hedge.cancel()
+			}
 		}
 	}
 	select {
@@ -111,8 +119,10 @@
 	objective := time.NewTimer(time.Until(e.req.arrived.Add(e.req.route.Objective())))
 	defer objective.Stop()
 	for {
-		if o := e.takeSilent(); o != nil && e.accept(o) {
-			return o.response, nil
+		for o := e.takeSilent(); o != nil; o = e.takeSilent() {
+			if e.accept(o) {
+				return o.response, nil
+			}
 		}
 		changed := e.awaitableSilent()
 		if changed == nil {
--- a/internal/front/silent_test.go
+++ b/internal/front/silent_test.go
@@ -132,3 +132,23 @@
 	assert.Assert(t, exec.silent.started[0].ended)
 	assert.Assert(t, exec.takeSilent() == nil)
 }
+
+// Guards against a response of a silent host that waits until a hedge has ended, or that does not
+// keep a further attempt from starting.
+func TestResponseOfSilentHostEndsOtherAttempts(t *testing.T) {
+	exec, p, _ := newDelayedExecution(t)
+	exec.rng, exec.req.service.Record = exec.front.rng(), &record.Service{}
+	primary, hedged := 0, 0
+	exec.cancelPrimary = func() { primary++ }
+	exec.hedge = &hedge{cancel: func() { hedged++ }, done: make(chan struct{})}
+	exec.silent.responses, exec.silent.changed = make(chan *outcome, 2), make(chan struct{}, 1)
+	exec.endSilent(&silentAttempt{}, &outcome{response: &response{head: &msg.Head{Status: 500}}})
+	assert.Equal(t, primary+hedged, 0, "another attempt may do better")
+	exec.endSilent(&silentAttempt{}, &outcome{target: p.target, response: &response{head: &msg.Head{Status: 200}}})
+	assert.Equal(t, primary, 1)
+	assert.Equal(t, hedged, 1)
+	assert.Assert(t, exec.primaryAttempt(t.Context()) == nil)
+	resp, fail := exec.lastResult(t.Context())
+	assert.Assert(t, fail == nil)
+	assert.Equal(t, resp.head.Status, uint16(200))
+}
--- a/internal/guard/concurrency.go
+++ b/internal/guard/concurrency.go
@@ -71,10 +71,10 @@
 // withheld returns the slots that the limit in force leaves free.
 func (c *concurrencyLimit) withheld(slots int) int { return slots - c.slots }
 
-// asIfFull expresses the load in terms of the limit in force, for fronts of all builds, which know
-// the instance's slots only: slots that are not used count as running, and waiting work takes as
-// much longer.
-func (c *concurrencyLimit) asIfFull(slots, running int, waitingMS *[admit.Priorities]uint32) uint32 {
+// scaleLoad expresses the load in terms of the limit in force, for fronts of all builds, which know
+// the instance's slots only. It returns the running requests with the slots that are not used, and
+// lengthens waitingMS as much as the limit does.
+func (c *concurrencyLimit) scaleLoad(slots, running int, waitingMS *[admit.Priorities]uint32) uint32 {
 	if c.slots == slots {
 		return uint32(running)
 	}
--- a/internal/guard/drain.go
+++ b/internal/guard/drain.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Drain refuses new requests on every instance, also on those that announce themselves
-// later; running requests continue. It cannot be undone.
+// later; running requests continue. It cannot be undone, and a second call has no effect.
 //
 // While requests that began before it still run, so that the process has to wait, the
 // instances go on accepting idempotent requests that are expected to end well before the
@@ -12,19 +12,19 @@
 func (g *Guard) Drain() {
 	_, stopping := g.ShutdownTime()
 	g.mu.Lock()
-	first := !g.draining
-	g.draining = true
-	all := g.list()
-	if first {
-		g.beforeDrain = g.active
+	if g.draining {
+		g.mu.Unlock()
+		return
 	}
-	finish := first && stopping && g.beforeDrain > 0
-	if finish {
+	g.draining, g.beforeDrain = true, g.active
+	all := g.list()
+	acceptShort := stopping && g.beforeDrain > 0
+	if acceptShort {
 		g.finishing = all
 	}
 	g.mu.Unlock()
 	for _, inst := range all {
-		if finish {
+		if acceptShort {
 			inst.acceptShortOnly()
 		} else {
 			inst.drain()
--- a/internal/guard/estimate.go
+++ b/internal/guard/estimate.go
@@ -139,11 +139,11 @@
 	for priority, work := range i.queue.QueuedWork() {
 		waitingMS[priority] = uint32(work.Milliseconds())
 	}
+	running := i.concurrency.scaleLoad(i.slots, i.queue.BusySlots(), &waitingMS)
 	// A wait for the rate limit delays a request of any priority, like work that occupies all
 	// slots.
 	rateLimitWait := min(i.queue.RateLimitWait(now), maxRateLimitWait)
 	waitingMS[admit.Priorities-1] += uint32(rateLimitWait.Milliseconds()) * uint32(i.slots)
-	running := i.concurrency.asIfFull(i.slots, i.queue.BusySlots(), &waitingMS)
 	return msg.Load{
 		WaitingMS: waitingMS,
 		Slots:     uint32(i.slots), Running: running, Queued: uint32(i.queue.Queued()),
@@ -177,7 +177,7 @@
 // running requests: one that was unresponsive for a while may never respond to them, but to
 // new ones. The caller must hold i.mu.
 func (i *instance) wantsWork(now time.Time) bool {
-	if i.unavailable() || i.queue.Queued() > 0 || i.queue.RateLimitWait(now) > 0 {
+	if i.unavailable() || i.finishing || i.queue.Queued() > 0 || i.queue.RateLimitWait(now) > 0 {
 		return false
 	}
 	inDoubt := i.failureEstimate.SickForSelection(now, i.guard.model) >= trialFailureThreshold
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -129,8 +129,8 @@
 	presets         map[string]detect.Params
 	presetsComplete bool
 	draining        bool
-	// beforeDrain counts the requests in progress that began before Drain. While there are
-	// any, the instances of finishing are Finishing.
+	// beforeDrain counts the requests in progress that began before Drain. finishing lists the
+	// instances that accept short requests until it is 0.
 	beforeDrain int
 	finishing   []*instance
 	// active counts the requests in progress; idle is closed when the count next
--- a/internal/guard/retrybudget.go
+++ b/internal/guard/retrybudget.go
@@ -21,8 +21,9 @@
 	timelyRetryPart = 0.5
 	// minimumCallPart is the part of a service's reserve that calls of retried runs may use
 	// although nothing is left of what guards grant, so that the retries of the called
-	// service do not keep out those of the calling ones. It must stay below
-	// 1 - guardBudgetPart.
+	// service do not keep out those of the calling ones. It is divided among the hosts of the
+	// calling service, so that it permits nothing where there are many, and must stay below
+	// 1 - guardBudgetPart for all calling services together.
 	minimumCallPart = 0.1
 	// overdrawnPause is how long a host grants no retries after a call made by one of
 	// its runs found the budget empty: about the duration of a run with its calls.
