guard, front: a larger margin for requests at finishing instances

Change: such requests must be expected to end six times as early as the exit, and fronts that are stopping send none.

--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -161,10 +161,11 @@
 }
 
 // eligibleFor returns the indexes of the targets that a request may use, in all data centres
-// and in this one. The caller must hold st.mu.
-func (st *serviceState) eligibleFor(now time.Time, req *request, tried []*target, usesRetryBudget bool) (eligible, local []int) {
+// and in this one. allowFinishing permits finishing targets for short requests. The caller
+// must hold st.mu.
+func (st *serviceState) eligibleFor(now time.Time, req *request, tried []*target, usesRetryBudget, allowFinishing bool) (eligible, local []int) {
 	eligible, local = st.candidates.eligible, st.candidates.local
-	if st.candidates.finishing && st.isShort(req) {
+	if st.candidates.finishing && allowFinishing && st.isShort(req) {
 		eligible, local = st.candidates.short, st.candidates.localShort
 	}
 	if len(tried) > 0 {
--- a/internal/front/loadquery.go
+++ b/internal/front/loadquery.go
@@ -195,7 +195,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.refreshOldCandidates(now, req.service, f.paths, f.cfg)
-	eligible, local := st.eligibleFor(now, req, tried, usesRetryBudget)
+	eligible, local := st.eligibleFor(now, req, tried, usesRetryBudget, !f.draining.Load())
 	for _, k := range st.samplePositions(now, req, eligible, local, rng, f.cfg) {
 		t := st.targets[eligible[k]]
 		if slices.Contains(sampled, t) {
--- a/internal/guard/drain.go
+++ b/internal/guard/drain.go
@@ -33,11 +33,21 @@
 	g.onChanged()
 }
 
+// finishingMargin is shutdownMargin for a request at a finishing instance. It is larger: if the
+// exit cuts the request off, its caller's host may be stopping as well and not send it again.
+const finishingMargin = 6
+
+// finishesInTime reports whether a request that arrives at a finishing instance may be admitted.
+func (g *Guard) finishesInTime(now time.Time, idempotent bool, expected time.Duration) bool {
+	end, stopping := g.ShutdownTime()
+	return idempotent && (!stopping || !now.Add(finishingMargin*expected).After(end))
+}
+
 // latestEnd returns the time by which a request at a finishing instance must be expected to
-// end: its deadline, or earlier, so that it may take shutdownMargin times as long as expected.
+// end: its deadline, or earlier, so that it may take finishingMargin times as long as expected.
 func (g *Guard) latestEnd(deadline time.Time, expected time.Duration) time.Time {
 	end, stopping := g.ShutdownTime()
-	end = end.Add(-(shutdownMargin - 1) * expected)
+	end = end.Add(-(finishingMargin - 1) * expected)
 	if !stopping || deadline.Before(end) {
 		return deadline
 	}
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -99,7 +99,7 @@
 		r.Objective = x.arrived.Add(objective - time.Duration(hints.ElapsedMS)*time.Millisecond)
 	}
 	expected := time.Duration(hints.ExpectedMS) * time.Millisecond
-	if !x.guard.finishesBeforeShutdown(x.arrived, expected) || inst.isFinishing() && !x.idempotent {
+	if !x.guard.finishesBeforeShutdown(x.arrived, expected) || inst.isFinishing() && !x.guard.finishesInTime(x.arrived, x.idempotent, expected) {
 		x.refuse(refusal(verdict.ReasonDraining, "this host is stopping and the request is expected to take too long"))
 		return false
 	}
