--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -99,13 +99,9 @@
 
 // CanHold reports whether Hold would permit a retry.
 func (b *Budget) CanHold(now time.Time, minRemaining float64) bool {
-	return b.Available(now)-minRemaining*b.allowance(now) >= 1-roundingError
+	return b.Available(now)-minRemaining*b.allowance(now) >= 1
 }
 
-// roundingError allows for CanHold and Wait adding the same numbers in different orders: a
-// request that came again after Wait was refused once more.
-const roundingError = 1e-9
-
 // UseHeld records that a held retry is sent now.
 func (b *Budget) UseHeld(now time.Time) {
 	b.Release()
@@ -133,14 +129,15 @@
 // left the window, and false if that is not expected. It assumes that requests keep
 // arriving as in the current window.
 func (b *Budget) Wait(now time.Time, minRemaining float64) (time.Duration, bool) {
-	missing := 1 + minRemaining*b.allowance(now) - b.left(now)
+	// Compared as in CanHold, since another order of the same numbers rounds differently.
+	left, kept := b.left(now), minRemaining*b.allowance(now)
 	interval := max(b.limits.Window/bucketsPerWindow, time.Millisecond)
 	untilNext := interval - now.Sub(b.created)%interval
 	for k := range bucketCount + 1 {
-		if missing <= 0 {
+		if left-kept >= 1 {
 			return max(untilNext+time.Duration(k-1)*interval, 0), true
 		}
-		missing -= b.buckets[(b.newestBucket+1+int64(k))%bucketCount].retries
+		left += b.buckets[(b.newestBucket+1+int64(k))%bucketCount].retries
 	}
 	return 0, false
 }
