--- a/internal/core/retry/calls.go
+++ b/internal/core/retry/calls.go
@@ -35,11 +35,8 @@
 // budgets of the called services. A call of a retried run counts in these and cannot be
 // refused there, so the retry must be refused instead. Calls is not safe for concurrent use.
 type Calls struct {
-	routes *RouteClassifier
-	runs   decayingSum
-	// fromIdle counts the requests that began while nothing was running here. On a host that
-	// is never idle, callers' routes look like those of calls.
-	fromIdle  decayingSum
+	routes    *RouteClassifier
+	runs      decayingSum
 	byService map[string]*calledService
 }
 
@@ -68,9 +65,6 @@
 	if call.First {
 		c.routes.Observe(now, call.Route, call.OriginIdle)
 	}
-	if call.OriginIdle {
-		c.fromIdle.add(now, routeCountsHalfLife, 1)
-	}
 	if !c.routes.IsLikelyCallRoute(call.Route) {
 		return
 	}
@@ -107,7 +101,7 @@
 // minimum permits them. Services that are not known to be called permit every retry.
 func (c *Calls) Permit(now time.Time, retriedRuns float64, budget func(service string) (CalledBudget, bool)) bool {
 	runs := c.runs.at(now, callRateHalfLife)
-	if runs == 0 || c.fromIdle.at(now, routeCountsHalfLife) < minCallerRequests {
+	if runs == 0 {
 		return true
 	}
 	type charge struct {
