--- a/internal/core/retry/routeclassifier_test.go
+++ b/internal/core/retry/routeclassifier_test.go
@@ -49,3 +49,12 @@
 	}
 	assert.Assert(t, len(rc.countsByRoute) <= maxRoutes)
 }
+
+// Guards against a route with few requests that stays unknown and so never adds to the allowance.
+func TestRouteWithFewRequestsDoesNotStayUnknown(t *testing.T) {
+	rc, now := NewRouteClassifier(), time.Unix(1000, 0)
+	rc.Observe(now, 1, false)
+	assert.Assert(t, rc.IsUnknown(1))
+	rc.Observe(now.Add(routeCountsHalfLife), 1, false)
+	assert.Assert(t, !rc.IsUnknown(1))
+}
