--- a/review/standin/case_length.go
+++ b/review/standin/case_length.go
@@ -94,7 +94,7 @@
 	}
 	r.mu.Unlock()
 	faulty.mu.Lock()
-	exits := len(faulty.exits)
+	exits := faulty.exits
 	faulty.mu.Unlock()
 	r.note("%d requests answered; the daemon of %s ended by itself %d times", answered, faulty.name, exits)
 	const allowed = 3
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -42,12 +42,20 @@
 	// in says that consumers use the host.
 	in atomic.Bool
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// daemon is the running process, nil before the first.
+	daemon *process
+	// exits counts the processes that ended by themselves.
+	exits int
+}
+
+// process is one daemon process.
+type process struct {
 	cmd  *exec.Cmd
 	done chan struct{}
-	// stopping says that the rig is ending the process, so that it is not restarted.
+	// stopping says that the rig ends the process, so that it is not restarted. The mutex of
+	// the host guards it.
 	stopping bool
-	exits    []string
 }
 
 // rig runs one case: the platform's store, daemons, instances and consumers.
@@ -258,25 +266,30 @@
 	if err := cmd.Start(); err != nil {
 		r.abort("start %s: %v", h.name, err)
 	}
-	done := make(chan struct{})
+	p := &process{cmd: cmd, done: make(chan struct{})}
 	h.mu.Lock()
-	h.cmd, h.done, h.stopping = cmd, done, false
+	h.daemon = p
 	h.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		_ = log.Close()
-		close(done)
 		h.mu.Lock()
-		stopping := h.stopping
+		stopping := p.stopping
 		if !stopping {
-			h.exits = append(h.exits, fmt.Sprint(err))
+			h.exits++
 		}
 		h.mu.Unlock()
 		if !stopping {
 			r.note("the daemon of %s ended by itself: %v; %s", h.name, err, panicLine(h.settings+".log"))
 			time.Sleep(restartDelay)
+		}
+		h.mu.Lock()
+		stopping = p.stopping
+		h.mu.Unlock()
+		if !stopping {
 			r.startDaemon(h)
 		}
+		close(p.done)
 	}()
 }
 
@@ -291,17 +304,26 @@
 	return "no panic in its log"
 }
 
-// kill ends the daemon of a host with SIGKILL; the rig starts it again with startDaemon.
+// kill ends the daemon of a host for good with SIGKILL.
 func (h *host) kill() {
 	h.mu.Lock()
-	h.stopping = true
-	cmd, done := h.cmd, h.done
+	p := h.daemon
+	if p != nil {
+		p.stopping = true
+	}
 	h.mu.Unlock()
-	if cmd == nil {
+	if p == nil {
 		return
 	}
-	_ = cmd.Process.Kill()
-	<-done
+	_ = p.cmd.Process.Kill()
+	<-p.done
+	h.mu.Lock()
+	restarted := h.daemon != p
+	h.mu.Unlock()
+	if restarted {
+		// The process had ended by itself and was just being started again.
+		h.kill()
+	}
 }
 
 // checkReadiness asks each host once per second, as the platform does: two misses in a row take
