--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # the disruption is left out. Before it: the build of deploy/system.toml and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/standin ] && [ -x target/radishhoistd ] || { echo "build first"; exit 2; }
-exec review/bin/standin latebeat review/3 .
+exec review/bin/standin turnedaway review/3 .
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"maps"
 	"math/rand"
@@ -39,6 +40,13 @@
 	name, zone, service               string
 	ip, app, outbound, ready, control string
 	settings                          string
+	// storeAddr is where the host reaches the store.
+	storeAddr string
+	// turnedAway says that the store refuses the host's calls; watchedAt is the time of its
+	// last watch, in Unix milliseconds. endCalls, which mu guards, ends its calls in progress.
+	turnedAway atomic.Bool
+	watchedAt  atomic.Int64
+	endCalls   map[int64]context.CancelFunc
 	// in says that consumers use the host.
 	in atomic.Bool
 
@@ -64,7 +72,6 @@
 	trouble                bool
 	start                  time.Time
 	store                  *store
-	storeAddr              string
 	hosts                  []*host
 	routes                 []route
 	services               []string
@@ -150,12 +157,6 @@
 		stopConsumers: make(chan struct{}), out: bufio.NewWriter(f),
 	}
 	r.note("trouble %v", trouble)
-	r.storeAddr = fmt.Sprintf("%s.1:%d", r.octets, portStore)
-	l, err := net.Listen("tcp", r.storeAddr)
-	if err != nil {
-		r.abort("store: %v", err)
-	}
-	go func() { _ = http.Serve(l, r.store) }()
 	return r
 }
 
@@ -166,11 +167,55 @@
 	h := &host{
 		name: name, zone: zone, service: service, ip: ip,
 		app: at(portApp), outbound: at(portOutbound), ready: at(portReady), control: at(portControl),
+		storeAddr: at(portStore),
 	}
 	r.hosts = append(r.hosts, h)
+	l, err := net.Listen("tcp", h.storeAddr)
+	if err != nil {
+		r.abort("store for %s: %v", name, err)
+	}
+	go func() { _ = http.Serve(l, r.storeFor(h)) }()
 	return h
 }
 
+// storeFor serves the store to one host.
+func (r *rig) storeFor(h *host) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if q.URL.Query().Has("watch") {
+			h.watchedAt.Store(time.Now().UnixMilli())
+		}
+		ctx, end := context.WithCancel(q.Context())
+		defer end()
+		id := nextID.Add(1)
+		h.mu.Lock()
+		if h.endCalls == nil {
+			h.endCalls = make(map[int64]context.CancelFunc)
+		}
+		h.endCalls[id] = end
+		h.mu.Unlock()
+		defer func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			delete(h.endCalls, id)
+		}()
+		if h.turnedAway.Load() {
+			reply(w, http.StatusServiceUnavailable, nil)
+			return
+		}
+		r.store.ServeHTTP(w, q.WithContext(ctx))
+	})
+}
+
+// turnAway makes the store refuse the host's calls, those in progress too.
+func (h *host) turnAway() {
+	h.turnedAway.Store(true)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, end := range h.endCalls {
+		end()
+	}
+}
+
 // configure writes a configuration as the operator.
 func (r *rig) configure(version int) {
 	services := []map[string]any{}
@@ -199,7 +244,7 @@
 	maps.Copy(out, map[string]any{
 		"node-name": h.name, "dc": h.zone, "service": h.service, "ip": h.ip,
 		"listen-addrs": map[string]any{"outbound": h.outbound, "control": h.control, "ready": h.ready},
-		"platform":     map[string]any{"address": r.storeAddr},
+		"platform":     map[string]any{"address": h.storeAddr},
 		"zones":        zones,
 	})
 	return out
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -15,27 +15,19 @@
 
 // instance is a stand-in for one boot of an application instance on a host.
 type instance struct {
-	rig  *rig
-	host *host
-	id   string
-	// born is the start of this boot in Unix milliseconds; 0 if it is not announced.
-	born  int64
+	rig   *rig
+	host  *host
+	id    string
 	slots int
 	work  time.Duration
 	// garble, if set, may answer a request with other bytes. It reports whether it did.
 	garble func(in *instance, w http.ResponseWriter, r *http.Request) bool
 
-	server   *http.Server
-	beatStop chan struct{}
-	beatDone chan struct{}
-
 	mu       sync.Mutex
 	running  int
 	waiting  int
 	slot     chan struct{}
-	state    string
 	sequence int
-	crashed  bool
 }
 
 const (
@@ -50,10 +42,7 @@
 
 // newInstance creates a boot that does not listen yet.
 func newInstance(r *rig, h *host, id string, slots int, work time.Duration) *instance {
-	return &instance{
-		rig: r, host: h, id: id, slots: slots, work: work, slot: make(chan struct{}, slots), state: "ready",
-		beatStop: make(chan struct{}), beatDone: make(chan struct{}),
-	}
+	return &instance{rig: r, host: h, id: id, slots: slots, work: work, slot: make(chan struct{}, slots)}
 }
 
 // listen begins to serve at the host's application address.
@@ -62,31 +51,19 @@
 	if err != nil {
 		in.rig.abort("instance %s cannot listen: %v", in.id, err)
 	}
-	in.server = &http.Server{Handler: in, IdleTimeout: idleClose}
-	go func() { _ = in.server.Serve(l) }()
-	in.rig.note("instance %s of %s starts on %s, born %d", in.id, in.host.service, in.host.name, in.born)
+	server := &http.Server{Handler: in, IdleTimeout: idleClose}
+	go func() { _ = server.Serve(l) }()
+	in.rig.note("instance %s of %s starts on %s", in.id, in.host.service, in.host.name)
 }
 
-// beat announces the instance at regular intervals until stopBeats.
+// beat announces the instance at regular intervals.
 func (in *instance) beat() {
-	defer close(in.beatDone)
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
 	for {
 		in.announce()
-		select {
-		case <-ticker.C:
-		case <-in.beatStop:
-			return
-		}
+		time.Sleep(beatInterval)
 	}
 }
 
-func (in *instance) stopBeats() {
-	close(in.beatStop)
-	<-in.beatDone
-}
-
 // announcement returns the next ping.
 func (in *instance) announcement() []byte {
 	in.mu.Lock()
@@ -94,56 +71,23 @@
 	in.sequence++
 	m := map[string]any{
 		"service": in.host.service, "address": in.host.app, "dc": in.host.zone, "version": "v1",
-		"slots": in.slots, "state": in.state, "warmupLeftMS": 0, "sequence": in.sequence,
-	}
-	if in.born != 0 {
-		m["born"] = in.born
+		"slots": in.slots, "state": "ready", "warmupLeftMS": 0, "sequence": in.sequence,
 	}
 	body, _ := json.Marshal(m)
 	return body
 }
 
-// announce sends one ping and reports whether it was confirmed.
-func (in *instance) announce() bool {
-	return in.call(http.MethodPut, in.announcement())
-}
-
-func (in *instance) call(method string, body []byte) bool {
+// announce sends one ping.
+func (in *instance) announce() {
 	client := &http.Client{Timeout: ackTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, _ := http.NewRequest(method, "http://"+in.host.control+"/v1/instances/"+in.id, bytes.NewReader(body))
+	req, _ := http.NewRequest(http.MethodPut, "http://"+in.host.control+"/v1/instances/"+in.id, bytes.NewReader(in.announcement()))
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
 	if err != nil {
-		return false
+		return // The next ping follows.
 	}
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
-	return resp.StatusCode/100 == 2
-}
-
-// setState changes the announced state.
-func (in *instance) setState(state string) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	in.state = state
-}
-
-// leave says that the instance leaves and reports whether that was confirmed.
-func (in *instance) leave() bool {
-	body := []byte("{}")
-	if in.born != 0 {
-		body, _ = json.Marshal(map[string]any{"born": in.born})
-	}
-	return in.call(http.MethodDelete, body)
-}
-
-// exit ends the instance at once: its connections break.
-func (in *instance) exit() {
-	in.mu.Lock()
-	in.crashed = true
-	in.mu.Unlock()
-	_ = in.server.Close()
-	in.rig.note("instance %s on %s ends", in.id, in.host.name)
 }
 
 // admit takes a slot or a place in the queue.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,7 +19,7 @@
 const maxRunTime = 110 * time.Second
 
 func main() {
-	cases := map[string]func(*rig, string){"length": runLength, "latebeat": runLateBeat, "otherwriter": runOtherWriter}
+	cases := map[string]func(*rig, string){"length": runLength, "otherwriter": runOtherWriter, "turnedaway": runTurnedAway}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standin CASE FOLDER REPOSITORY")
 		os.Exit(2)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -159,6 +159,8 @@
 			reply(w, http.StatusOK, map[string]any{"events": found, "at": at})
 			return
 		case <-r.Context().Done():
+			// The store turns the caller away, or the caller has gone.
+			reply(w, http.StatusServiceUnavailable, nil)
 			return
 		}
 	}
