guard: a declared length near the greatest int64 no longer ends the process

Cause: readChunk sized its buffer with min(declared - read + 1, chunk). The sum overflows, min returns the negative number, and makeslice panics in the goroutine of the exchange, which nothing recovers. The record's stack and that of the new test name this line.

Change: the chunk bounds the rest before the byte is added, so that no sum exceeds the size of a chunk. The sizes are the same as before for each other length.

--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -176,8 +176,9 @@
 func readChunk(resp *targetconn.Response, bytesRead int64) ([]byte, bool, error) {
 	size := wire.ChunkSize
 	if resp.Length >= 0 {
-		// One byte more than the rest lets io.ReadFull reach the end of the body.
-		size = int(min(resp.Length-bytesRead+1, wire.ChunkSize))
+		// One byte more than the rest lets io.ReadFull reach the end of the body. It is added
+		// last, because the declared length may be the greatest int64.
+		size = int(min(resp.Length-bytesRead, wire.ChunkSize-1)) + 1
 	}
 	chunk := make([]byte, size)
 	n, err := io.ReadFull(resp.Body, chunk)
--- /dev/null
+++ b/internal/guard/declared_test.go
@@ -0,0 +1,59 @@
+package guard
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/radishhoist/radishhoist/internal/core/loadreport"
+	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/verdict"
+)
+
+// guardOfScriptedInstance returns a guard whose instance i reads one request on each connection,
+// passes the connection to respond and closes it.
+func guardOfScriptedInstance(t testing.TB, log slog.Handler, respond func(net.Conn)) *Guard {
+	cfg := Config{
+		Host: "h", QueuePerSlot: 2, GrantTTL: time.Minute, TargetIdleTimeout: time.Minute,
+		Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				defer func() { _ = far.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					respond(far)
+				}
+			}()
+			return near, nil
+		},
+	}
+	hooks := Hooks{Changed: func() {}, LoadReport: func(*msg.LoadReport, loadreport.Scope) {}}
+	g := New(cfg, Limits{AnnounceExpiry: time.Hour}, slog.New(log), allowAllFence{}, hooks)
+	assert.NilError(t, g.Announce(time.Now(), "i", Announcement{Service: "s", Address: "10.0.0.1:80", Slots: 2, Connections: 4}))
+	return g
+}
+
+func bookingRun(id string) *msg.Run {
+	return &msg.Run{RequestID: id, Service: "s", Instance: "i", TimeoutMS: 20000, Reserved: true, Method: "POST", URI: "/book", Host: "x"}
+}
+
+// Guards against a buffer sized by a declared length whose sum overflows, which ended the process.
+func TestResponseOfLargestDeclaredLengthFailsOneRequest(t *testing.T) {
+	g := guardOfScriptedInstance(t, slog.DiscardHandler, func(c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\nbroken")
+	})
+	for _, id := range []string{"one", "two"} {
+		f, failed := reserveAndRun(t, g, bookingRun(id)).(*msg.Fail)
+		assert.Assert(t, failed)
+		assert.Equal(t, f.Verdict, verdict.Ran)
+		assert.Equal(t, f.Reason, verdict.ReasonTargetBroke)
+	}
+	assert.Equal(t, g.instances["i"].load().Running, uint32(0))
+}
