targetconn: the header of a response is bounded to 64 KiB

Callers saw: the same as with the overflow of a declared length.

Cause: readHead passes the connection to http.ReadResponse, which bounds neither the size of a header nor the number of interim (1xx) responses.

Change: headLimiter allows 64 KiB for a header together with the interim responses before it. A request beyond that fails with target-broke and may have run, its connection is closed, and the message names the limit. Trailers and chunk headers are bounded by net/http already.

--- a/internal/guard/classify.go
+++ b/internal/guard/classify.go
@@ -80,6 +80,8 @@
 	switch {
 	case errors.As(err, &failed) && !failed.Sent:
 		return verdict.New(verdict.NotRun, verdict.ReasonTargetDown, "nothing was sent: "+err.Error())
+	case errors.Is(err, targetconn.ErrHeaderTooLarge):
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonTargetBroke, targetconn.ErrHeaderTooLarge.Error())
 	case errors.As(err, &failed) && failed.Mismatched:
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonResponseMismatch, "the target sent only responses to other requests")
 	default:
--- a/internal/guard/declared_test.go
+++ b/internal/guard/declared_test.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,3 +59,33 @@
 	}
 	assert.Equal(t, g.instances["i"].load().Running, uint32(0))
 }
+
+// Guards against a response header without an end, which was read into memory until the platform
+// ended the process, and against interim responses without an end.
+func TestEndlessResponseHeaderUsesBoundedMemory(t *testing.T) {
+	const sentBytes, allowedBytes = 32 << 20, 4 << 20
+	for name, endless := range map[string]struct{ start, repeated string }{
+		"one field":         {"HTTP/1.1 200 OK\r\nX-Filler: ", strings.Repeat("f", 1024)},
+		"many fields":       {"HTTP/1.1 200 OK\r\n", "X-Filler: f\r\n"},
+		"status line":       {"HTTP/1.1 200 ", strings.Repeat("O", 1024)},
+		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := guardOfScriptedInstance(t, slog.DiscardHandler, func(c net.Conn) {
+				_, err := io.WriteString(c, endless.start)
+				block := []byte(strings.Repeat(endless.repeated, 1+(16<<10)/len(endless.repeated)))
+				for sent := 0; err == nil && sent < sentBytes; sent += len(block) {
+					_, err = c.Write(block)
+				}
+			})
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			f, failed := reserveAndRun(t, g, bookingRun("r")).(*msg.Fail)
+			runtime.ReadMemStats(&after)
+			assert.Assert(t, failed)
+			assert.Equal(t, f.Verdict, verdict.MayHaveRun)
+			allocated := after.TotalAlloc - before.TotalAlloc
+			assert.Check(t, allocated < allowedBytes, "%d bytes allocated", allocated)
+		})
+	}
+}
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -53,6 +53,10 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// ErrHeaderTooLarge is the cause of the Error of a request whose response has a header of more
+// than 64 KiB, the interim responses before it included.
+var ErrHeaderTooLarge = errors.New("the response header is larger than 64 KiB")
+
 var (
 	errConnLimit  = errors.New("connection limit for the target reached")
 	errMismatched = errors.New("the target sent only responses to other requests")
@@ -65,6 +69,9 @@
 	// maxStrayBodyBytes is the body length from which such a response is not skipped:
 	// the request fails and the connection is closed.
 	maxStrayBodyBytes = 1 << 20
+	// maxHeadBytes is the maximum size of the header of a response, together with the 1xx
+	// responses before it.
+	maxHeadBytes = 64 << 10
 	// maxInlineBodyBytes is the largest body that is sent in one write with the
 	// header, and the chunk size of a longer one.
 	maxInlineBodyBytes = 64 << 10
@@ -140,6 +147,8 @@
 
 // readHead reads the header of the next final response and skips 1xx responses.
 func (x *exchange) readHead() (*http.Response, error) {
+	x.conn.limit.begin()
+	defer x.conn.limit.end()
 	for {
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.req.Method})
 		if err != nil {
