targetconn: an absurd Keep-Alive timeout no longer ends the reuse of connections

Callers saw: nothing wrong, but each request to an instance that states a timeout above 9,223,372,036 s opened a connection, or a wait for one.

Cause: the seconds are multiplied by time.Second, which overflows; the negative result is the lower one.

Change: the seconds are bounded to what a Duration holds.

--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -78,6 +79,8 @@
 	// keepAliveMargin is subtracted from the target's keep-alive timeout, so that no
 	// request is sent on a connection that the target is about to close.
 	keepAliveMargin = 250 * time.Millisecond
+	// maxKeepAliveSeconds is the longest keep-alive timeout that a time.Duration can hold.
+	maxKeepAliveSeconds = math.MaxInt64 / int(time.Second)
 )
 
 // Do sends a request and waits for the header of its response. The context applies
@@ -178,6 +181,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		seconds, err := strconv.Atoi(value)
 		if strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+			seconds = min(seconds, maxKeepAliveSeconds)
 			timeout = min(timeout, time.Duration(seconds)*time.Second-keepAliveMargin)
 		}
 	}
--- a/internal/targetconn/exchange_test.go
+++ b/internal/targetconn/exchange_test.go
@@ -337,6 +337,7 @@
 	p := New(Config{IdleTimeout: 9 * time.Second})
 	for header, want := range map[string]time.Duration{
 		"": 9 * time.Second, "timeout=2": 2*time.Second - keepAliveMargin, "timeout=60": 9 * time.Second, "max=5, timeout=3": 3*time.Second - keepAliveMargin,
+		"timeout=9223372036854775807": 9 * time.Second, "timeout=9223372037": 9 * time.Second, "timeout=99999999999999999999": 9 * time.Second,
 	} {
 		assert.Equal(t, p.idleTimeout(http.Header{"Keep-Alive": {header}}), want, header)
 	}
