front: an absurd declared length no longer distorts the choice between areas

Callers saw: after one streamed response that declares 2^63 - 1 bytes, the mean transfer of its route is negative, or so large that no request of the route leaves its area, for hundreds of requests.

Cause: the declared length counts before the body has arrived, without a bound, and is added to the bytes sent.

Change: a declared length counts up to 64 MiB; what has been received counts in full.

Measured: TestAbsurdDeclaredLengthIsBoundedInTransfer fails before the change with a mean of -4.6e17 bytes and passes with it.

--- a/internal/core/area/area.go
+++ b/internal/core/area/area.go
@@ -91,6 +91,10 @@
 // that of its service time.
 const transferWeight = 0.05
 
+// MaxDeclaredBytes is the length up to which a response that has not been received completely
+// counts by its declared length, in bytes. A target may declare any length.
+const MaxDeclaredBytes = 64 << 20
+
 // Transfer is the mean number of request and response bytes of a route. The zero value knows
 // none.
 type Transfer struct{ mean float64 }
--- a/internal/front/areas.go
+++ b/internal/front/areas.go
@@ -246,7 +246,8 @@
 	st := req.state
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.routeArea(req.route.Name).transfer.Add(sent + max(received, o.response.head.Length))
+	declared := min(o.response.head.Length, area.MaxDeclaredBytes)
+	st.routeArea(req.route.Name).transfer.Add(sent + max(received, declared))
 }
 
 // recordBytes counts bytes sent to and received from a target.
--- a/internal/front/areas_test.go
+++ b/internal/front/areas_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http/httptest"
 	"testing"
@@ -155,6 +156,24 @@
 	assert.Assert(t, c.cfg.areas.lossSuspected(time.Now()))
 }
 
+// Guards against a declared length that overflows the mean transfer of a route: a negative price drew
+// its requests to other areas, an absurd one kept them from there.
+func TestAbsurdDeclaredLengthIsBoundedInTransfer(t *testing.T) {
+	c := newAreaChoice(150*time.Millisecond, 600*time.Millisecond, 1<<10)
+	f := &Front{cfg: c.cfg, paths: c.paths}
+	c.req.http, c.req.length = httptest.NewRequest("GET", "/notes/1", nil), 0
+	add := func(declared int64) {
+		f.recordTransfer(c.req, c.req.state.targets[0], &outcome{response: &response{head: &msg.Head{Length: declared}, length: 1000}})
+	}
+	add(math.MaxInt64)
+	mean := c.req.state.routeArea("").transfer.Mean()
+	assert.Assert(t, mean > 0 && mean <= area.MaxDeclaredBytes, "%f", mean)
+	for range 200 {
+		add(1000)
+	}
+	assert.Assert(t, !c.req.state.routeArea("").transfer.Large())
+}
+
 // Guards against choices among targets of the wrong distance: the groups by distance are cached for
 // the usual list of eligible targets, and another list may have the same length.
 func TestDistancesOfFinishingTargetsAreNotCached(t *testing.T) {
