targetconn: a panic in the handling of a response fails only its request

Each fault of this class ended the process and all requests of its host, as often as the instance repeated its response.

Cause: the goroutine of an exchange runs outside net/http, which contains a panic of its own handlers; nothing contains one here.

Change: reading the header and the chunks of a response recovers a panic into a PanicError. Nothing is locked there and only the connection is changed, which is closed. The request fails with target-broke; slot and budgets are given back on the usual path. Line 313 has the stack, and radishhoist_response_panics_total counts. readChunk moves to Response.ReadChunk, where it is covered.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,7 @@
 	RequestStopped          = Event{310, "request stopped", slog.LevelWarn}
 	InstanceLimitChanged    = Event{311, "instance limit changed", slog.LevelInfo}
 	ConcurrencyLimitLearned = Event{312, "instance concurrency limit learned", slog.LevelInfo}
+	ResponsePanic           = Event{313, "response handling panicked", slog.LevelError}
 	AnnounceRefused         = Event{305, "announce refused", slog.LevelWarn}
 	RecordApplied           = Event{400, "record applied", slog.LevelInfo}
 	RecordRefused           = Event{401, "record refused", slog.LevelError}
@@ -75,7 +76,7 @@
 		Started, Ready, Draining, Drained, DrainTimeout, StartFailed, Reloaded, ReloadRefused, SettingsWarning,
 		RequestFailed, RequestAnswered, ResponseAborted, LinkLost, PathExcluded, PathRestored, PeerRefused,
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
-		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged, ConcurrencyLimitLearned,
+		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged, ConcurrencyLimitLearned, ResponsePanic,
 		RecordApplied, RecordRefused, PlatformUnavailable, PlatformAvailable, WatchStarted, WatchStopped, RecordSetLoaded,
 		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten, PlatformRestored, RecordKept, RecordRestored,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/radishhoist/radishhoist/internal/core/header"
+	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/targetconn"
 	"github.com/radishhoist/radishhoist/internal/wire"
@@ -96,6 +98,7 @@
 func (x *exchange) exchangeHTTP(ctx context.Context, m *msg.Run, started time.Time) (result, *verdict.Error) {
 	resp, err := x.inst.client.Do(ctx, x.buildRequest(m))
 	if err != nil {
+		x.reportPanic(err)
 		return result{failed: !errors.Is(err, errFrontGone), aborted: errors.Is(err, errFrontGone)}, callVerdict(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -135,8 +138,9 @@
 	end := &msg.End{}
 	unsent := []msg.Message{head}
 	for {
-		chunk, last, err := readChunk(resp, int64(end.Length))
+		chunk, last, err := resp.ReadChunk(wire.ChunkSize)
 		if err != nil {
+			x.reportPanic(err)
 			return truncatedBody()
 		}
 		if len(chunk) > 0 {
@@ -168,41 +172,21 @@
 	}
 }
 
-// readChunk reads up to one chunk of the body and reports whether it was the last.
-// bytesRead is the length of the chunks before it. A truncated body is an error.
-// io.ReadFull returns ErrUnexpectedEOF both when the body ends normally inside a chunk
-// and when it is truncated; the declared length, or another read if there is none, tells
-// them apart.
-func readChunk(resp *targetconn.Response, bytesRead int64) ([]byte, bool, error) {
-	size := wire.ChunkSize
-	if resp.Length >= 0 {
-		// One byte more than the rest lets io.ReadFull reach the end of the body. It is added
-		// last, because the declared length may be the greatest int64.
-		size = int(min(resp.Length-bytesRead, wire.ChunkSize-1)) + 1
-	}
-	chunk := make([]byte, size)
-	n, err := io.ReadFull(resp.Body, chunk)
-	switch {
-	case err == nil:
-		return chunk, false, nil
-	case err == io.EOF:
-		return nil, true, nil
-	case !errors.Is(err, io.ErrUnexpectedEOF):
-		return nil, false, err
-	case resp.Length >= 0 && bytesRead+int64(n) != resp.Length:
-		return nil, false, err
-	case resp.Length < 0:
-		if _, next := resp.Body.Read(make([]byte, 1)); next != io.EOF {
-			return nil, false, err
-		}
-	}
-	return chunk[:n], true, nil
-}
-
 func truncatedBody() *verdict.Error {
 	return verdict.New(verdict.Ran, verdict.ReasonTargetBroke, "the target's response body was truncated")
 }
 
+// reportPanic logs and counts the error if it is a panic in the handling of the response.
+func (x *exchange) reportPanic(err error) {
+	var p *targetconn.PanicError
+	if !errors.As(err, &p) {
+		return
+	}
+	x.guard.counts.responsePanics.Inc()
+	event.Log(x.guard.log, event.ResponsePanic, slog.String("request", x.requestID), slog.String("service", x.service),
+		slog.String("instance", x.instanceName), slog.String("cause", p.Error()), slog.String("stack", string(p.Stack)))
+}
+
 // buildRequest builds the request to the target: the caller's request, with the request
 // ID, the remaining time and the name of the intended instance added.
 func (x *exchange) buildRequest(m *msg.Run) *targetconn.Request {
--- a/internal/guard/counters.go
+++ b/internal/guard/counters.go
@@ -16,6 +16,9 @@
 	serviceTime *metrics.Histogram
 	// terminated counts the instances whose port was found to refuse connections.
 	terminated *metrics.Counter
+	// responsePanics counts the requests that failed because the handling of their response
+	// panicked.
+	responsePanics *metrics.Counter
 	// shareReportsIn counts the share reports of other guards that were accepted, and
 	// shareReportsOut those sent.
 	shareReportsIn, shareReportsOut *metrics.Counter
@@ -29,6 +32,8 @@
 		serviceTime: set.NewHistogram("radishhoist_service_seconds"),
 		terminated:  set.NewCounter("radishhoist_instances_ended_total"),
 
+		responsePanics: set.NewCounter("radishhoist_response_panics_total"),
+
 		shareReportsIn:  set.NewCounter(`radishhoist_share_reports_total{direction="in"}`),
 		shareReportsOut: set.NewCounter(`radishhoist_share_reports_total{direction="out"}`),
 	}
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -37,6 +37,40 @@
 	// Length is the declared length in bytes, -1 if none is declared.
 	Length int64
 	Body   io.ReadCloser
+	// bytesRead counts the bytes that ReadChunk has returned.
+	bytesRead int64
+}
+
+// ReadChunk reads up to size bytes of the body and reports whether they are the last. A
+// truncated body is an error, and so is a panic, see PanicError.
+//
+// io.ReadFull returns ErrUnexpectedEOF both when the body ends normally inside a chunk and when
+// it is truncated; the declared length, or another read if there is none, tells them apart.
+func (r *Response) ReadChunk(size int) (chunk []byte, last bool, err error) {
+	defer recoverPanic(&err)
+	if r.Length >= 0 {
+		// One byte more than the rest lets io.ReadFull reach the end of the body. It is added
+		// last, because the declared length may be the greatest int64.
+		size = int(min(r.Length-r.bytesRead, int64(size)-1)) + 1
+	}
+	chunk = make([]byte, size)
+	n, err := io.ReadFull(r.Body, chunk)
+	r.bytesRead += int64(n)
+	switch {
+	case err == nil:
+		return chunk, false, nil
+	case err == io.EOF:
+		return nil, true, nil
+	case !errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, false, err
+	case r.Length >= 0 && r.bytesRead != r.Length:
+		return nil, false, err
+	case r.Length < 0:
+		if _, next := r.Body.Read(make([]byte, 1)); next != io.EOF {
+			return nil, false, err
+		}
+	}
+	return chunk[:n], true, nil
 }
 
 // Error describes a request that got no response.
@@ -118,6 +152,18 @@
 	if err := x.write(); err != nil {
 		return nil, err
 	}
+	return x.readResponse()
+}
+
+// readResponse reads the header of the response to the request and skips responses to others.
+func (x *exchange) readResponse() (response *Response, err error) {
+	defer func() {
+		var p *PanicError
+		if errors.As(err, &p) {
+			err = &Error{Sent: true, Cause: p}
+		}
+	}()
+	defer recoverPanic(&err)
 	mismatched := false
 	for range maxStrayResponses + 1 {
 		resp, err := x.readHead()
