control: a watcher that the platform turns away asks another host to watch

Cause: who watches follows from the rank among live hosts alone. A host that the platform turns away is live, and nobody takes over.

Evidence: lines 402 and 409 on the six hosts, no call of any other host for 9 s, and 400 everywhere as soon as the six were served again.

Change: internal/core/standby. A watcher whose calls have failed for 0.4 s asks the hosts after the watchers, one at a time, to watch in its place, until one replies that it is served; the request is a lease of 3 s. The hosts that call at a time are bounded by the number of watchers, also in an outage of all. Two new datagrams, which older builds drop.

Why it works: the watcher is the first that knows, and it asks until a host is served, whichever hosts the platform turns away.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/loadreport"
 	"github.com/radishhoist/radishhoist/internal/core/member"
+	"github.com/radishhoist/radishhoist/internal/core/standby"
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/objects"
@@ -84,7 +86,7 @@
 	log      *slog.Logger
 	store    objects.Store
 	sender   MessageSender
-	udp      *net.UDPConn
+	udp      packetConn
 	outboxes *outboxes
 
 	// publishMu is held while a directory is built and passed to the hook.
@@ -125,9 +127,16 @@
 	// contacts are the hosts of which only the address is known.
 	contacts *contact.Contacts
 	watching bool
-	// failedFeeds are the feeds whose last call failed.
-	failedFeeds map[objects.Feed]bool
-	traffic     Traffic
+	// failedFeeds are the feeds whose last call failed, and servedFeeds those of which a call
+	// has succeeded since this host began to watch.
+	failedFeeds, servedFeeds map[objects.Feed]bool
+	// standby decides which host watches in place of a watcher that the platform does not
+	// serve. standbyChanged receives a value when this host is asked to watch.
+	standby        *standby.Node
+	standbyChanged chan struct{}
+	// substitute is the host that watches in place of this one, empty if there is none.
+	substitute string
+	traffic    Traffic
 	// loadTraffic counts load queries and replies; it is not guarded by mu.
 	loadTraffic loadTraffic
 	// loadReportLimiter selects the recipients of load reports within the rate limits.
@@ -173,6 +182,9 @@
 		statusReports:     make(map[string]receivedReport),
 		contacts:          contact.New(cfg.DC, excludeAddr(cfg.Seeds, cfg.PeerAddr), rng),
 		failedFeeds:       make(map[objects.Feed]bool),
+		servedFeeds:       make(map[objects.Feed]bool),
+		standby:           standby.New(cfg.Host, cfg.WatchersPerDC),
+		standbyChanged:    make(chan struct{}, 1),
 		selfChanged:       true,
 		loadReportLimiter: loadreport.New(rng),
 	}
@@ -198,8 +210,21 @@
 	if err != nil {
 		return errors.Wrapf(err, "resolve membership address %s", c.cfg.PeerAddr)
 	}
-	c.udp, err = net.ListenUDP("udp", addr)
-	return port.Explain(err, "membership", c.cfg.PeerAddr)
+	udp, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return port.Explain(err, "membership", c.cfg.PeerAddr)
+	}
+	c.udp = udp
+	return nil
+}
+
+// packetConn is the part of *net.UDPConn that a Control uses.
+type packetConn interface {
+	ReadFromUDP([]byte) (int, *net.UDPAddr, error)
+	WriteToUDP([]byte, *net.UDPAddr) (int, error)
+	WriteToUDPAddrPort([]byte, netip.AddrPort) (int, error)
+	LocalAddr() net.Addr
+	Close() error
 }
 
 // Run runs the control plane until the context ends.
@@ -253,6 +278,7 @@
 	c.callContacts(now)
 	c.sendStatusReport(now)
 	c.pruneCrashes(now)
+	c.tickStandby(now)
 	c.flush(now)
 	c.mu.Unlock()
 	c.tickTeams(now, c.publish(now))
@@ -438,7 +464,7 @@
 			}
 			continue
 		}
-		if c.handleTeamPacket(buf[:n]) || c.handleLoadPacket(buf[:n], from) || c.handleSharePacket(buf[:n]) || c.handleLinkPacket(buf[:n], from) {
+		if c.handleTeamPacket(buf[:n]) || c.handleLoadPacket(buf[:n], from) || c.handleSharePacket(buf[:n]) || c.handleLinkPacket(buf[:n], from) || c.handleStandbyPacket(buf[:n]) {
 			continue
 		}
 		var p msg.MemberPacket
--- a/internal/control/rank.go
+++ b/internal/control/rank.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,15 +10,19 @@
 )
 
 // shouldWatch reports whether this host is one of the first WatchersPerDC live hosts of its
-// data centre in the order of rank. While the hosts' views of the membership differ, a few
-// more or fewer hosts watch, which is harmless. shouldWatch also sets c.watching and logs
-// each change of it.
+// data centre in the order of rank, or watches in place of one that the platform does not
+// serve. While the hosts' views of the membership differ, a few more or fewer hosts watch, which
+// is harmless. shouldWatch also sets c.watching and logs each change of it.
 func (c *Control) shouldWatch() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	watch := c.rank()+c.unknownBefore() < c.cfg.WatchersPerDC
+	standsIn, _ := c.standby.Watching()
+	watch := standsIn || c.rank()+c.unknownBefore() < c.cfg.WatchersPerDC
 	if watch != c.watching {
 		c.watching = watch
+		// What is known of the feeds is that of the last time that this host watched.
+		clear(c.failedFeeds)
+		clear(c.servedFeeds)
 		e := event.WatchStopped
 		if watch {
 			e = event.WatchStarted
@@ -38,7 +43,7 @@
 func (c *Control) waitFactor() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.rank() == 0 {
+	if _, shortWait := c.standby.Watching(); shortWait || c.rank() == 0 {
 		return 1
 	}
 	return backupWaitFactor
@@ -48,13 +53,9 @@
 // order of the hashes of their names, which is the same on all hosts. Hosts that are leaving
 // are not counted. The caller holds the lock.
 func (c *Control) rank() int {
-	local, _ := c.members.Live()
 	own := xxhash.Sum64String(c.cfg.Host)
 	before := 0
-	for _, host := range local {
-		if h, ok := c.hosts[host]; ok && h.Leaving {
-			continue
-		}
+	for _, host := range c.ranked() {
 		if xxhash.Sum64String(host) < own {
 			before++
 		}
@@ -62,6 +63,16 @@
 	return before
 }
 
+// ranked returns the other live hosts of this data centre that are not leaving, in no particular
+// order. The caller holds the lock.
+func (c *Control) ranked() []string {
+	local, _ := c.members.Live()
+	return slices.DeleteFunc(slices.Clone(local), func(host string) bool {
+		h, ok := c.hosts[host]
+		return ok && h.Leaving
+	})
+}
+
 // unknownBefore returns the number of hosts of this data centre that precede this one and are
 // known only from their Host records. It returns 0 once discoveryTime has passed since the
 // start. Without it, all hosts of a fleet would watch while they start together. With 24
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -186,10 +186,13 @@
 	Newest   int64  `json:"newest"`
 	// ActiveVersion is the newest record version in the directory that routes requests. It
 	// may briefly be behind Newest.
-	ActiveVersion       int64 `json:"inForce"`
-	Watching            bool  `json:"watching"`
-	PlatformUnavailable bool  `json:"platformAway"`
-	Isolated            bool  `json:"isolated"`
+	ActiveVersion int64 `json:"inForce"`
+	Watching      bool  `json:"watching"`
+	// Substitute is the host that watches the platform in place of this one, because the
+	// platform does not serve this one.
+	Substitute          string `json:"substitute,omitempty"`
+	PlatformUnavailable bool   `json:"platformAway"`
+	Isolated            bool   `json:"isolated"`
 	// Confirmed is the age and source of the last confirmation of each feed.
 	Confirmed      []Confirmation       `json:"confirmed"`
 	Rejected       []msg.RejectedRecord `json:"rejected"`
@@ -215,7 +218,7 @@
 	s := State{
 		Version: c.version, Leaving: c.leaving, Complete: c.replica.Complete(),
 		Records: set.Len(), Root: fmt.Sprintf("%016x", set.Root()), Newest: set.Newest(), ActiveVersion: c.activeVersion,
-		Watching: c.watching, PlatformUnavailable: len(c.failedFeeds) > 0, Isolated: c.members.Isolated(),
+		Watching: c.watching, Substitute: c.substitute, PlatformUnavailable: len(c.failedFeeds) > 0, Isolated: c.members.Isolated(),
 		Confirmed: c.confirmed.state(time.Now()),
 		Rejected:  []msg.RejectedRecord{}, Members: []MemberState{}, Traffic: c.loadTraffic.addTo(c.traffic),
 	}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -55,7 +55,18 @@
 		if c.shouldWatch() {
 			c.followFeeds(ctx, positions)
 		}
-		sleep.For(ctx, rankCheckInterval)
+		c.awaitDuty(ctx)
+	}
+}
+
+// awaitDuty waits for rankCheckInterval, or until this host is asked to watch in place of another.
+func (c *Control) awaitDuty(ctx context.Context) {
+	timer := time.NewTimer(rankCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.standbyChanged:
+	case <-ctx.Done():
 	}
 }
 
@@ -84,10 +95,11 @@
 	// fromList is true if the last response was a list, and onlyHosts if it contained Host
 	// records and nothing else.
 	fromList, onlyHosts bool
-	// failed is true if the last call failed. The platform may have been restored since from
-	// an earlier state in which the feed has reached the same revision again. A watch from
-	// there would only return with the next change, or at the end of its wait.
-	failed bool
+	// resume is true if the last call failed, or if this host has not watched since. The
+	// platform may have been restored since from an earlier state in which the feed has reached
+	// the same revision again. A watch from there would only return with the next change, or at
+	// the end of its wait.
+	resume bool
 }
 
 // followFeeds follows all feeds until this host is no longer a watcher. Each feed has its own
@@ -97,6 +109,7 @@
 	defer cancel()
 	ended := make(chan struct{}, len(positions))
 	for feed, p := range positions {
+		p.resume = true
 		go func() {
 			c.followFeed(ctx, feed, p)
 			ended <- struct{}{}
@@ -125,7 +138,7 @@
 			// The events after the list just read have already been discarded. This counts as
 			// a failure, because lists and watches could otherwise alternate without a pause.
 		}
-		p.failed = err != nil
+		p.resume = err != nil
 		if err != nil {
 			c.pauseAfterFailure(ctx, feed, &retry, began, err)
 			continue
@@ -154,7 +167,7 @@
 		return nil
 	}
 	waitFactor := c.waitFactor()
-	if p.failed {
+	if p.resume {
 		waitFactor = objects.NoWait
 	}
 	page, err := c.store.Watch(ctx, feed, p.revision, waitFactor)
@@ -189,6 +202,10 @@
 		event.Log(c.log, event.PlatformUnavailable, slog.String("cause", err.Error()))
 	}
 	c.failedFeeds[feed] = true
+	if feed != joinFeed {
+		c.standby.Failed(time.Now())
+		c.sendStandby()
+	}
 }
 
 // markSucceeded records that a call for a feed succeeded. Once no feed is marked as failed,
@@ -196,11 +213,18 @@
 func (c *Control) markSucceeded(feed objects.Feed) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.failedFeeds[feed] {
+	if c.failedFeeds[feed] {
+		delete(c.failedFeeds, feed)
+		if len(c.failedFeeds) == 0 {
+			event.Log(c.log, event.PlatformAvailable)
+		}
+	}
+	if feed == joinFeed {
 		return
 	}
-	delete(c.failedFeeds, feed)
-	if len(c.failedFeeds) == 0 {
-		event.Log(c.log, event.PlatformAvailable)
+	c.servedFeeds[feed] = true
+	if len(c.failedFeeds) == 0 && len(c.servedFeeds) == len(c.store.Feeds()) {
+		c.standby.Served()
+		c.sendStandby()
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -62,6 +62,7 @@
 	PlatformRestored        = Event{411, "platform restored", slog.LevelWarn}
 	RecordKept              = Event{412, "record kept", slog.LevelInfo}
 	RecordRestored          = Event{413, "record restored", slog.LevelInfo}
+	WatchHandedOver         = Event{414, "watch handed over", slog.LevelWarn}
 	HostJoined              = Event{500, "host joined", slog.LevelInfo}
 	HostSuspect             = Event{501, "host suspect", slog.LevelWarn}
 	HostDead                = Event{502, "host dead", slog.LevelWarn}
@@ -78,7 +79,7 @@
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
 		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged, ConcurrencyLimitLearned, ResponsePanic,
 		RecordApplied, RecordRefused, PlatformUnavailable, PlatformAvailable, WatchStarted, WatchStopped, RecordSetLoaded,
-		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten, PlatformRestored, RecordKept, RecordRestored,
+		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten, PlatformRestored, RecordKept, RecordRestored, WatchHandedOver,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
 	}
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -5,6 +5,7 @@
 package mesh
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/radishhoist/radishhoist/internal/core/config"
 	"github.com/radishhoist/radishhoist/internal/core/contact"
 	"github.com/radishhoist/radishhoist/internal/core/member"
+	"github.com/radishhoist/radishhoist/internal/core/standby"
 	"github.com/radishhoist/radishhoist/internal/msg"
 	"github.com/radishhoist/radishhoist/internal/objects"
 )
@@ -86,6 +88,11 @@
 	// platform's events.
 	watchedHistory, watchedRevision int64
 	watching                        bool
+	// standby decides which hosts watch in place of those that the platform turns away. nextCall
+	// is the time of the next call to the platform, and unanswered the time at which a call
+	// without a response fails, zero if there is none.
+	standby              *standby.Node
+	nextCall, unanswered time.Time
 }
 
 // Traffic counts messages and their bytes.
@@ -104,11 +111,20 @@
 	incarnation int
 	packet      *msg.MemberPacket
 	message     msg.Message
+	standby     *standby.Outbound
 }
 
 // Platform simulates the object API. Events are all changes of records, in order.
 type Platform struct {
+	// Unavailable is set while it refuses all calls.
 	Unavailable bool
+	// TurnedAway reports whether it refuses the calls of a host. Silent makes it leave them
+	// unanswered instead. Both apply only while TurnedAway is set.
+	TurnedAway func(*Host) bool
+	Silent     bool
+	// Calls counts the calls of watchers, and Called the hosts that made them.
+	Calls  int
+	Called map[*Host]bool
 	// History counts the restorations from earlier states. Revision is the number of Events.
 	History, Revision int64
 	Events            []msg.Entry
@@ -188,6 +204,8 @@
 func (m *Mesh) initHost(h *Host) {
 	h.Incarnation++
 	h.Up, h.watching = true, false
+	h.standby = standby.New(h.Name, m.cfg.Watchers)
+	h.nextCall, h.unanswered = time.Time{}, time.Time{}
 	h.version = (m.Now.Add(h.ClockSkew).UnixMilli() + int64(h.Incarnation)) << versionCounterBits
 	rng := rand.New(rand.NewPCG(m.rng.Uint64(), m.rng.Uint64()))
 	h.Members = member.New(member.DefaultConfig(h.Name), h.DC, h.Name, h.version, rng)
@@ -326,12 +344,51 @@
 	}
 }
 
-// watch reads changes from the platform if the host is one of the watchers of its data centre.
+// The platform calls of a watcher: a watch that is held, the pause after one, the mean pause after
+// a call that failed, and the time after which a call without a response fails.
+const (
+	firstWatchWait  = 600 * time.Millisecond
+	backupWatchWait = 4 * firstWatchWait
+	watchPause      = 200 * time.Millisecond
+	failurePause    = 400 * time.Millisecond
+	readTimeout     = 3 * time.Second
+)
+
+// watch reads changes from the platform if the host is one of the watchers of its data centre, or
+// watches in place of one. A change ends a watch at once, so that changes are read whenever watch
+// is called; calls are counted as if watches were held.
 func (m *Mesh) watch(h *Host) {
-	if m.Platform.Unavailable || m.rank(h) >= m.cfg.Watchers {
+	rank := -1
+	if h.standby.Active() {
+		rank = m.rank(h)
+		h.standby.Tick(m.Now, m.standbyPosition(h, rank))
+		m.sendStandby(h)
+	}
+	standsIn, shortWait := h.standby.Watching()
+	if !standsIn {
+		if rank < 0 {
+			rank = m.rank(h)
+		}
+		if rank >= m.cfg.Watchers {
+			h.watching, h.unanswered = false, time.Time{}
+			return
+		}
+	}
+	if m.Platform.refuses(h) {
 		h.watching = false
+		m.callInVain(h)
 		return
 	}
+	if h.unanswered.IsZero() && !m.Now.Before(h.nextCall) {
+		wait := backupWatchWait
+		if shortWait || rank == 0 {
+			wait = firstWatchWait
+		}
+		m.countCall(h, wait+watchPause)
+	}
+	h.unanswered = time.Time{}
+	h.standby.Served()
+	m.sendStandby(h)
 	switch {
 	case !h.watching || h.watchedHistory != m.Platform.History:
 		m.Platform.Reads++
@@ -344,6 +401,63 @@
 	h.watchedHistory, h.watchedRevision = m.Platform.History, m.Platform.Revision
 }
 
+// refuses reports whether the calls of a host fail.
+func (p *Platform) refuses(h *Host) bool {
+	return p.Unavailable || p.TurnedAway != nil && p.TurnedAway(h)
+}
+
+// callInVain makes a call that fails, at once or after readTimeout.
+func (m *Mesh) callInVain(h *Host) {
+	silent := m.Platform.Silent && !m.Platform.Unavailable
+	switch {
+	case !h.unanswered.IsZero() && m.Now.Before(h.unanswered):
+		return
+	case h.unanswered.IsZero() && m.Now.Before(h.nextCall):
+		return
+	case h.unanswered.IsZero() && silent:
+		m.countCall(h, failurePause)
+		h.unanswered = m.Now.Add(readTimeout)
+		return
+	case h.unanswered.IsZero():
+		m.countCall(h, failurePause)
+	}
+	h.unanswered = time.Time{}
+	h.standby.Failed(m.Now)
+	m.sendStandby(h)
+}
+
+func (m *Mesh) countCall(h *Host, next time.Duration) {
+	m.Platform.Calls++
+	if m.Platform.Called != nil {
+		m.Platform.Called[h] = true
+	}
+	h.nextCall = m.Now.Add(next)
+}
+
+// standbyPosition returns the position of a host in its data centre.
+func (m *Mesh) standbyPosition(h *Host, rank int) standby.Position {
+	p := standby.Position{Rank: rank}
+	if rank >= m.cfg.Watchers {
+		return p
+	}
+	local, _ := h.Members.Live()
+	hosts := append(slices.Clone(local), h.Name)
+	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	if len(hosts) > m.cfg.Watchers {
+		p.Candidates = hosts[m.cfg.Watchers:]
+	}
+	return p
+}
+
+// sendStandby sends the pending requests and replies of a host's standby core.
+func (m *Mesh) sendStandby(h *Host) {
+	for _, o := range h.standby.Take() {
+		if to, ok := m.byName[o.To]; ok {
+			m.send(delivery{from: h, to: to, standby: &o})
+		}
+	}
+}
+
 // rank returns the position of a host among the live hosts of its data centre, ordered by the hash of
 // their names. The lowest ranks are the watchers.
 func (m *Mesh) rank(h *Host) int {
@@ -435,6 +549,15 @@
 	if !d.to.Up || d.to.Paused || d.to.Incarnation != d.incarnation || m.Dropped(d.from, d.to) {
 		return
 	}
+	if d.standby != nil {
+		if r := d.standby.Request; r != nil {
+			d.to.standby.StepRequest(m.Now, r, m.rank(d.to) < m.cfg.Watchers)
+		} else {
+			d.to.standby.StepReply(m.Now, d.standby.Reply)
+		}
+		m.sendStandby(d.to)
+		return
+	}
 	if d.packet != nil {
 		d.to.Received.add(d.packet.Msgsize()/2 + headerBytes)
 		// Several deliveries may share a packet, so each receiver gets a copy.
