announce: announcements of another writer change no instance

Cause: an announcement without a sequence number was taken for newer than all numbered ones, one without state for ready, and a running instance could change its service.

Change: after a numbered announcement one without a number is refused, as one without a start time is after one with it. A start keeps its service.

--- a/internal/core/announce/announce.go
+++ b/internal/core/announce/announce.go
@@ -92,6 +92,9 @@
 	Restarted bool
 	// Replaces is the instance that held the address before, empty if there is none.
 	Replaces string
+	// Unnumbered reports that the announcement is refused because it has no sequence number
+	// although the instance numbers its announcements: it is from another writer.
+	Unnumbered bool
 }
 
 // Apply processes one announcement.
@@ -100,7 +103,7 @@
 	e, known := t.byName[name]
 	restarted := known && e.isNewStart(now, stamp)
 	if known && !restarted && (e.state == gone || e.isOutdated(stamp)) {
-		return Outcome{}
+		return Outcome{Unnumbered: e.lacksNumber(stamp)}
 	}
 	holder := t.holders[address]
 	if holder == name {
@@ -129,6 +132,13 @@
 	return Outcome{Accepted: true, Restarted: restarted, Replaces: holder}
 }
 
+// IsCurrentStart reports whether an announcement with the given start time is of the start of a
+// present instance that has announced itself within holderTimeout.
+func (t *Tracker) IsCurrentStart(now time.Time, name string, startedMS int64) bool {
+	e, known := t.byName[name]
+	return known && e.state == present && e.latest.StartedMS == startedMS && now.Sub(e.lastSeen) < holderTimeout
+}
+
 // isNewStart reports whether stamp is the first announcement received from another, newer
 // start. The clock may have been set back between two starts, so an earlier start time
 // alone does not mean an older start.
@@ -146,7 +156,13 @@
 // isOutdated reports whether stamp, which is not from a new start, is from an earlier start
 // or not newer than the latest announcement.
 func (e *entry) isOutdated(stamp Stamp) bool {
-	return stamp.StartedMS != e.latest.StartedMS || stamp.Sequence > 0 && stamp.Sequence <= e.latest.Sequence
+	return stamp.StartedMS != e.latest.StartedMS || e.lacksNumber(stamp) || stamp.Sequence > 0 && stamp.Sequence <= e.latest.Sequence
+}
+
+// lacksNumber reports whether stamp has no sequence number although the current start numbers its
+// announcements. An instance numbers all of them or none.
+func (e *entry) lacksNumber(stamp Stamp) bool {
+	return stamp.Sequence == 0 && e.latest.Sequence > 0
 }
 
 // beginStart adds the current start to the past ones and begins a new one.
--- a/internal/core/announce/announce_test.go
+++ b/internal/core/announce/announce_test.go
@@ -152,3 +152,14 @@
 	assert.Assert(t, tracker.Apply(at(1), "i", address, Stamp{StartedMS: startMS(0), Sequence: 1}).Accepted)
 	assert.Assert(t, !tracker.Apply(at(2), "i", address, Stamp{Sequence: 99}).Accepted)
 }
+
+// Guards against an announcement of another writer, without a sequence number, that is taken for newer
+// than all numbered ones.
+func TestUnnumberedAnnouncementIsRefusedAfterNumberedOnes(t *testing.T) {
+	tracker := NewTracker()
+	assert.Assert(t, tracker.Apply(at(0), "i", address, Stamp{Sequence: 5}).Accepted)
+	assert.DeepEqual(t, tracker.Apply(at(1), "i", "10.0.0.9:1", Stamp{}), Outcome{Unnumbered: true})
+	assert.DeepEqual(t, tracker.Apply(at(2), "i", address, Stamp{Sequence: 6}), Outcome{Accepted: true})
+	tracker.Leave(at(3), "i", 0)
+	assert.DeepEqual(t, tracker.Apply(at(4), "i", address, Stamp{}), Outcome{Unnumbered: true})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,8 +110,9 @@
 	d.guard = guard.New(guard.Config{
 		Host: cfg.Host, QueuePerSlot: cfg.QueuePerSlot, GrantTTL: cfg.GrantTTL,
 		FairShares: cfg.FairShares, KeepLate: cfg.FairShares || cfg.LearnRefusals, LearnRefusals: cfg.LearnRefusals,
-		LearnConcurrency:  cfg.LearnConcurrency,
-		TargetIdleTimeout: cfg.TargetIdleTimeout, Dialect: adapter.Dialect,
+		LearnConcurrency:    cfg.LearnConcurrency,
+		StrictAnnouncements: cfg.StrictAnnouncements,
+		TargetIdleTimeout:   cfg.TargetIdleTimeout, Dialect: adapter.Dialect,
 	}, guardLimits(cfg), log, d.keys, guard.Hooks{
 		Changed:     func() { d.control.InstancesChanged() },
 		LoadReport:  d.distributeLoadReport,
--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -85,7 +85,11 @@
 // Announce applies an announcement. One that is older than the known state changes
 // nothing. After it returns, an instance that is leaving gets no new requests.
 func (g *Guard) Announce(now time.Time, name string, a Announcement) error {
-	if err := a.validate(name); err != nil {
+	err := a.validate(name)
+	if err == nil && g.cfg.StrictAnnouncements {
+		err = a.checkComplete()
+	}
+	if err != nil {
 		return err
 	}
 	inst, created, err := g.register(now, name, a)
@@ -118,8 +122,14 @@
 		}
 		return nil, false, errors.Errorf("service: no Service record in force is named %q; use the name of an existing one", a.Service)
 	}
+	if known && !sameService && g.announcements.IsCurrentStart(now, name, a.StartedMS) {
+		return nil, false, errors.Errorf("service: %q runs as an instance of %q; a service changes only with a new start, under another name or with another born", name, inst.service)
+	}
 	outcome := g.announcements.Apply(now, name, a.Address, a.stamp())
-	if !outcome.Accepted {
+	switch {
+	case outcome.Unnumbered:
+		return nil, false, errors.New("sequence: missing, although earlier announcements of this instance have one; number all of them or none")
+	case !outcome.Accepted:
 		return nil, false, nil
 	}
 	if outcome.Replaces != "" {
@@ -174,6 +184,19 @@
 	return nil
 }
 
+// checkComplete returns an error for a missing field that every instance of a deployment with
+// Config.StrictAnnouncements sends.
+func (a *Announcement) checkComplete() error {
+	const remedy = "announcements must have state and sequence here, see [guard] strict_announcements"
+	switch {
+	case a.State == "":
+		return errors.New("state: missing; " + remedy)
+	case a.Sequence == 0:
+		return errors.New("sequence: missing; " + remedy)
+	}
+	return nil
+}
+
 // Withdraw removes an instance at its own request. startedMS is the start time of the
 // instance as in its announcements, 0 if not given: a delayed request from an earlier
 // start removes nothing.
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -46,6 +46,9 @@
 	// LearnRefusals counts every refusal of an instance in its shed share, and keeps scarce
 	// retry budget for the retries that save more.
 	LearnRefusals bool
+	// StrictAnnouncements refuses announcements without state or sequence number. Where all
+	// instances send both, one without is from another writer.
+	StrictAnnouncements bool
 	// LearnConcurrency limits the running requests of an instance to those with the best goodput.
 	LearnConcurrency bool
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,6 +71,8 @@
 	QueuePerSlot int
 	// GrantTTL is how long a reserved slot is held for the request to run in it.
 	GrantTTL time.Duration
+	// StrictAnnouncements refuses announcements of targets without state or sequence.
+	StrictAnnouncements bool
 	// AnnounceExpiry is how long after its last announcement a target counts as gone.
 	AnnounceExpiry time.Duration
 	// DrainTimeout is the time from the stop signal until the process is killed, in which
