announce: a start that a delayed announcement has replaced resumes

Cause: a first announcement of an unknown start replaces the running one even if it began earlier, since the clock may have been set back between two starts. Two delayed announcements of a crashed start did so, and all that the running one said from then on was confirmed and ignored.

Change: while a start is replaced by one that began earlier, its leaving is applied at once, until the other announces itself. With two newer announcements at least 1 s apart, and none of the other between them, it is the current one again, and requests that are running are not aborted. A true start with a clock that is behind keeps its place, as it goes on announcing itself.

Measured: TestRunningStartResumesAfterDelayedFirstAnnouncements and TestLeavingOfContestedStartIsApplied failed before the change and pass; a third test guards the start with a clock that is behind.

--- a/internal/core/announce/announce.go
+++ b/internal/core/announce/announce.go
@@ -25,6 +25,10 @@
 	// again with each start, and a delayed announcement of an older start usually has a
 	// higher one.
 	maxFirstSequence = 2
+	// resumeTime is the time over which an earlier start must announce itself, without an
+	// announcement of the one that replaced it, to be taken for the running one again.
+	// Announcements that a partition has delayed usually arrive together.
+	resumeTime = time.Second
 	// maxPastStarts is the number of earlier starts remembered per instance.
 	maxPastStarts = 8
 	// maxEntries is the number of instances remembered. Above it, the instance whose last
@@ -58,13 +62,21 @@
 // may have been lost.
 func (s Stamp) IsFirst() bool { return s.Sequence > 0 && s.Sequence <= maxFirstSequence }
 
+// pastStart is an earlier start of an instance.
+type pastStart struct {
+	// latest is the newest Stamp.
+	latest Stamp
+	// resumedAt is the time of the first announcement since the last one of the current start,
+	// zero if there is none.
+	resumedAt time.Time
+}
+
 // entry is what is known about one instance.
 type entry struct {
 	address string
-	// latest is the newest accepted Stamp; pastStarts holds the StartedMS of earlier
-	// starts.
+	// latest is the newest accepted Stamp.
 	latest     Stamp
-	pastStarts []int64
+	pastStarts []pastStart
 	lastSeen   time.Time
 	state      state
 }
@@ -92,6 +104,9 @@
 	Restarted bool
 	// Replaces is the instance that held the address before, empty if there is none.
 	Replaces string
+	// Contested reports that the announcement is refused because another start has replaced
+	// this one, although that one was begun earlier by its clock: either may be running.
+	Contested bool
 	// Unnumbered reports that the announcement is refused because it has no sequence number
 	// although the instance numbers its announcements: it is from another writer.
 	Unnumbered bool
@@ -102,8 +117,12 @@
 	t.evict(now)
 	e, known := t.byName[name]
 	restarted := known && e.isNewStart(now, stamp)
-	if known && !restarted && (e.state == gone || e.isOutdated(stamp)) {
-		return Outcome{Unnumbered: e.lacksNumber(stamp)}
+	resumed, contested := false, false
+	if known && !restarted && e.state != gone {
+		resumed, contested = e.observePastStart(now, stamp)
+	}
+	if known && !restarted && !resumed && (e.state == gone || e.isOutdated(stamp)) {
+		return Outcome{Unnumbered: e.lacksNumber(stamp), Contested: contested}
 	}
 	holder := t.holders[address]
 	if holder == name {
@@ -127,6 +146,9 @@
 		e.beginStart(stamp.StartedMS)
 	}
 	e.latest = Stamp{StartedMS: stamp.StartedMS, Sequence: max(e.latest.Sequence, stamp.Sequence)}
+	for i := range e.pastStarts {
+		e.pastStarts[i].resumedAt = time.Time{}
+	}
 	e.address, e.lastSeen, e.state = address, now, present
 	t.holders[address] = name
 	return Outcome{Accepted: true, Restarted: restarted, Replaces: holder}
@@ -144,7 +166,7 @@
 // alone does not mean an older start.
 func (e *entry) isNewStart(now time.Time, stamp Stamp) bool {
 	switch {
-	case stamp.StartedMS == 0 || stamp.StartedMS == e.latest.StartedMS || slices.Contains(e.pastStarts, stamp.StartedMS):
+	case stamp.StartedMS == 0 || stamp.StartedMS == e.latest.StartedMS || e.pastIndex(stamp.StartedMS) >= 0:
 		return false
 	case stamp.StartedMS > e.latest.StartedMS:
 		return true
@@ -165,10 +187,46 @@
 	return stamp.Sequence == 0 && e.latest.Sequence > 0
 }
 
+// pastIndex returns the index of an earlier start, -1 if it is not one.
+func (e *entry) pastIndex(startedMS int64) int {
+	return slices.IndexFunc(e.pastStarts, func(p pastStart) bool { return p.latest.StartedMS == startedMS })
+}
+
+// contests reports whether an earlier start began after the current one by their clocks. The
+// current one was accepted because the clock may have been set back, or because its delayed first
+// announcement looked like that.
+func (e *entry) contests(startedMS int64) bool {
+	return startedMS > e.latest.StartedMS && e.pastIndex(startedMS) >= 0
+}
+
+// observePastStart records a newer announcement of an earlier start that contests the current one.
+// If it has announced itself for resumeTime, and the current one has not meanwhile, it becomes the
+// current one again.
+func (e *entry) observePastStart(now time.Time, stamp Stamp) (resumed, contested bool) {
+	if !e.contests(stamp.StartedMS) {
+		return false, false
+	}
+	i := e.pastIndex(stamp.StartedMS)
+	p := &e.pastStarts[i]
+	if stamp.Sequence <= p.latest.Sequence {
+		return false, false
+	}
+	p.latest.Sequence = stamp.Sequence
+	if p.resumedAt.IsZero() {
+		p.resumedAt = now
+	}
+	if now.Sub(p.resumedAt) < resumeTime {
+		return false, true
+	}
+	e.pastStarts = append(slices.Delete(e.pastStarts, i, i+1), pastStart{latest: e.latest})
+	e.latest = stamp
+	return true, false
+}
+
 // beginStart adds the current start to the past ones and begins a new one.
 func (e *entry) beginStart(startedMS int64) {
 	if e.latest.StartedMS != 0 {
-		e.pastStarts = append(e.pastStarts, e.latest.StartedMS)
+		e.pastStarts = append(e.pastStarts, pastStart{latest: e.latest})
 	}
 	if len(e.pastStarts) > maxPastStarts {
 		e.pastStarts = e.pastStarts[1:]
@@ -176,6 +234,12 @@
 	e.latest = Stamp{StartedMS: startedMS}
 }
 
+// Contests reports whether an earlier start of the instance may be the one that is running.
+func (t *Tracker) Contests(name string, startedMS int64) bool {
+	e, known := t.byName[name]
+	return known && e.state == present && e.contests(startedMS)
+}
+
 // Leave records that an instance has left. Announcements of that start are no longer
 // accepted. startedMS identifies the start, or is 0 if unknown. Leave reports whether the
 // instance is gone: if an earlier start leaves, the running one is not affected.
--- a/internal/core/announce/announce_test.go
+++ b/internal/core/announce/announce_test.go
@@ -163,3 +163,41 @@
 	tracker.Leave(at(3), "i", 0)
 	assert.DeepEqual(t, tracker.Apply(at(4), "i", address, Stamp{}), Outcome{Unnumbered: true})
 }
+
+// Guards against delayed first announcements of a crashed start that replace the running one for good:
+// its later announcements were taken for those of an earlier start.
+func TestRunningStartResumesAfterDelayedFirstAnnouncements(t *testing.T) {
+	crashed, running := startMS(0), startMS(5)
+	for _, gap := range []float64{0, 0.4, 1.4} {
+		tracker := NewTracker()
+		assert.Assert(t, tracker.Apply(at(5), "i", address, Stamp{StartedMS: running, Sequence: 1}).Accepted)
+		assert.Assert(t, tracker.Apply(at(6.5), "i", address, Stamp{StartedMS: running, Sequence: 2}).Accepted)
+		tracker.Apply(at(7), "i", address, Stamp{StartedMS: crashed, Sequence: 1})
+		tracker.Apply(at(7+gap), "i", address, Stamp{StartedMS: crashed, Sequence: 2})
+		accepted := 0.0
+		for n, seconds := uint64(3), 8.5; seconds < 13; n, seconds = n+1, seconds+1.5 {
+			out := tracker.Apply(at(seconds), "i", address, Stamp{StartedMS: running, Sequence: n})
+			assert.Assert(t, !out.Restarted, "requests that are running must not be aborted")
+			assert.Equal(t, out.Contested, !out.Accepted)
+			if out.Accepted && accepted == 0 {
+				accepted = seconds
+			}
+		}
+		assert.Assert(t, accepted > 0 && accepted <= 7+gap+2*1.5, "accepted at %.1f s", accepted)
+		assert.Assert(t, tracker.Leave(at(13), "i", running))
+	}
+}
+
+// A start with a clock that is behind keeps its place while it announces itself, whatever arrives late
+// of the start before.
+func TestStartWithClockBehindIsNotReplacedByDelayedAnnouncements(t *testing.T) {
+	tracker := NewTracker()
+	assert.Assert(t, tracker.Apply(at(1), "i", address, Stamp{StartedMS: startMS(0), Sequence: 40}).Accepted)
+	for n := range uint64(8) {
+		seconds := 2 + 1.5*float64(n)
+		out := tracker.Apply(at(seconds), "i", address, Stamp{StartedMS: startMS(-7), Sequence: n + 1})
+		assert.Assert(t, out.Accepted && out.Restarted == (n == 0))
+		late := tracker.Apply(at(seconds+0.7), "i", address, Stamp{StartedMS: startMS(0), Sequence: 41 + n})
+		assert.DeepEqual(t, late, Outcome{Contested: true})
+	}
+}
--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -129,6 +129,10 @@
 	switch {
 	case outcome.Unnumbered:
 		return nil, false, errors.New("sequence: missing, although earlier announcements of this instance have one; number all of them or none")
+	case outcome.Contested && a.isLeaving() && known:
+		// Whichever start is running, no request may reach the one that leaves. The next
+		// announcement of the other one ends this.
+		return inst, false, nil
 	case !outcome.Accepted:
 		return nil, false, nil
 	}
@@ -202,8 +206,12 @@
 // start removes nothing.
 func (g *Guard) Withdraw(now time.Time, name string, startedMS int64) {
 	g.mu.Lock()
-	if g.announcements.Leave(now, name, startedMS) {
+	inst, known := g.instances[name]
+	switch {
+	case g.announcements.Leave(now, name, startedMS):
 		g.remove(name, "withdrawn")
+	case known && g.announcements.Contests(name, startedMS):
+		inst.beginLeaving()
 	}
 	g.mu.Unlock()
 	g.onChanged()
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -173,14 +173,28 @@
 		i.resetConcurrency(now)
 	}
 	i.softwareVersion = a.Version
-	if i.leaving != a.isLeaving() {
-		i.leaving = a.isLeaving()
-		i.updateQueue()
-		event.Log(i.guard.log, event.InstanceLeaving, slog.String("instance", i.name), slog.Bool("leaving", i.leaving))
-	}
+	i.setLeaving(a.isLeaving())
 	return i.setWarmUp(now, a) || changed
 }
 
+// beginLeaving ends the admission of requests until the next announcement.
+func (i *instance) beginLeaving() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.setLeaving(true)
+}
+
+// setLeaving sets whether the instance accepts no new requests because it is leaving. The caller
+// must hold i.mu.
+func (i *instance) setLeaving(leaving bool) {
+	if i.leaving == leaving {
+		return
+	}
+	i.leaving = leaving
+	i.updateQueue()
+	event.Log(i.guard.log, event.InstanceLeaving, slog.String("instance", i.name), slog.Bool("leaving", leaving))
+}
+
 // observeLeaving applies a response in which the instance states that it is leaving.
 func (i *instance) observeLeaving(h http.Header) {
 	name := i.guard.cfg.Dialect.Leaving
--- a/internal/guard/restart_test.go
+++ b/internal/guard/restart_test.go
@@ -214,3 +214,34 @@
 		}
 	})
 }
+
+// Guards against a leaving that is confirmed and ignored: delayed first announcements of a crashed start
+// had replaced the running one, so that requests reached the instance after it had left.
+func TestLeavingOfContestedStartIsApplied(t *testing.T) {
+	const address = "127.0.0.1:1"
+	for name, leave := range map[string]func(g *Guard) int{
+		"announced": func(g *Guard) int {
+			return sendAnnouncement(g, http.MethodPut, "n", strings.Replace(readyBody(address, 5000, 3), "ready", "draining", 1))
+		},
+		"withdrawn": func(g *Guard) int { return sendAnnouncement(g, http.MethodDelete, "n", `{"born":5000}`) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestGuard(t, address)
+			assert.Equal(t, sendAnnouncement(g, http.MethodPut, "n", readyBody(address, 5000, 1)), http.StatusOK)
+			assert.Equal(t, sendAnnouncement(g, http.MethodPut, "n", readyBody(address, 5000, 2)), http.StatusOK)
+			for sequence := range 2 {
+				assert.Equal(t, sendAnnouncement(g, http.MethodPut, "n", readyBody(address, 1000, sequence+1)), http.StatusOK)
+			}
+			changes := 0
+			g.onChanged = func() { changes++ }
+			assert.Assert(t, leave(g) < http.StatusMultipleChoices)
+			inst, ok := g.find("s", "n")
+			assert.Assert(t, ok)
+			assert.Equal(t, inst.announced().State, directory.Leaving)
+			assert.Assert(t, changes > 0, "other hosts are not told")
+			// The start that contests it is running after all.
+			assert.Equal(t, sendAnnouncement(g, http.MethodPut, "n", readyBody(address, 1000, 3)), http.StatusOK)
+			assert.Equal(t, inst.announced().State, directory.Serving)
+		})
+	}
+}
