--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -248,7 +248,7 @@
 	case CutSilent, CutReset, CutSlow:
 		n.platformProxy.setMode(f.Kind)
 		return func() { n.platformProxy.setMode("") }
-	case TargetFails, TargetSlow, TargetCuts, TargetLimits, TargetLeaves, TargetRefuses:
+	case TargetFails, TargetSlow, TargetCuts, TargetLimits, TargetLeaves, TargetRefuses, TargetDeclares:
 		_ = n.target.SetBehaviour(behaviours[f.Kind])
 		return func() { _ = n.target.SetBehaviour(target.Behaviour{Mode: target.Good}) }
 	case ServiceRefuses:
@@ -274,6 +274,8 @@
 	TargetSlow:  {Mode: target.Slow, Factor: 20},
 	TargetCuts:  {Mode: target.Truncate, Share: 0.5},
 
+	TargetDeclares: {Mode: target.Oversize, Share: 0.5},
+
 	TargetLimits: {Mode: target.Good, RateLimit: 2},
 	TargetLeaves: {Mode: target.Good, Leaving: true},
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -51,6 +51,8 @@
 	// a slot is free, and ServiceRefuses all instances of the contended service.
 	TargetRefuses  FaultKind = "target-refuses"
 	ServiceRefuses FaultKind = "service-refuses"
+	// TargetDeclares makes a host's instance declare the greatest length for half of its responses.
+	TargetDeclares FaultKind = "target-declares"
 	// TeamSurge makes one team send many times its usual rate to the contended service.
 	TeamSurge FaultKind = "team-surge"
 )
@@ -75,6 +77,7 @@
 	{ServiceRefuses, 3 * time.Second, 5 * time.Second, 8 * time.Second},
 	// A surge is longer than shareKnownTime, from which on shares are checked.
 	{TeamSurge, shareKnownTime + 2*time.Second, 8 * time.Second, 2 * time.Second},
+	{TargetDeclares, 500 * time.Millisecond, 4 * time.Second, 3 * time.Second},
 }
 
 // affectsPlatform reports whether the fault affects the platform rather than one host.
@@ -84,7 +87,7 @@
 
 // affectsTarget reports whether the fault affects an instance rather than a daemon.
 func (k FaultKind) affectsTarget() bool {
-	return k == TargetFails || k == TargetSlow || k == TargetCuts || k == TargetLimits || k == TargetLeaves || k == TargetRefuses
+	return k == TargetFails || k == TargetSlow || k == TargetCuts || k == TargetLimits || k == TargetLeaves || k == TargetRefuses || k == TargetDeclares
 }
 
 // affectsLink reports whether the fault affects the connections of a host to the platform.
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -38,6 +38,9 @@
 	// Truncate closes the connection halfway through the body of a Behaviour.Share of
 	// responses.
 	Truncate Mode = "truncate"
+	// Oversize declares the greatest length for a Behaviour.Share of responses, and closes the
+	// connection after their body.
+	Oversize Mode = "oversize"
 	// Swap sets the id of another request in the response to a Behaviour.Share of
 	// requests.
 	Swap Mode = "swap"
@@ -310,6 +313,12 @@
 	if size, err := strconv.Atoi(r.URL.Query().Get("size")); err == nil && size > len(out) {
 		out = append(out, bytes.Repeat([]byte("."), size-len(out))...)
 	}
+	if b.Mode == Oversize && affected {
+		w.Header().Set("Content-Length", strconv.Itoa(math.MaxInt64))
+		_, _ = w.Write(out)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
 	if b.Mode == Truncate && affected {
 		_, _ = w.Write(out[:len(out)/2])
