standin: a truncated response of the target is sent up to its middle

Cause: a response of below 2 KB stayed in the server's buffer when the handler ended, so that the connection was closed without a response; nothing truncated short responses.

Change: the half is flushed first.

--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -322,6 +322,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
 	if b.Mode == Truncate && affected {
 		_, _ = w.Write(out[:len(out)/2])
+		_ = http.NewResponseController(w).Flush() // without it, a short response is dropped as a whole
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(out)
