soak: the end of a fault reaches an instance that is down

Cause: the end of target-limits fell into the 2 s in which the instance was down after a crash, and was lost. The instance went on stating its limit, as one line 311 without a second shows, and the host rightly kept to it.

Change: the end of an instance's fault is repeated until the instance takes it. No check or bound has changed.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -250,7 +250,7 @@
 		return func() { n.platformProxy.setMode("") }
 	case TargetFails, TargetSlow, TargetCuts, TargetLimits, TargetLeaves, TargetRefuses, TargetDeclares:
 		_ = n.target.SetBehaviour(behaviours[f.Kind])
-		return func() { _ = n.target.SetBehaviour(target.Behaviour{Mode: target.Good}) }
+		return func() { resetBehaviour(n.target) }
 	case ServiceRefuses:
 		r.setContended(behaviours[f.Kind])
 		return func() { r.setContended(target.Behaviour{Mode: target.Good}) }
@@ -269,6 +269,14 @@
 	}
 }
 
+// resetBehaviour ends the fault of an instance. The instance may be down, because a request has
+// crashed it, and would go on with the fault once it is back.
+func resetBehaviour(t *lab.Target) {
+	for deadline := time.Now().Add(2 * downtime); t.SetBehaviour(target.Behaviour{Mode: target.Good}) != nil && time.Now().Before(deadline); {
+		time.Sleep(sampleInterval)
+	}
+}
+
 var behaviours = map[FaultKind]target.Behaviour{
 	TargetFails: {Mode: target.Errors, Share: 0.8},
 	TargetSlow:  {Mode: target.Slow, Factor: 20},
