standby: a search after a served candidate is quick again

What callers would see: in a small data centre, whose candidates had all been asked before, a substitute that is turned away in its turn is replaced only 10 s after it was asked, as in an outage of the platform. Found by reading.

Cause: the count of candidates asked was reset when the watcher itself is served, not when a candidate is.

Change: a served candidate resets it. The candidates are sorted only when one is to be asked, not on each tick, so that the work of a tick during an outage does not follow the size of the data centre.

Measured: TestLaterSearchIsQuickAgain fails without the reset and passes; the tests of control and the emulator's of hosts turned away pass.

--- a/internal/control/standby.go
+++ b/internal/control/standby.go
@@ -37,19 +37,13 @@
 	}
 }
 
-// standbyPosition returns the position of this host in its data centre. The candidates are
-// needed, and sorted, only while a watcher's calls fail. The caller holds the lock.
+// standbyPosition returns the position of this host in its data centre. The caller holds the lock.
 func (c *Control) standbyPosition() standby.Position {
-	p := standby.Position{Rank: c.rank()}
-	if p.Rank >= c.cfg.WatchersPerDC || len(c.failedFeeds) == 0 {
-		return p
-	}
-	hosts := append(c.ranked(), c.cfg.Host)
-	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	if len(hosts) > c.cfg.WatchersPerDC {
-		p.Candidates = hosts[c.cfg.WatchersPerDC:]
-	}
-	return p
+	return standby.Position{Rank: c.rank(), Candidates: func() []string {
+		hosts := append(c.ranked(), c.cfg.Host)
+		slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+		return hosts[min(c.cfg.WatchersPerDC, len(hosts)):]
+	}}
 }
 
 // sendStandby sends the pending requests and replies. The caller holds the lock.
--- a/internal/core/standby/standby.go
+++ b/internal/core/standby/standby.go
@@ -49,8 +49,9 @@
 // rank. Hosts of a rank below the number of watchers are the watchers.
 type Position struct {
 	Rank int
-	// Candidates are the hosts that are no watchers, in the order of rank.
-	Candidates []string
+	// Candidates returns the hosts that are no watchers, in the order of rank. It is called only
+	// when a watcher may ask another host.
+	Candidates func() []string
 }
 
 // Outbound is a message to a host.
@@ -84,7 +85,7 @@
 	repliedAt time.Time
 	requestID uint64
 	// skipped counts the candidates that were given up, and asked those asked since the
-	// watcher was last served.
+	// platform last served the watcher or a candidate.
 	skipped, asked int
 	nextAt         time.Time
 }
@@ -188,6 +189,8 @@
 		return
 	}
 	s.served, s.repliedAt = true, now
+	// The platform serves some hosts: if it turns this one away later, the search is quick again.
+	s.asked = 0
 }
 
 // Active reports whether Tick has anything to do.
@@ -228,24 +231,33 @@
 	switch {
 	case s.candidate != "" && now.Sub(s.sentAt) >= interval:
 		n.request(now, p)
-	case s.candidate == "" && len(p.Candidates) > 0 && !now.Before(s.nextAt):
-		// The watchers of a data centre start at different candidates.
-		start := p.Rank * len(p.Candidates) / n.watchers
-		s.candidate = p.Candidates[(start+s.skipped)%len(p.Candidates)]
-		s.askedAt, s.served = now, false
-		s.requestID++
-		s.nextAt = now.Add(s.interval(len(p.Candidates)))
-		s.asked++
-		n.request(now, p)
+	case s.candidate == "" && !now.Before(s.nextAt):
+		n.askNext(now, p)
+	}
+}
+
+// askNext asks the next candidate.
+func (n *Node) askNext(now time.Time, p Position) {
+	s, candidates := &n.search, p.Candidates()
+	if len(candidates) == 0 {
+		return
 	}
+	// The watchers of a data centre start at different candidates.
+	start := p.Rank * len(candidates) / n.watchers
+	s.candidate = candidates[(start+s.skipped)%len(candidates)]
+	s.askedAt, s.served = now, false
+	s.requestID++
+	s.asked++
+	s.nextAt = now.Add(s.interval(len(candidates)))
+	n.request(now, p)
 }
 
 // interval returns the time until the next candidate may be asked.
 func (s *search) interval(candidates int) time.Duration {
 	switch {
-	case s.asked+1 >= candidates:
+	case s.asked >= candidates:
 		return outageInterval
-	case s.asked+1 >= quickCandidates:
+	case s.asked >= quickCandidates:
 		return manyInterval
 	}
 	return candidateInterval
--- a/internal/core/standby/standby_test.go
+++ b/internal/core/standby/standby_test.go
@@ -63,7 +63,7 @@
 		for i := range d.hosts {
 			if !d.stopped[i] {
 				d.call(i)
-				d.hosts[i].Tick(d.now, Position{Rank: i, Candidates: d.names[watchers:]})
+				d.hosts[i].Tick(d.now, Position{Rank: i, Candidates: d.candidates})
 			}
 		}
 		for i := range d.hosts {
@@ -72,6 +72,8 @@
 	}
 }
 
+func (d *dataCentre) candidates() []string { return d.names[watchers:] }
+
 // call makes the platform calls of a host.
 func (d *dataCentre) call(i int) {
 	n := d.hosts[i]
@@ -189,11 +191,27 @@
 	}
 }
 
+func twoCandidates() []string { return []string{"a", "b"} }
+
+// Guards against a search that stays as slow as in an outage of the platform, because all candidates of a
+// small data centre have been asked before, although one of them was served.
+func TestLaterSearchIsQuickAgain(t *testing.T) {
+	d := newDataCentre(8)
+	sound := 7
+	d.refused = func(i int) bool { return i != sound }
+	d.run(20 * time.Second)
+	assert.Equal(t, d.countServed(time.Second), 1)
+	for _, sound = range []int{2, 4, 6, 3, 5, 7, 2} {
+		d.run(3 * time.Second)
+		assert.Equal(t, d.countServed(time.Second), 1, "host %d", sound)
+	}
+}
+
 // A single failed call must not cause calls of other hosts.
 func TestSingleFailureCausesNoRequest(t *testing.T) {
 	n := New("h", watchers)
 	now := time.Unix(1000, 0)
-	p := Position{Candidates: []string{"a", "b"}}
+	p := Position{Candidates: twoCandidates}
 	n.Failed(now)
 	for range 5 {
 		now = now.Add(step)
@@ -260,7 +278,7 @@
 	now := time.Unix(1000, 0)
 	n.Failed(now)
 	now = now.Add(HandoverDelay)
-	n.Tick(now, Position{Candidates: []string{"a", "b"}})
+	n.Tick(now, Position{Candidates: twoCandidates})
 	request := n.Take()[0].Request
 	n.StepReply(now, &msg.WatchReply{From: "b", ID: request.ID, Served: true})
 	n.StepReply(now, &msg.WatchReply{From: "a", ID: request.ID + 1, Served: true})
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -436,17 +436,12 @@
 
 // standbyPosition returns the position of a host in its data centre.
 func (m *Mesh) standbyPosition(h *Host, rank int) standby.Position {
-	p := standby.Position{Rank: rank}
-	if rank >= m.cfg.Watchers {
-		return p
-	}
-	local, _ := h.Members.Live()
-	hosts := append(slices.Clone(local), h.Name)
-	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
-	if len(hosts) > m.cfg.Watchers {
-		p.Candidates = hosts[m.cfg.Watchers:]
-	}
-	return p
+	return standby.Position{Rank: rank, Candidates: func() []string {
+		local, _ := h.Members.Live()
+		hosts := append(slices.Clone(local), h.Name)
+		slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+		return hosts[min(m.cfg.Watchers, len(hosts)):]
+	}}
 }
 
 // sendStandby sends the pending requests and replies of a host's standby core.
