guard: the refusal of an ended process is tested on real sockets again

Cause: since the tests of crashes run in virtual time, none saw the kernel refuse a connection; the target's refusal was the test's own.

Change: one test with a real listener that closes. An unused parameter goes, and a message has the usual word.

--- a/internal/guard/restart_test.go
+++ b/internal/guard/restart_test.go
@@ -238,7 +238,7 @@
 			inst, ok := g.find("s", "n")
 			assert.Assert(t, ok)
 			assert.Equal(t, inst.announced().State, directory.Leaving)
-			assert.Assert(t, changes > 0, "other hosts are not told")
+			assert.Assert(t, changes > 0, "other hosts are not notified")
 			// The start that contests it is running after all.
 			assert.Equal(t, sendAnnouncement(g, http.MethodPut, "n", readyBody(address, 1000, 3)), http.StatusOK)
 			assert.Equal(t, inst.announced().State, directory.Serving)
--- a/internal/guard/suspects_test.go
+++ b/internal/guard/suspects_test.go
@@ -205,6 +205,17 @@
 	})
 }
 
+// The kernel's refusal of a connection to an ended process must be recognised on real sockets.
+func TestPortOfEndedProcessRefusesConnections(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	inst := newTestGuard(t, l.Addr().String()).instances["i"]
+	assert.Assert(t, !inst.checkTerminated())
+	assert.NilError(t, l.Close())
+	assert.Assert(t, inst.checkTerminated())
+	assert.Equal(t, inst.announced().State, directory.Leaving)
+}
+
 // A broken connection is not a crash if the instance still accepts others.
 func TestBrokenConnectionIsNotACrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -231,7 +242,7 @@
 }
 
 // announceShutdown announces that the target of newSuspectGuard is leaving.
-func announceShutdown(t *testing.T, g *Guard, target *crashingTarget) {
+func announceShutdown(t *testing.T, g *Guard) {
 	t.Helper()
 	assert.NilError(t, g.Announce(time.Now(), "i", Announcement{
 		Service: "s", Address: suspectAddress, Slots: 4, Connections: 8, Version: "1", Leaving: true,
@@ -244,7 +255,7 @@
 		target := startCrashingTarget(t)
 		g, reports := newSuspectGuard(t, target, "s")
 		waiting := startWaiting(t, g, target)
-		announceShutdown(t, g, target)
+		announceShutdown(t, g)
 		target.crash()
 		assert.Equal(t, (<-waiting).(*msg.Fail).Reason, verdict.ReasonTargetCrashed)
 		assert.Equal(t, len(reports.crashes), 0)
@@ -260,7 +271,7 @@
 		waiting := startWaiting(t, g, target)
 		target.crash()
 		crashed := <-reports.crashes
-		announceShutdown(t, g, target)
+		announceShutdown(t, g)
 		assert.Equal(t, (<-waiting).(*msg.Fail).Reason, verdict.ReasonTargetCrashed)
 		assert.DeepEqual(t, crashed.Fingerprints, []crash.Fingerprint{5})
 		assert.Assert(t, g.all()[0].announced().State == directory.Leaving)
@@ -290,7 +301,7 @@
 			go func() { unsent <- send(t, g, "/wait", 5) }()
 			<-dialing
 			if announced {
-				announceShutdown(t, g, target)
+				announceShutdown(t, g)
 			}
 			target.crash()
 			close(proceed)
