control: the substitute of a data centre's first host removes stale records

Change: the host that watches in place of the first does it, too. rank no longer copies the list of hosts.

Measured: TestSubstituteOfFirstHostRemovesRecords and the tests of control pass. It was not seen failing: it asks removesRecords, which is new with it.

--- a/internal/control/cleanup.go
+++ b/internal/control/cleanup.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// cleanupInterval is how often the first-ranked host of a data centre, whose
-	// Control.rank is 0, looks for stale records.
+	// cleanupInterval is how often the host that removes stale records of a data centre (see
+	// Control.removesRecords) looks for them.
 	cleanupInterval = 10 * time.Minute
 	// unknownHostRetention is how long a host must be unknown before its record is removed.
 	// If the host returns, it writes the record again.
@@ -46,11 +46,11 @@
 }
 
 // staleHostRecords returns the records of hosts that have been unknown for
-// unknownHostRetention, with their versions. It returns none unless this host ranks first
-// in its data centre. The caller holds the lock.
+// unknownHostRetention, with their versions. It returns none unless this host removes records for
+// its data centre. The caller holds the lock.
 func (c *Control) staleHostRecords(now time.Time) map[string]int64 {
 	out := make(map[string]int64)
-	if c.rank() != 0 {
+	if !c.removesRecords() {
 		return out
 	}
 	for name, r := range c.hostRecords {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/core/config"
@@ -101,6 +102,22 @@
 	assert.Equal(t, len(c.staleHostRecords(now.Add(2*unknownHostRetention))), 0)
 }
 
+// Guards against stale records that nobody removes while the platform turns away the host that does.
+func TestSubstituteOfFirstHostRemovesRecords(t *testing.T) {
+	c, _ := newTestControl(t)
+	first := "b"
+	for xxhash.Sum64String(first) > xxhash.Sum64String(c.cfg.Host) {
+		first += "b"
+	}
+	state := msg.HostState{DC: "dc", PeerAddr: "127.0.0.1:2", Incarnation: 1}
+	value, err := state.MarshalMsg(nil)
+	assert.NilError(t, err)
+	c.HandleControl(&msg.Hello{Host: first}, &msg.Rumor{Set: msg.SetHosts, Entries: []msg.Entry{{Kind: hostKind, Name: first, Version: 1 << 20, Value: value}}})
+	assert.Assert(t, !c.removesRecords())
+	c.handleWatchRequest(&msg.WatchRequest{From: first, ID: 1, ShortWait: true})
+	assert.Assert(t, c.removesRecords())
+}
+
 // The record of a blocked request must be removed once the request has been cleared of enough
 // crashes. Otherwise, it would block the request again after a loss of all processes.
 func TestRecordOfClearedRequestIsRemoved(t *testing.T) {
--- a/internal/control/crashers.go
+++ b/internal/control/crashers.go
@@ -176,11 +176,11 @@
 
 // staleCrasherRecords returns the Crasher records that no longer block a request, with their
 // versions: the crashes have expired, or the request has been cleared of so many that too
-// few remain. It returns none unless this host ranks first in its data centre. The caller
+// few remain. It returns none unless this host removes records for its data centre. The caller
 // holds the lock.
 func (c *Control) staleCrasherRecords(now time.Time) map[record.Key]int64 {
 	out := make(map[record.Key]int64)
-	if c.rank() != 0 {
+	if !c.removesRecords() {
 		return out
 	}
 	for key, r := range c.records.active {
--- a/internal/control/rank.go
+++ b/internal/control/rank.go
@@ -55,8 +55,9 @@
 func (c *Control) rank() int {
 	own := xxhash.Sum64String(c.cfg.Host)
 	before := 0
-	for _, host := range c.ranked() {
-		if xxhash.Sum64String(host) < own {
+	local, _ := c.members.Live()
+	for _, host := range local {
+		if !c.isLeaving(host) && xxhash.Sum64String(host) < own {
 			before++
 		}
 	}
@@ -67,10 +68,20 @@
 // order. The caller holds the lock.
 func (c *Control) ranked() []string {
 	local, _ := c.members.Live()
-	return slices.DeleteFunc(slices.Clone(local), func(host string) bool {
-		h, ok := c.hosts[host]
-		return ok && h.Leaving
-	})
+	return slices.DeleteFunc(slices.Clone(local), c.isLeaving)
+}
+
+// isLeaving reports whether a host has stopped accepting new work. The caller holds the lock.
+func (c *Control) isLeaving(host string) bool {
+	h, ok := c.hosts[host]
+	return ok && h.Leaving
+}
+
+// removesRecords reports whether this host removes stale records for its data centre: it ranks
+// first, or watches in place of the host that does. The caller holds the lock.
+func (c *Control) removesRecords() bool {
+	_, forFirst := c.standby.Watching()
+	return forFirst || c.rank() == 0
 }
 
 // unknownBefore returns the number of hosts of this data centre that precede this one and are
