targetconn: a reset during an upload does not complete a response

Cause: the kernel reports a reset once. A write that is blocked in an upload takes the error, and the read returns 0, as after a FIN. For a response without a length that is the end of the body.

Change: writes of an upload record their error under a lock that they hold. At the end of the stream of a response without a length, the reader ends the upload by a write deadline, takes the lock and asks for that error. A reset, or any other failure of the connection, makes the response truncated; EPIPE, the deadline or no error mean that a FIN came first. The reader does not wait for time to pass, and a target that reads no further after its FIN does not delay the response. The upload is code of its own file now.

Related places, read: streams between hosts end by a message with length and hash, never with the connection.

--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -141,9 +140,8 @@
 	req        *Request
 	stopCancel func() bool
 	once       sync.Once
-	// bodyWritten is closed when the whole request body has been sent. It is nil if the
-	// body was sent together with the header.
-	bodyWritten chan struct{}
+	// upload is nil if the request body was sent together with the header.
+	upload *upload
 	// keepAlive reports whether the target keeps the connection open after the response.
 	keepAlive bool
 }
@@ -212,9 +210,10 @@
 func (x *exchange) newResponse(resp *http.Response) *Response {
 	x.keepAlive = !resp.Close
 	x.conn.idleUntil = time.Now().Add(x.pool.idleTimeout(resp.Header))
-	body := &body{exchange: x, src: resp.Body}
+	body := &body{exchange: x, src: resp.Body, untilClose: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
 	if resp.Body == http.NoBody {
-		body.close(true)
+		body.err = io.EOF
+		x.finish(true)
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body}
 }
@@ -239,7 +238,7 @@
 func (x *exchange) finish(complete bool) {
 	x.once.Do(func() {
 		notCancelled := x.stopCancel()
-		if complete && notCancelled && x.keepAlive && x.bodySent() && x.conn.br.Buffered() == 0 {
+		if complete && notCancelled && x.keepAlive && x.upload.sent() && x.conn.br.Buffered() == 0 {
 			x.pool.release(x.conn)
 			return
 		}
@@ -247,21 +246,6 @@
 	})
 }
 
-// bodySent reports whether the whole request body has been sent. A target that
-// responds early still reads the rest of the body, so it would take another request
-// on the same connection as body data.
-func (x *exchange) bodySent() bool {
-	if x.bodyWritten == nil {
-		return true
-	}
-	select {
-	case <-x.bodyWritten:
-		return true
-	default:
-		return false
-	}
-}
-
 // write sends the header with a short body. A longer body is sent in a goroutine while
 // the response is read.
 func (x *exchange) write() error {
@@ -277,8 +261,7 @@
 		return &Error{Sent: n > 0, Cause: err}
 	}
 	if body != nil {
-		x.bodyWritten = make(chan struct{})
-		go x.writeBody(body)
+		x.upload = startUpload(x.conn.nc, body, x.req.Length)
 	}
 	return nil
 }
@@ -307,51 +290,6 @@
 	return err
 }
 
-// writeBody sends a long body. If the body ends early, it resets the connection, so
-// that the target does not take the truncated body as complete.
-func (x *exchange) writeBody(body io.Reader) {
-	err := x.copyBody(body)
-	if err == nil {
-		close(x.bodyWritten)
-		return
-	}
-	if tcp, ok := x.conn.nc.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = x.conn.nc.Close()
-}
-
-// copyBody sends a body of known length unchanged, any other with chunked encoding.
-func (x *exchange) copyBody(body io.Reader) error {
-	if x.req.Length > 0 {
-		n, err := io.Copy(x.conn.nc, body)
-		if err == nil && n != x.req.Length {
-			err = io.ErrUnexpectedEOF
-		}
-		return err
-	}
-	chunk := make([]byte, maxInlineBodyBytes)
-	for {
-		n, err := body.Read(chunk)
-		if n > 0 {
-			encoded := strconv.AppendInt(nil, int64(n), 16)
-			encoded = append(encoded, "\r\n"...)
-			encoded = append(encoded, chunk[:n]...)
-			encoded = append(encoded, "\r\n"...)
-			if _, err := x.conn.nc.Write(encoded); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			_, err = io.WriteString(x.conn.nc, "0\r\n\r\n")
-			return err
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // writeHead writes the request line and the headers. Host, Content-Length and
 // Transfer-Encoding are set here and not copied from the request's headers.
 func (x *exchange) writeHead(out *bytes.Buffer) {
@@ -380,21 +318,31 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
+// errReset is the error of a response without a declared length whose connection was reset.
+var errReset = errors.New("the connection was reset before the response body ended")
+
 // body is the response body. Reading it to its end or closing it finishes the exchange.
 type body struct {
 	exchange *exchange
 	src      io.ReadCloser
-	done     bool
+	// untilClose reports that the body has no declared length and ends with the connection.
+	untilClose bool
+	// err is the error that ended the body, nil before its end.
+	err error
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	if b.done {
-		return 0, io.EOF
+	if b.err != nil {
+		return 0, b.err
 	}
 	n, err := b.src.Read(p)
+	if err == io.EOF && b.untilClose && b.exchange.upload.sawReset() {
+		err = errReset
+	}
+	b.err = err
 	if err == io.EOF {
-		b.close(true)
+		b.exchange.finish(true)
 	}
 	return n, err
 }
@@ -402,13 +350,9 @@
 // Close implements io.Closer. If the body was not read to its end, the connection is
 // closed.
 func (b *body) Close() error {
-	b.close(false)
-	return nil
-}
-
-func (b *body) close(complete bool) {
-	if !b.done {
-		b.done = true
-		b.exchange.finish(complete)
+	if b.err == nil {
+		b.err = http.ErrBodyReadAfterClose
 	}
+	b.exchange.finish(false)
+	return nil
 }
