targetconn: a response that has arrived survives the failure of its upload

Callers whose long upload was answered early by an instance that then closed the connection got 502 in place of the instance's answer, if the upload failed before the answer had been read to its end.

Cause: the writer closed the connection when it failed, and with it what the kernel had received.

Change: if the connection fails, the writer leaves closing it to the reader, which ends by itself. If the caller's body fails, it still resets the connection.

--- a/internal/targetconn/ending_test.go
+++ b/internal/targetconn/ending_test.go
@@ -94,6 +94,15 @@
 			c.closeWrite()
 			c.waitClosed()
 		},
+		"reads no further": func(c *serverConn) {
+			c.closeWrite()
+			time.Sleep(50 * time.Millisecond)
+		},
+		"resets": func(c *serverConn) {
+			c.closeWrite()
+			time.Sleep(5 * time.Millisecond)
+			c.reset()
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for range 20 {
@@ -136,6 +145,28 @@
 	}
 }
 
+// A target may answer a long request before it has read it, and close the connection. The
+// response has arrived before the reset and must not be lost with the upload.
+func TestEarlyResponseSurvivesFailedUpload(t *testing.T) {
+	const length = 64 << 10
+	closed := make(chan struct{})
+	p, _ := startTarget(t, func(c *serverConn) {
+		c.awaitRequest()
+		c.respond("1", strings.Repeat("x", length))
+		time.Sleep(5 * time.Millisecond)
+		_ = c.Close()
+		close(closed)
+	})
+	resp, err := p.Do(t.Context(), newUpload("1", uploadBytes))
+	assert.NilError(t, err)
+	<-closed
+	time.Sleep(50 * time.Millisecond) // let the upload fail
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), length)
+	assert.Equal(t, p.openConns, 0)
+}
+
 // A response that ends inside its header has no status and no body, however it ends: not on a
 // reused connection, and not beside an upload.
 func TestHeaderThatEndsEarlyIsAnError(t *testing.T) {
--- a/internal/targetconn/upload.go
+++ b/internal/targetconn/upload.go
@@ -33,17 +33,21 @@
 	return u
 }
 
-// run sends the body. If that fails, it resets the connection, so that the target does not take
-// the truncated body as complete.
+// run sends the body. If reading it fails, it resets the connection, so that the target does not
+// take the truncated body as complete. If the connection fails, it leaves closing it to the
+// reader of the response, which the target may have sent before.
 func (u *upload) run(body io.Reader) {
-	if u.copy(body) == nil {
+	err := u.copy(body)
+	switch {
+	case err == nil:
 		close(u.done)
-		return
-	}
-	if tcp, ok := u.nc.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	case u.failed():
+	default:
+		if tcp, ok := u.nc.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = u.nc.Close()
 	}
-	_ = u.nc.Close()
 }
 
 // copy sends a body of known length unchanged, any other with chunked encoding.
@@ -88,6 +92,13 @@
 	return n, err
 }
 
+// failed reports whether writing to the connection has failed.
+func (u *upload) failed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.writeErr != nil
+}
+
 // sent reports whether the whole request body has been sent. A target that responds early still
 // reads the rest of the body, so it would take another request on the same connection as body
 // data.
