front: a truncated upload is not passed on as a whole body

An instance could get the first part of a caller's chunked upload as a whole body, and run it, when the caller's connection broke off inside a chunk and the body was too large to buffer (256 KiB).

Cause: the same class as the truncated response. io.ReadFull returns io.ErrUnexpectedEOF at the end of a body inside a buffer, and net/http returns the same error for a truncated body; the front took both for the end and sent the length and hash of the part. With a Content-Length the guard compares lengths; with chunks it cannot.

Evidence: TestTruncatedUploadIsNotPassedOnAsWhole fails on the code before ({chunked:true chunks:9 rest:0 reset:false}: the instance got 294912 bytes as a whole body).

Change: the body is read by a loop that keeps the reader's own error.

Result: the test passes, twice with the race detector (64 uploads each: by FIN and reset, buffered and not, with a length and in chunks). The other uses of io.ReadFull were read: frames take both errors as failures, targetconn tells them apart by another read.

--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -104,7 +104,7 @@
 	end := &msg.End{}
 	for {
 		chunk := make([]byte, wire.ChunkSize)
-		n, err := io.ReadFull(body, chunk)
+		n, err := fill(body, chunk)
 		if n > 0 {
 			_, _ = hash.Write(chunk[:n])
 			end.Length += uint64(n)
@@ -113,7 +113,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF, errors.Is(err, io.ErrUnexpectedEOF):
+		case err == io.EOF:
 			end.Hash = hash.Sum64()
 			return s.Send(ctx, end)
 		case err != nil:
@@ -122,3 +122,14 @@
 		}
 	}
 }
+
+// fill reads until buf is full or reading fails, and returns the reader's own error. Unlike
+// io.ReadFull, it tells the end of a body from io.ErrUnexpectedEOF, the error of a truncated one.
+func fill(r io.Reader, buf []byte) (n int, err error) {
+	for n < len(buf) && err == nil {
+		var read int
+		read, err = r.Read(buf[n:])
+		n += read
+	}
+	return n, err
+}
