guard, control: a departure is acknowledged once it is recorded elsewhere

Cause: what a process acknowledges binds the processes after it, and was kept in the memory of that process alone.

Change: a departure is in effect at once, and acknowledged when the platform has stored it in the host's own record or, if the platform fails or takes longer than 0.5 s, when two other hosts hold it, one of another data centre if there is one. A process that starts gets its record in the response to the call that it makes anyway; holders return what they hold when they see another incarnation of the host. Until then, 0.7 s at most, announcements of unknown instances wait unless they are among the first two of their start. What cannot be recorded in 0.85 s is refused, so that the instance repeats the call.

Cost: one write for each departure, six datagrams, no call more at a start. Builds from before drop the datagrams and do not read a Host record while it lists departures.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -10,9 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/radishhoist/radishhoist/internal/core/announce"
 	"github.com/radishhoist/radishhoist/internal/core/config"
 	"github.com/radishhoist/radishhoist/internal/core/contact"
 	"github.com/radishhoist/radishhoist/internal/core/crash"
+	"github.com/radishhoist/radishhoist/internal/core/departure"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
 	"github.com/radishhoist/radishhoist/internal/core/loadreport"
 	"github.com/radishhoist/radishhoist/internal/core/member"
@@ -70,6 +72,11 @@
 	// Unblocked is called with each request whose Crasher record was deleted, for example
 	// by an operator. It must not block.
 	Unblocked func(fp crash.Fingerprint)
+	// DeparturesRestored is called with the departures of instances that earlier processes of
+	// this host have acknowledged, also if there are none, once the platform's record of this
+	// host is read, and with those that other hosts return. It must not block. Nil disables
+	// the callback.
+	DeparturesRestored func([]announce.Departure)
 	// TeamLimiter enforces the rates of teams. It may be nil.
 	TeamLimiter TeamRateLimiter
 }
@@ -131,6 +138,7 @@
 	standbyChanged chan struct{}
 	// substitute is the host that watches in place of this one, empty if there is none.
 	substitute string
+	departures departures
 	traffic    Traffic
 	// loadTraffic counts load queries and replies; it is not guarded by mu.
 	loadTraffic loadTraffic
@@ -180,6 +188,7 @@
 		servedFeeds:       make(map[objects.Feed]bool),
 		standby:           standby.New(cfg.Host, cfg.WatchersPerDC),
 		standbyChanged:    make(chan struct{}, 1),
+		departures:        newDepartures(departure.New(cfg.Host, cfg.Incarnation, rng)),
 		selfChanged:       true,
 		loadReportLimiter: loadreport.New(rng),
 	}
@@ -204,6 +213,7 @@
 	start(c.writeStatus)
 	start(c.removeStaleRecords)
 	start(c.storeCrashers)
+	start(c.storeDepartures)
 	start(c.restoreLost)
 	<-ctx.Done()
 	_ = c.udp.Close()
@@ -239,6 +249,8 @@
 	c.sendStatusReport(now)
 	c.pruneCrashes(now)
 	c.tickStandby(now)
+	c.departures.node.Tick(now, c.departurePeers())
+	c.sendDepartures()
 	c.flush(now)
 	c.mu.Unlock()
 	c.tickTeams(now, c.publish(now))
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -68,6 +68,7 @@
 		h.Instances = append(h.Instances, fromWire(now, inst))
 	}
 	c.hosts[e.Name] = h
+	c.departures.node.ObserveHost(now, e.Name, h.Incarnation)
 	delete(c.removeAt, e.Name)
 	c.members.Update(now, e.Name, state.DC, state.PeerAddr, e.Version)
 }
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/radishhoist/radishhoist/internal/core/announce"
 	"github.com/radishhoist/radishhoist/internal/objects"
 	"github.com/radishhoist/radishhoist/internal/sleep"
 	"github.com/radishhoist/radishhoist/record"
@@ -160,28 +161,51 @@
 // usually succeeds and takes one call. Otherwise it replaces the record of an earlier
 // process, unless that can be left in place.
 func (c *Control) writeOwnRecord(ctx context.Context) (restarted bool, err error) {
-	key := record.Key{Kind: record.KindHost, Name: c.cfg.Host}
-	value, err := record.Marshal(key, &record.Host{DC: c.cfg.DC, Peer: c.cfg.PeerAddr, Admin: c.cfg.AdminAddr, Incarnation: c.cfg.Incarnation})
+	key, value, written, err := c.marshalOwnRecord()
 	if err != nil {
 		return false, err
 	}
 	isOwn := func(stored []byte) bool { return c.isCurrentOwnRecord(key, stored) }
-	_, err = c.store.Put(ctx, key, value, 0)
+	obj, err := c.store.Put(ctx, key, value, 0)
 	var conflict *objects.ConflictError
 	switch {
 	case err == nil:
+		c.ownRecordWritten(obj.Version, written)
+		c.restoreDepartures(nil)
 		return false, nil
 	case !errors.As(err, &conflict):
 		return false, err
-	case isOwn(conflict.Current.Value):
+	}
+	c.adoptOwnRecord(conflict.Current)
+	if isOwn(conflict.Current.Value) {
 		// The record was written by an earlier attempt whose response was lost, or by an
 		// earlier process at the same address.
 		return true, nil
 	}
-	_, err = objects.PutConfirmed(ctx, c.store, key, value, conflict.Current.Version, isOwn)
+	if key, value, written, err = c.marshalOwnRecord(); err != nil {
+		return true, err
+	}
+	obj, err = objects.PutConfirmed(ctx, c.store, key, value, conflict.Current.Version, isOwn)
+	if err == nil {
+		c.ownRecordWritten(obj.Version, written)
+	}
 	return true, err
 }
 
+// marshalOwnRecord returns the Host record of this host, with the departures in it.
+func (c *Control) marshalOwnRecord() (record.Key, []byte, []announce.Departure, error) {
+	c.mu.Lock()
+	listed := c.departures.node.All(time.Now())
+	c.mu.Unlock()
+	host := &record.Host{DC: c.cfg.DC, Peer: c.cfg.PeerAddr, Admin: c.cfg.AdminAddr, Incarnation: c.cfg.Incarnation}
+	for _, d := range listed {
+		host.Departures = append(host.Departures, toRecord(d))
+	}
+	key := record.Key{Kind: record.KindHost, Name: c.cfg.Host}
+	value, err := record.Marshal(key, host)
+	return key, value, listed, err
+}
+
 // isCurrentOwnRecord reports whether a stored Host record can be left in place. It must have
 // the addresses of this host and be too recent for another host to remove it: a record is
 // removed once its host has been unknown for unknownHostRetention, so the process that wrote
--- a/internal/control/standby.go
+++ b/internal/control/standby.go
@@ -61,12 +61,9 @@
 			buf, err = o.Reply.MarshalMsg([]byte{watchReplyPrefix})
 		}
 		addr, addrErr := netip.ParseAddrPort(h.PeerAddr)
-		if err != nil || addrErr != nil || c.udp == nil {
-			continue
+		if err == nil && addrErr == nil {
+			c.sendDatagram(addr, buf)
 		}
-		c.traffic.PacketsOut++
-		c.traffic.BytesOut += uint64(len(buf))
-		_, _ = c.udp.WriteToUDPAddrPort(buf, addr)
 	}
 }
 
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -106,7 +106,7 @@
 			}
 			continue
 		}
-		if c.handleTeamPacket(buf[:n]) || c.handleLoadPacket(buf[:n], from) || c.handleSharePacket(buf[:n]) || c.handleLinkPacket(buf[:n], from) || c.handleStandbyPacket(buf[:n]) {
+		if c.handleTeamPacket(buf[:n]) || c.handleLoadPacket(buf[:n], from) || c.handleSharePacket(buf[:n]) || c.handleLinkPacket(buf[:n], from) || c.handleStandbyPacket(buf[:n]) || c.handleDeparturePacket(buf[:n], from) {
 			continue
 		}
 		var p msg.MemberPacket
--- a/internal/core/announce/announce.go
+++ b/internal/core/announce/announce.go
@@ -62,6 +62,48 @@
 // may have been lost.
 func (s Stamp) IsFirst() bool { return s.Sequence > 0 && s.Sequence <= maxFirstSequence }
 
+// Departure states that an instance has left or is leaving.
+type Departure struct {
+	Instance string
+	// Stamp orders the announcement of the departure. If Gone is not set, a newer announcement
+	// of the same start may revoke the departure.
+	Stamp
+	// Gone reports that this start of the instance, and those before it, have left for good.
+	Gone bool
+	// At is the time of the departure.
+	At time.Time
+}
+
+// Covers reports whether d makes the later departure other of the same instance needless, unless
+// the instance has announced between them that it is ready again.
+func (d Departure) Covers(other Departure) bool {
+	switch {
+	case d.StartedMS != other.StartedMS:
+		return false
+	case other.Gone && !d.Gone:
+		// An instance that numbers its announcements has sent none that is ready after d.
+		return d.Sequence > 0
+	default:
+		return true
+	}
+}
+
+// Merge returns the departure that makes outdated what d or other makes outdated. Of two starts,
+// it is that of the later one.
+func (d Departure) Merge(other Departure) Departure {
+	switch {
+	case d.StartedMS > other.StartedMS:
+		return d
+	case d.StartedMS < other.StartedMS:
+		return other
+	}
+	d.Sequence, d.Gone = max(d.Sequence, other.Sequence), d.Gone || other.Gone
+	if other.At.After(d.At) {
+		d.At = other.At
+	}
+	return d
+}
+
 // pastStart is an earlier start of an instance.
 type pastStart struct {
 	// latest is the newest Stamp.
@@ -268,6 +310,42 @@
 	return true
 }
 
+// Restore applies a departure that an earlier process of this host has acknowledged. It reports
+// whether the instance is known only by announcements that the departure makes outdated, and is
+// not present any more.
+func (t *Tracker) Restore(now time.Time, d Departure) (outdated bool) {
+	e, known := t.byName[d.Instance]
+	if known && (e.state == gone || e.latest.StartedMS > d.StartedMS) {
+		return false
+	}
+	if known && !d.Gone && (e.latest.StartedMS != d.StartedMS || e.latest.Sequence > d.Sequence) {
+		return false
+	}
+	if !known {
+		e = &entry{}
+		t.byName[d.Instance] = e
+	}
+	if t.holders[e.address] == d.Instance {
+		delete(t.holders, e.address)
+	}
+	outdated = known && e.state == present
+	e.latest = Stamp{StartedMS: d.StartedMS, Sequence: max(e.latest.Sequence, d.Sequence)}
+	e.lastSeen, e.state = now, replaced
+	if d.Gone || d.Sequence == 0 {
+		// The announcements of an instance that does not number them cannot be ordered.
+		e.state = gone
+	}
+	return outdated
+}
+
+// Latest returns the newest accepted Stamp of an instance, the zero Stamp if it is unknown.
+func (t *Tracker) Latest(name string) Stamp {
+	if e, known := t.byName[name]; known {
+		return e.latest
+	}
+	return Stamp{}
+}
+
 // MarkMisdirected records that another instance responds at the address of the named one.
 // The address has no holder until an instance announces it.
 func (t *Tracker) MarkMisdirected(name string) {
--- a/internal/core/announce/announce_test.go
+++ b/internal/core/announce/announce_test.go
@@ -201,3 +201,36 @@
 		assert.DeepEqual(t, late, Outcome{Contested: true})
 	}
 }
+
+// An announcement from before an acknowledged departure must have no effect after a restart of the
+// process, whether it arrives before the departure is restored or after it. Newer announcements and
+// newer starts must not be refused for it.
+func TestRestoredDepartureRefusesEarlierAnnouncements(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		started := rapid.SampledFrom([]int64{0, startMS(0)}).Draw(t, "start")
+		sequence := rapid.Uint64Range(2, 100).Draw(t, "sequence")
+		d := Departure{Instance: "i", Stamp: Stamp{StartedMS: started, Sequence: sequence}, Gone: rapid.Bool().Draw(t, "gone"), At: at(0)}
+		tracker := NewTracker()
+		early := rapid.Bool().Draw(t, "announced before the restore")
+		if early {
+			assert.Assert(t, tracker.Apply(at(1), "i", address, Stamp{StartedMS: started, Sequence: rapid.Uint64Range(1, sequence-1).Draw(t, "early")}).Accepted)
+		}
+		assert.Equal(t, tracker.Restore(at(1.5), d), early)
+		late := Stamp{StartedMS: started, Sequence: rapid.Uint64Range(1, sequence-1).Draw(t, "late")}
+		assert.Assert(t, !tracker.Apply(at(2), "i", address, late).Accepted)
+		assert.Assert(t, tracker.Apply(at(2), "other", address, Stamp{Sequence: 1}).Accepted)
+		newer := tracker.Apply(at(3), "i", "10.0.0.1:82", Stamp{StartedMS: started, Sequence: sequence + 1})
+		assert.Equal(t, newer.Accepted, !d.Gone, "a newer announcement of the same start")
+		if started > 0 {
+			assert.Assert(t, tracker.Apply(at(4), "i", "10.0.0.1:82", Stamp{StartedMS: startMS(3), Sequence: 1}).Accepted)
+		}
+	})
+}
+
+// A start that is newer than the one that left must not be removed by the restored departure.
+func TestRestoredDepartureKeepsNewerStart(t *testing.T) {
+	tracker := NewTracker()
+	assert.Assert(t, tracker.Apply(at(1), "i", address, Stamp{StartedMS: startMS(0.5), Sequence: 1}).Accepted)
+	assert.Assert(t, !tracker.Restore(at(1.5), Departure{Instance: "i", Stamp: Stamp{StartedMS: startMS(0), Sequence: 40}, Gone: true}))
+	assert.Assert(t, tracker.Apply(at(2), "i", address, Stamp{StartedMS: startMS(0.5), Sequence: 2}).Accepted)
+}
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -30,7 +30,12 @@
 // requests to it, and returns its URL.
 func startPlatform(tb testing.TB) string {
 	tb.Helper()
-	server := platformd.NewServer()
+	return startPlatformOn(tb, platformd.NewServer())
+}
+
+// startPlatformOn serves a platform stand-in with a service and a route, and returns its URL.
+func startPlatformOn(tb testing.TB, server *platformd.Server) string {
+	tb.Helper()
 	web := httptest.NewServer(server.Handler())
 	tb.Cleanup(web.Close)
 	put := func(key record.Key, spec record.Spec) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/radishhoist/radishhoist/internal/control"
+	"github.com/radishhoist/radishhoist/internal/core/announce"
 	"github.com/radishhoist/radishhoist/internal/core/config"
 	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
@@ -120,6 +121,8 @@
 		Cleared:     func(crashID string, fp crash.Fingerprint) { d.control.PublishClearance(crashID, fp) },
 		ShareReport: func(address string, r *msg.ShareReport) { d.control.SendShareReport(address, r) },
 		Blocked:     func(s guard.BlockedRequest) { d.control.StoreCrasher(s.Fingerprint, s.Request, s.Crashes) },
+		Departed:    func(ctx context.Context, dep announce.Departure) error { return d.control.RecordDeparture(ctx, dep) },
+		Revoked:     func(instance string) { d.control.RevokeDeparture(instance) },
 	})
 	d.teams = teams.New(teams.Config{
 		Host: cfg.Host, Incarnation: uint64(d.started.UnixMilli()), Allowance: cfg.TeamAllowance, AllowanceFraction: cfg.TeamAllowanceFraction, Window: cfg.TeamWindow,
@@ -137,6 +140,8 @@
 		Cleared:     d.guard.ApplyClearance,
 		Unblocked:   d.guard.ClearSuspect,
 		TeamLimiter: d.teams,
+
+		DeparturesRestored: func(restored []announce.Departure) { d.guard.RestoreDepartures(time.Now(), restored) },
 	}, store, log)
 	d.front = front.New(front.Config{
 		Host: cfg.Host, DC: cfg.DC, BufferBodyBytes: cfg.BufferBodyBytes,
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -47,6 +47,8 @@
 	InstanceLimitChanged    = Event{311, "instance limit changed", slog.LevelInfo}
 	ConcurrencyLimitLearned = Event{312, "instance concurrency limit learned", slog.LevelInfo}
 	ResponsePanic           = Event{313, "response handling panicked", slog.LevelError}
+	DepartureRestored       = Event{314, "departure restored", slog.LevelInfo}
+	DepartureNotRecorded    = Event{315, "departure not recorded", slog.LevelWarn}
 	AnnounceRefused         = Event{305, "announce refused", slog.LevelWarn}
 	RecordApplied           = Event{400, "record applied", slog.LevelInfo}
 	RecordRefused           = Event{401, "record refused", slog.LevelError}
@@ -77,7 +79,7 @@
 		Started, Ready, Draining, Drained, DrainTimeout, StartFailed, Reloaded, ReloadRefused, SettingsWarning,
 		RequestFailed, RequestAnswered, ResponseAborted, LinkLost, PathExcluded, PathRestored, PeerRefused,
 		InstanceAnnounced, InstanceGone, InstanceLeaving, InstanceSuspect, InstanceTrusted, AnnounceRefused,
-		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged, ConcurrencyLimitLearned, ResponsePanic,
+		RequestEnded, RequestRefused, InstanceEstimateChanged, InstanceEnded, RequestStopped, InstanceLimitChanged, ConcurrencyLimitLearned, ResponsePanic, DepartureRestored, DepartureNotRecorded,
 		RecordApplied, RecordRefused, PlatformUnavailable, PlatformAvailable, WatchStarted, WatchStopped, RecordSetLoaded,
 		PlatformLate, PlatformCallEnded, PlatformPause, RecordNotWritten, PlatformRestored, RecordKept, RecordRestored, WatchHandedOver,
 		HostJoined, HostSuspect, HostDead, HostLeft, ShardOwned, ShardLost,
--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -100,9 +100,13 @@
 		event.Log(g.log, event.InstanceAnnounced, slog.String("instance", name),
 			slog.String("service", a.Service), slog.String("address", a.Address), slog.Int("slots", a.Slots), slog.Uint64("sequence", a.Sequence))
 	}
+	wasLeaving := inst.isLeaving()
 	if inst.refresh(now, a) || created {
 		g.onChanged()
 	}
+	if (wasLeaving || created) && !a.isLeaving() {
+		g.onRevoked(name)
+	}
 	return nil
 }
 
@@ -203,18 +207,21 @@
 
 // Withdraw removes an instance at its own request. startedMS is the start time of the
 // instance as in its announcements, 0 if not given: a delayed request from an earlier
-// start removes nothing.
-func (g *Guard) Withdraw(now time.Time, name string, startedMS int64) {
+// start removes nothing. Withdraw returns the departure to record.
+func (g *Guard) Withdraw(now time.Time, name string, startedMS int64) announce.Departure {
+	departure := announce.Departure{Instance: name, Stamp: announce.Stamp{StartedMS: startedMS}, Gone: true, At: now}
 	g.mu.Lock()
 	inst, known := g.instances[name]
 	switch {
 	case g.announcements.Leave(now, name, startedMS):
 		g.remove(name, "withdrawn")
+		departure.Stamp = g.announcements.Latest(name)
 	case known && g.announcements.Contests(name, startedMS):
 		inst.beginLeaving()
 	}
 	g.mu.Unlock()
 	g.onChanged()
+	return departure
 }
 
 // removeMisdirected removes an instance at whose address another instance responds.
@@ -254,13 +261,18 @@
 	name := r.PathValue("name")
 	var a Announcement
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)).Decode(&a)
+	now := time.Now()
 	if err == nil {
+		g.awaitDepartures(r.Context(), name, a)
 		err = g.Announce(time.Now(), name, a)
 	}
 	if err != nil {
 		g.refuseAnnouncement(w, name, err)
 		return
 	}
+	if a.isLeaving() && !g.acknowledgeDeparture(w, r, announce.Departure{Instance: name, Stamp: a.stamp(), At: now}) {
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	reply := AnnounceReply{ExpiryMS: g.limits.Load().AnnounceExpiry.Milliseconds(), Draining: g.Draining()}
 	_ = json.NewEncoder(w).Encode(reply)
@@ -274,7 +286,9 @@
 		g.refuseAnnouncement(w, name, err)
 		return
 	}
-	g.Withdraw(time.Now(), name, body.StartedMS)
+	if !g.acknowledgeDeparture(w, r, g.Withdraw(time.Now(), name, body.StartedMS)) {
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -86,6 +86,12 @@
 	// callback stores it, so that the block survives a restart of all processes, and must
 	// return without waiting. Nil disables the callback.
 	Blocked func(BlockedRequest)
+	// Departed is called before the departure of an instance is acknowledged. It returns once a
+	// later process of this host will know the departure, or an error if that is not certain
+	// in time. Revoked is called if the instance announces that it is ready again. Nil
+	// disables the callbacks.
+	Departed func(ctx context.Context, d announce.Departure) error
+	Revoked  func(instance string)
 	// ShareReport is called with reports to the guard at an address, if FairShares is set.
 	// They may be lost. Nil disables the callback.
 	ShareReport func(address string, r *msg.ShareReport)
@@ -118,6 +124,12 @@
 	onCrashed      func(crash.Crash)
 	onCleared      func(string, crash.Fingerprint)
 	onBlocked      func(BlockedRequest)
+	onDeparted     func(context.Context, announce.Departure) error
+	onRevoked      func(string)
+	// departuresKnown is closed once the departures that earlier processes of this host have
+	// acknowledged are known, or are not waited for any longer.
+	departuresKnown     chan struct{}
+	departuresKnownOnce sync.Once
 	// suspects tracks the requests suspected of crashing the instances that run
 	// them.
 	suspects *suspects
@@ -151,6 +163,17 @@
 		announcements: announce.NewTracker(),
 		instances:     make(map[string]*instance),
 		presets:       make(map[string]detect.Params),
+
+		onDeparted: hooks.Departed, onRevoked: hooks.Revoked, departuresKnown: make(chan struct{}),
+	}
+	if g.onDeparted == nil {
+		g.onDeparted = func(context.Context, announce.Departure) error { return nil }
+		g.setDeparturesKnown()
+	} else {
+		time.AfterFunc(departuresTimeout, g.setDeparturesKnown)
+	}
+	if g.onRevoked == nil {
+		g.onRevoked = func(string) {}
 	}
 	if g.onCrashed == nil {
 		g.onCrashed = func(crash.Crash) {}
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -177,6 +177,13 @@
 	return i.setWarmUp(now, a) || changed
 }
 
+// isLeaving reports whether the last announcement states that the instance is leaving.
+func (i *instance) isLeaving() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.leaving
+}
+
 // beginLeaving ends the admission of requests until the next announcement.
 func (i *instance) beginLeaving() {
 	i.mu.Lock()
--- a/record/system.go
+++ b/record/system.go
@@ -1,7 +1,7 @@
 package record
 
-// Host is the address record of one host, which the host writes once, when it joins, so
-// that other hosts can find it.
+// Host is the address record of one host. The host writes it when it joins, so that other hosts
+// can find it, and when it acknowledges the departure of an instance.
 type Host struct {
 	// DC is the name of the host's data centre.
 	DC string `json:"dc"`
@@ -11,6 +11,22 @@
 	Admin string `json:"admin"`
 	// Incarnation is the start time of the host's process, in Unix milliseconds.
 	Incarnation uint64 `json:"incarnation"`
+	// Departures are the departures of instances that the host has acknowledged in the last
+	// minutes. A later process of the host, which has not received them itself, reads them here.
+	Departures []Departure `json:"departures,omitempty"`
+}
+
+// Departure states that an instance has left or is leaving.
+type Departure struct {
+	Instance string `json:"instance"`
+	// StartedMS is the start time of the instance in Unix milliseconds of its own clock, 0 if
+	// unknown, and Sequence the number of the latest announcement, 0 if they are not numbered.
+	StartedMS int64  `json:"startedMS,omitempty"`
+	Sequence  uint64 `json:"sequence,omitempty"`
+	// Gone reports that the instance has left for good.
+	Gone bool `json:"gone,omitempty"`
+	// AtMS is when the host acknowledged the departure, in Unix milliseconds of its clock.
+	AtMS int64 `json:"atMS"`
 }
 
 func (h *Host) validate(f *fieldErrors) {
