daemon: further stop signals do not extend the shutdown

Cause: each further signal restarted the drain timeout, on the assumption that the kill moves with it. The platform kills one drain timeout after the first signal. Front and guard kept requests, and took new ones, until a time at which the process no longer exists.

Change: the end is fixed at the first signal; a further one is logged with the time left. It is caught as before, so that its default action does not end the process.

--- a/cmd/radishhoistd/main.go
+++ b/cmd/radishhoistd/main.go
@@ -97,7 +97,7 @@
 	})
 	<-stopSignals
 	cancel()
-	// Each further SIGTERM restarts the drain timeout.
+	// A further SIGTERM must not end the process while it drains.
 	repeatedStops := make(chan os.Signal, 1)
 	signal.Notify(repeatedStops, syscall.SIGTERM)
 	// Restore the default action of SIGINT: a second interrupt from a terminal ends the
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -37,9 +37,10 @@
 // Shutdown stops the daemon gracefully. It fails the readiness check and lets local
 // targets take short requests for a while. Then it notifies the fleet, refuses new
 // requests, waits for those in flight and closes all components. It does not need the
-// platform.
-// Each value received from repeated restarts the drain timeout. It reports whether
-// all requests in flight finished in time.
+// platform. It reports whether all requests in flight finished in time.
+//
+// A signal received from repeated is logged and changes nothing: the platform kills the
+// process one drain timeout after the first one.
 func (d *Daemon) Shutdown(repeated <-chan os.Signal) bool {
 	d.shuttingDown.Store(true)
 	timeout := d.cfg.Load().DrainTimeout
@@ -49,11 +50,12 @@
 	dispatching, stopDispatching := context.WithTimeout(accepting, fractionOf(acceptTime, dispatchFraction))
 	defer stopDispatching()
 	d.front.Drain()
-	ctx, cancel := drainContext(fractionOf(timeout, completionFraction), repeated, func(end time.Time) {
-		d.guard.SetShutdownTime(end)
-		event.Log(d.log, event.Draining, slog.String("cause", "stop signal received"), slog.Int64("withinMS", time.Until(end).Milliseconds()))
-	})
+	ctx, cancel := context.WithTimeout(context.Background(), fractionOf(timeout, completionFraction))
 	defer cancel()
+	end, _ := ctx.Deadline()
+	d.guard.SetShutdownTime(end)
+	d.logDraining("stop signal received", end)
+	go d.logRepeatedStops(ctx, repeated, end)
 	<-dispatching.Done()
 	// Idempotency keys are handed over before other hosts learn that this host leaves:
 	// otherwise one of them could take over a shard without its key table. Until the
@@ -79,31 +81,21 @@
 	return completed
 }
 
-// drainContext returns a context that ends at the given timeout after the last stop
-// signal, and passes each new end time to onEnd. A host may be stopped for two reasons in
-// succession, and the sender of the second signal also waits for the whole drain timeout.
-// When the context ended at the deadline of the first signal, requests that needed 3 s
-// were interrupted 3 s after the second.
-func drainContext(timeout time.Duration, repeated <-chan os.Signal, onEnd func(end time.Time)) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.Background())
-	onEnd(time.Now().Add(timeout))
-	go func() {
-		defer cancel()
-		timer := time.NewTimer(timeout)
-		defer timer.Stop()
-		for {
-			select {
-			case <-repeated:
-				onEnd(time.Now().Add(timeout))
-				timer.Reset(timeout)
-			case <-timer.C:
-				return
-			case <-ctx.Done():
-				return
-			}
+// logDraining logs that all requests in progress end by the given time.
+func (d *Daemon) logDraining(cause string, end time.Time) {
+	event.Log(d.log, event.Draining, slog.String("cause", cause), slog.Int64("withinMS", time.Until(end).Milliseconds()))
+}
+
+// logRepeatedStops logs each further stop signal until the context ends.
+func (d *Daemon) logRepeatedStops(ctx context.Context, repeated <-chan os.Signal, end time.Time) {
+	for {
+		select {
+		case <-repeated:
+			d.logDraining("stop signal received again; the time left stays as it is", end)
+		case <-ctx.Done():
+			return
 		}
-	}()
-	return ctx, cancel
+	}
 }
 
 // flushResponses waits until the responses to cancelled requests are written.
