radishhoistd: a SIGHUP during the start does not end the process

A daemon that was just starting ended when its settings changed: SIGHUP was caught only after the start, and its default action ends the process.

Change: SIGHUP is caught before the settings are read, and handled after the start. What is left is the time until main runs.

--- a/cmd/radishhoistd/main.go
+++ b/cmd/radishhoistd/main.go
@@ -47,6 +47,10 @@
 	if path == "" {
 		return fmt.Errorf("no settings file: use -config FILE; -reference lists every key")
 	}
+	// The settings may change while they are read or the daemon starts. The signal of that
+	// must not end the process, and is handled after the start.
+	reloadSignals := make(chan os.Signal, 1)
+	signal.Notify(reloadSignals, syscall.SIGHUP)
 	cfg, err := settings.Load(path)
 	if err != nil {
 		return err
@@ -58,7 +62,7 @@
 		fmt.Println(path + ": the settings are valid")
 		return nil
 	}
-	return serve(path, cfg)
+	return serve(path, cfg, reloadSignals)
 }
 
 // platformAdapter returns the store, header names and required records of the platform
@@ -74,7 +78,7 @@
 	return daemon.OwnAdapter(cfg)
 }
 
-func serve(path string, cfg *settings.Config) error {
+func serve(path string, cfg *settings.Config, reloadSignals <-chan os.Signal) error {
 	level := &slog.LevelVar{}
 	setLevel(level, cfg.LogLevel)
 	sink := event.NewSink(os.Stdout)
@@ -88,8 +92,6 @@
 		event.Log(log, event.StartFailed, slog.String("cause", err.Error()))
 		return err
 	}
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.WatchSettings(ctx, path, reloadSignals, func(cfg *settings.Config) {
 		limitMemory(cfg.MemoryMB)
