control: the departures and the writes of a host are bounded

Withdrawals of any number of names, which a faulty writer on the host may send, would have used memory and grown the Host record without bound; while the platform is unavailable, the write was repeated every 0.3 s.

Change: 256 departures are kept, the latest ones; the pauses between writes double up to max_retry_interval, as for all other calls.

Result: TestRecordedDeparturesAreBounded passes (768 names, the latest 256 are kept), and so do the tests of departure, control and guard.

--- a/internal/control/departures.go
+++ b/internal/control/departures.go
@@ -26,10 +26,8 @@
 	// platformPatience is how long the platform alone is waited for to store a departure.
 	// After it, and while the platform is unavailable, other hosts that hold it suffice.
 	platformPatience = 500 * time.Millisecond
-	// departureRetryInterval is the pause after a write of a departure that failed, and
-	// departureWriteTimeout bounds one write.
-	departureRetryInterval = 300 * time.Millisecond
-	departureWriteTimeout  = 5 * time.Second
+	// departureWriteTimeout bounds one write of a departure.
+	departureWriteTimeout = 5 * time.Second
 )
 
 // errDepartureNotRecorded reports that neither the platform nor enough other hosts have confirmed
@@ -116,8 +114,9 @@
 		case <-ctx.Done():
 			return
 		}
+		retry := backoff{max: c.cfg.MaxRetryInterval}
 		for c.hasUnstoredDeparture() && !c.storeOwnRecord(ctx) {
-			if !sleep.For(ctx, departureRetryInterval) {
+			if !sleep.For(ctx, retry.next()) {
 				return
 			}
 		}
--- a/internal/core/departure/departure.go
+++ b/internal/core/departure/departure.go
@@ -29,6 +29,9 @@
 	// minReceipts is the number of receipts that make a departure held. If other data centres
 	// have live hosts, one receipt must be from there, since a whole data centre may restart.
 	minReceipts = 2
+	// maxOwn is the number of departures of the own host that are kept. Above it, the oldest is
+	// dropped.
+	maxOwn = 256
 	// maxHeld is the number of departures held for other hosts. Above it, further ones are
 	// not held.
 	maxHeld = 4096
@@ -95,11 +98,26 @@
 	if o, ok := n.own[d.Instance]; ok && o.departure.Covers(d) {
 		return false
 	}
-	n.own[d.Instance] = &own{departure: d, holders: make(map[string]*holder)}
+	n.add(d, false)
 	n.Tick(now, peers)
 	return true
 }
 
+// add adds a departure of an instance of this host.
+func (n *Node) add(d announce.Departure, stored bool) {
+	n.own[d.Instance] = &own{departure: d, stored: stored, holders: make(map[string]*holder)}
+	if len(n.own) <= maxOwn {
+		return
+	}
+	oldest := d.Instance
+	for instance, o := range n.own {
+		if o.departure.At.Before(n.own[oldest].departure.At) {
+			oldest = instance
+		}
+	}
+	delete(n.own, oldest)
+}
+
 // Restore adds a departure that an earlier process of this host has recorded, and reports whether
 // it was new. stored reports that it was read from the platform.
 func (n *Node) Restore(now time.Time, d announce.Departure, stored bool) bool {
@@ -108,7 +126,7 @@
 	}
 	o, known := n.own[d.Instance]
 	if !known {
-		n.own[d.Instance] = &own{departure: d, stored: stored, holders: make(map[string]*holder)}
+		n.add(d, stored)
 		return true
 	}
 	merged := o.departure.Merge(d)
--- a/internal/core/departure/departure_test.go
+++ b/internal/core/departure/departure_test.go
@@ -158,6 +158,20 @@
 	assert.Equal(t, len(f.nodes["dc0-h0"].own)+len(f.nodes["dc0-h1"].held), 0)
 }
 
+// Withdrawals of names that no instance has must not use memory without bound.
+func TestRecordedDeparturesAreBounded(t *testing.T) {
+	n := New("h", 1, rand.New(rand.NewPCG(1, 1)))
+	for i := range 3 * maxOwn {
+		at := time.Unix(1000, int64(i))
+		n.Record(at, announce.Departure{Instance: fmt.Sprint(i), Gone: true, At: at}, Peers{})
+	}
+	all := n.All(time.Unix(1000, 0))
+	assert.Equal(t, len(all), maxOwn)
+	for _, d := range all {
+		assert.Assert(t, !d.At.Before(time.Unix(1000, 2*maxOwn)), "a newer departure was dropped")
+	}
+}
+
 // Repeated announcements of a departure must not be recorded again, a departure after the instance
 // was ready again must.
 func TestDepartureIsRecordedOncePerAnnouncedDeparture(t *testing.T) {
