soak: uploads that are reset, withdrawals across restarts, repeated signals

Change: callers send uploads of 8 MiB, and instances may answer them early, without a length, and reset the connection. An instance may withdraw and go on announcing itself as if the announcements were delayed, while its daemon is killed. A graceful stop gets a second signal and is killed one drain timeout after the first, while a request runs that outlasts it. The faults of earlier kinds keep their random sources.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -100,7 +100,7 @@
 	BoundedCrashes      = "a request that has crashed three instances crashes at most three more"
 	NoOtherBlocked      = "no other request is refused as crashing its targets"
 	WithinRateLimit     = "an instance gets no more requests than the rate limit it states allows"
-	NothingWhileLeaving = "an instance that states that it is leaving gets no requests 2 s later"
+	NothingWhileLeaving = "an instance that states that it is leaving, or has withdrawn, gets no requests 2 s later"
 	FairShare           = "a team below its share is served while another team sends too much"
 	FreeSlotUsed        = "a host refuses no request while its instance has a free slot"
 	WithinRetryBudget   = "all hosts together stay within the retry budget of a service"
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -69,6 +69,7 @@
 	specs := map[record.Key]record.Spec{
 		{Kind: record.KindService, Name: contendedService}: &record.Service{Office: "soak", Preset: record.PresetQuick, Floor: record.Floor{Percent: 60}, RetryPercent: retryPercent},
 		{Kind: record.KindRoute, Name: contendedService}:   &record.Route{PathPrefix: "/" + contendedService, Service: contendedService, TimeoutMS: contendedTimeoutMS, ObjectiveMS: contendedObjectiveMS, MaxAttempts: contendedAttempts},
+		{Kind: record.KindRoute, Name: "long"}:             &record.Route{PathPrefix: longPath, Service: service, TimeoutMS: int(2 * callerTimeout.Milliseconds())},
 	}
 	for _, team := range teamNames() {
 		specs[record.Key{Kind: record.KindTeam, Name: team}] = &record.Team{Office: "soak", RatePerSecond: teamRate}
@@ -102,7 +103,7 @@
 	defer wg.Wait()
 	for n := 0; sleep.For(ctx, r.teamInterval(team)); n++ {
 		req := Request{Mark: fmt.Sprintf("%s-%d", team, n), Host: rand.IntN(r.cfg.Hosts), Service: contendedService, Team: team, Idempotent: n%2 == 0, Sent: r.elapsed()}
-		wg.Go(func() { r.sendAndRecord(client, req, "/"+contendedService+"/7") })
+		wg.Go(func() { r.sendAndRecord(client, req, "/"+contendedService+"/7", nil) })
 	}
 }
 
@@ -114,8 +115,8 @@
 	return teamInterval
 }
 
-func (r *run) sendAndRecord(client *http.Client, req Request, path string) {
-	r.send(client, &req, path)
+func (r *run) sendAndRecord(client *http.Client, req Request, path string, body []byte) {
+	r.send(client, &req, path, body)
 	req.Done = r.elapsed()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -57,6 +58,12 @@
 	changeInterval = 700 * time.Millisecond
 	// stopTimeout limits the wait for a graceful stop.
 	stopTimeout = 10 * time.Second
+	// secondSignalDelay is the time from the first to the second signal of a graceful stop.
+	secondSignalDelay = 1200 * time.Millisecond
+	// longPath is the path of a route whose timeout outlasts a graceful stop.
+	longPath = "/plans/long"
+	// longRequestHeadStart is the time from the start of a long request to the first signal.
+	longRequestHeadStart = 200 * time.Millisecond
 	// startTimeout limits the wait until the whole fleet serves.
 	startTimeout = time.Minute
 	// applyWithin and drainTimeout are settings of the daemons.
@@ -180,6 +187,7 @@
 	wg.Go(func() { r.measureStalls(ctx) })
 	wg.Go(func() { r.writeChanges(ctx) })
 	wg.Go(func() { r.sendCrashingRequests(ctx) })
+	wg.Go(func() { r.sendUploads(ctx) })
 	var faults sync.WaitGroup
 	for _, f := range Schedule(r.cfg.Seed, r.cfg.Hosts, r.cfg.Duration) {
 		faults.Go(func() { r.inject(ctx, f) })
@@ -212,10 +220,15 @@
 		n.daemonMu.Lock()
 		defer n.daemonMu.Unlock()
 	}
-	f.At = r.elapsed()
-	if f.At >= endAt {
+	if r.elapsed() >= endAt {
 		return
 	}
+	if f.Kind == Terminate {
+		// A request that outlasts the stop must get a response before the kill.
+		go r.sendLongRequest(f.Host)
+		time.Sleep(longRequestHeadStart)
+	}
+	f.At = r.elapsed()
 	end := r.applyFault(f)
 	r.mu.Lock()
 	index := len(r.observed.Faults)
@@ -235,20 +248,18 @@
 func (r *run) applyFault(f Fault) (end func()) {
 	n := r.nodes[f.Host]
 	switch f.Kind {
-	case Kill, Terminate:
-		sig := syscall.SIGKILL
-		if f.Kind == Terminate {
-			sig = syscall.SIGTERM
-		}
-		_ = n.host.Daemon.Signal(sig)
-		return func() { r.restart(f.Host) }
+	case Kill:
+		_ = n.host.Daemon.Signal(syscall.SIGKILL)
+		return func() { r.restart(f.Host, stopTimeout) }
+	case Terminate:
+		return r.terminate(f.Host)
 	case Pause:
 		_ = n.host.Daemon.Signal(syscall.SIGSTOP)
 		return func() { _ = n.host.Daemon.Signal(syscall.SIGCONT) }
 	case CutSilent, CutReset, CutSlow:
 		n.platformProxy.setMode(f.Kind)
 		return func() { n.platformProxy.setMode("") }
-	case TargetFails, TargetSlow, TargetCuts, TargetLimits, TargetLeaves, TargetRefuses, TargetDeclares:
+	case TargetFails, TargetSlow, TargetCuts, TargetLimits, TargetLeaves, TargetRefuses, TargetDeclares, TargetDeparts, TargetResets:
 		_ = n.target.SetBehaviour(behaviours[f.Kind])
 		return func() { resetBehaviour(n.target) }
 	case ServiceRefuses:
@@ -287,6 +298,9 @@
 	TargetLimits: {Mode: target.Good, RateLimit: 2},
 	TargetLeaves: {Mode: target.Good, Leaving: true},
 
+	TargetDeparts: {Mode: target.Good, Departs: true},
+	TargetResets:  {Mode: target.ResetEarly},
+
 	TargetRefuses:  {Mode: target.Refuse, Share: refusedShare},
 	ServiceRefuses: {Mode: target.Refuse, Share: refusedShare},
 }
@@ -301,11 +315,31 @@
 	PlatformSlow:    {SlowMS: 200},
 }
 
+// terminate stops a daemon gracefully and repeats the signal. The function that it returns kills the daemon one drain timeout after the first
+// signal if it still runs, and starts it again.
+func (r *run) terminate(host int) (end func()) {
+	daemon := r.nodes[host].host.Daemon
+	_ = daemon.Signal(syscall.SIGTERM)
+	killAt := time.Now().Add(drainTimeout + clockSlack)
+	time.AfterFunc(secondSignalDelay, func() { _ = daemon.Signal(syscall.SIGTERM) })
+	return func() {
+		r.restart(host, time.Until(killAt))
+	}
+}
+
+// sendLongRequest sends a request that runs longer than a graceful stop takes.
+func (r *run) sendLongRequest(host int) {
+	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	at := r.elapsed()
+	req := Request{Mark: fmt.Sprintf("long-%d-%d", host, at.Milliseconds()), Host: host, Service: service, Idempotent: true, Sent: at}
+	r.sendAndRecord(client, req, fmt.Sprintf("%s?workMS=%d", longPath, (2*drainTimeout).Milliseconds()), nil)
+}
+
 // restart starts a host's daemon again once the old process has exited. It kills that process if it
-// does not exit within stopTimeout.
-func (r *run) restart(host int) {
+// does not exit within the timeout.
+func (r *run) restart(host int, timeout time.Duration) {
 	h := r.nodes[host].host
-	if ended, _ := h.Daemon.Wait(stopTimeout); !ended {
+	if ended, _ := h.Daemon.Wait(timeout); !ended {
 		_ = h.Daemon.Signal(syscall.SIGKILL)
 		_, _ = h.Daemon.Wait(stopTimeout)
 	}
@@ -382,7 +416,7 @@
 	defer client.CloseIdleConnections()
 	for n := 0; sleep.For(ctx, callInterval); n++ {
 		req := Request{Mark: fmt.Sprintf("h%d-c%d-%d", host, caller, n), Host: host, Service: service, Idempotent: n%2 == 0, Sent: r.elapsed()}
-		r.sendAndRecord(client, req, "/plans/7")
+		r.sendAndRecord(client, req, "/plans/7", nil)
 	}
 }
 
@@ -404,19 +438,33 @@
 	var wg sync.WaitGroup
 	for n := 0; sleep.For(ctx, time.Duration(rng.ExpFloat64()*float64(meanCrashingInterval))); n++ {
 		req := Request{Mark: fmt.Sprintf("fatal-%d", n), Host: rng.IntN(r.cfg.Hosts), Service: service, Crashing: true, Idempotent: true, Sent: r.elapsed()}
-		wg.Go(func() { r.sendAndRecord(client, req, "/plans"+target.CrashPathSuffix) })
+		wg.Go(func() { r.sendAndRecord(client, req, "/plans"+target.CrashPathSuffix, nil) })
 	}
 	wg.Wait()
 }
 
+// uploadInterval is the mean time between two uploads.
+const uploadInterval = 300 * time.Millisecond
+
+// sendUploads repeatedly sends an upload to a random host, one at a time.
+func (r *run) sendUploads(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.cfg.Seed, 20))
+	client := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	body := make([]byte, target.LongUploadBytes+1)
+	for n := 0; sleep.For(ctx, time.Duration(rng.ExpFloat64()*float64(uploadInterval))); n++ {
+		req := Request{Mark: fmt.Sprintf("upload-%d", n), Host: rng.IntN(r.cfg.Hosts), Service: service, Sent: r.elapsed()}
+		r.sendAndRecord(client, req, "/plans/7", body)
+	}
+}
+
 // send sends one request and records its response. It does not use the context of the run, so that
 // the end of the run does not cancel requests in flight.
-func (r *run) send(client *http.Client, req *Request, path string) {
+func (r *run) send(client *http.Client, req *Request, path string, body []byte) {
 	method := http.MethodPost
 	if req.Idempotent {
 		method = http.MethodGet
 	}
-	out, err := http.NewRequest(method, "http://"+r.nodes[req.Host].host.CallersAddress()+path, nil)
+	out, err := http.NewRequest(method, "http://"+r.nodes[req.Host].host.CallersAddress()+path, bytes.NewReader(body))
 	if err != nil {
 		panic("soak: " + err.Error())
 	}
@@ -429,13 +477,13 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	received, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return
 	}
 	req.Status, req.Verdict = resp.StatusCode, resp.Header.Get(verdict.Header)
-	req.Blocked = strings.Contains(string(body), string(verdict.ReasonCrashesTargets))
-	req.Served = resp.StatusCode == http.StatusOK && strings.Contains(string(body), "mark="+req.Mark+" ")
+	req.Blocked = strings.Contains(string(received), string(verdict.ReasonCrashesTargets))
+	req.Served = resp.StatusCode == http.StatusOK && strings.Contains(string(received), "mark="+req.Mark+" ")
 }
 
 // collectRuns collects what the instances observed.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -20,8 +20,8 @@
 const (
 	// Kill sends SIGKILL to a daemon and restarts it at the end of the fault.
 	Kill FaultKind = "kill"
-	// Terminate sends SIGTERM to a daemon, which then drains, and restarts it at the end of
-	// the fault.
+	// Terminate sends SIGTERM to a daemon twice, kills it one drain timeout after the first if
+	// it still runs, and restarts it at the end of the fault.
 	Terminate FaultKind = "terminate"
 	// Pause suspends a daemon with SIGSTOP and resumes it at the end of the fault.
 	Pause FaultKind = "pause"
@@ -53,6 +53,10 @@
 	ServiceRefuses FaultKind = "service-refuses"
 	// TargetDeclares makes a host's instance declare the greatest length for half of its responses.
 	TargetDeclares FaultKind = "target-declares"
+	// TargetResets makes a host's instance reset the connection in the middle of its responses
+	// to long uploads. TargetDeparts makes it withdraw and send delayed announcements.
+	TargetResets  FaultKind = "target-resets"
+	TargetDeparts FaultKind = "target-departs"
 	// TeamSurge makes one team send many times its usual rate to the contended service.
 	TeamSurge FaultKind = "team-surge"
 )
@@ -78,6 +82,8 @@
 	// A surge is longer than shareKnownTime, from which on shares are checked.
 	{TeamSurge, shareKnownTime + 2*time.Second, 8 * time.Second, 2 * time.Second},
 	{TargetDeclares, 500 * time.Millisecond, 4 * time.Second, 3 * time.Second},
+	{TargetDeparts, 4 * time.Second, 7 * time.Second, 400 * time.Millisecond},
+	{TargetResets, time.Second, 4 * time.Second, 400 * time.Millisecond},
 }
 
 // affectsPlatform reports whether the fault affects the platform rather than one host.
@@ -87,7 +93,8 @@
 
 // affectsTarget reports whether the fault affects an instance rather than a daemon.
 func (k FaultKind) affectsTarget() bool {
-	return k == TargetFails || k == TargetSlow || k == TargetCuts || k == TargetLimits || k == TargetLeaves || k == TargetRefuses || k == TargetDeclares
+	return k == TargetFails || k == TargetSlow || k == TargetCuts || k == TargetLimits || k == TargetLeaves || k == TargetRefuses || k == TargetDeclares ||
+		k == TargetDeparts || k == TargetResets
 }
 
 // affectsLink reports whether the fault affects the connections of a host to the platform.
@@ -196,12 +203,27 @@
 			}
 			if canAdd(out, f, hosts) && canAddBefore(out, f) {
 				out = append(out, f)
+				out = addRestart(out, f, hosts)
 			}
 		}
 	}
 	return out
 }
 
+// addRestart kills the daemon of an instance that departs, where the other faults allow it: once
+// the departure is acknowledged, and early enough for requests to arrive too late.
+func addRestart(out []Fault, f Fault, hosts int) []Fault {
+	restart := Fault{Kind: Kill, Host: f.Host, At: f.At + restartDelay, Length: minFaultLength}
+	if f.Kind == TargetDeparts && canAdd(out, restart, hosts) && canAddBefore(out, restart) {
+		out = append(out, restart)
+	}
+	return out
+}
+
+// restartDelay is the time from the start of TargetDeparts to the restart of the daemon. The
+// instance withdraws with its next announcement, within a second.
+const restartDelay = 1300 * time.Millisecond
+
 // lastSurge returns the surge that follows the schedule, in the time without other faults, which
 // affect nearly all of the surges that Schedule adds. after is when the last fault ended.
 func lastSurge(after, length time.Duration) Fault {
--- a/internal/standin/target/crash.go
+++ b/internal/standin/target/crash.go
@@ -57,7 +57,7 @@
 		return
 	}
 	s.starts++
-	s.behaviour.Leaving = false
+	s.behaviour.Leaving, s.behaviour.Departs = false, false
 	s.statements.reset()
 	server := &http.Server{Handler: s.mux, ReadHeaderTimeout: 5 * time.Second}
 	s.server = server
--- a/internal/standin/target/statements.go
+++ b/internal/standin/target/statements.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -29,6 +30,8 @@
 type statements struct {
 	// limitAt and leavingAt are the times of the first responses that stated them.
 	limitAt, leavingAt time.Time
+	// departed reports that leavingAt is when a withdrawal was acknowledged.
+	departed bool
 	// arrivals are the latest arrivals since limitAt.
 	arrivals                []time.Time
 	overLimit, lateArrivals int
@@ -37,7 +40,7 @@
 // reset begins a new instance. The counts remain.
 func (s *statements) reset() {
 	s.resetLimit()
-	s.leavingAt = time.Time{}
+	s.leavingAt, s.departed = time.Time{}, false
 }
 
 func (s *statements) resetLimit() { s.limitAt, s.arrivals = time.Time{}, nil }
@@ -62,7 +65,7 @@
 
 // announcesLeaving reports whether the announcements say that the instance is leaving.
 func (s *statements) announcesLeaving(now time.Time) bool {
-	return !s.leavingAt.IsZero() && now.Sub(s.leavingAt) >= announceDelay
+	return !s.departed && !s.leavingAt.IsZero() && now.Sub(s.leavingAt) >= announceDelay
 }
 
 // state sets the headers by which the stand-in states its rate limit and its leaving.
@@ -83,3 +86,21 @@
 		}
 	}
 }
+
+// withdraw withdraws an instance, and records the time of the acknowledgement.
+func (s *Server) withdraw(ctx context.Context, name string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+s.cfg.Announce+"/v1/instances/"+name, nil)
+	if err != nil {
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	_ = resp.Body.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if resp.StatusCode/100 == 2 && s.behaviour.Departs && s.instanceName() == name {
+		s.statements.departed, s.statements.leavingAt = true, time.Now()
+	}
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -47,6 +47,9 @@
 	// Refuse responds to a Behaviour.Share of requests at once with status 503 and the header
 	// that says that the request did not run, whether or not a slot is free.
 	Refuse Mode = "refuse"
+	// ResetEarly responds to uploads of at least LongUploadBytes before it has read them,
+	// without a declared length, and resets the connection in the middle of the response.
+	ResetEarly Mode = "reset-early"
 	// Stuck never responds.
 	Stuck Mode = "stuck"
 	// Flap alternates between Good and Slow, each for Behaviour.PeriodMS, and starts
@@ -66,8 +69,16 @@
 	// Leaving makes the stand-in state in its responses that it is leaving. It announces that
 	// only later. When Leaving is reset, it starts again under another name.
 	Leaving bool `json:"leaving,omitempty"`
+	// Departs makes the stand-in withdraw, but go on serving. Once that is acknowledged, it
+	// sends announcements as if they were from before and delayed. When Departs is reset, it
+	// starts again under another name.
+	Departs bool `json:"departs,omitempty"`
 }
 
+// LongUploadBytes is the length from which ResetEarly applies to an upload. It should be more than
+// the socket buffers between the daemon and the stand-in hold.
+const LongUploadBytes = 8 << 20
+
 // Config describes one stand-in.
 type Config struct {
 	Name    string
@@ -166,7 +177,7 @@
 func (s *Server) SetBehaviour(b Behaviour) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.behaviour.Leaving && !b.Leaving {
+	if s.behaviour.Leaving && !b.Leaving || s.behaviour.Departs && !b.Departs {
 		s.startAgain()
 	}
 	if b.RateLimit != s.behaviour.RateLimit {
@@ -186,7 +197,8 @@
 	CrashTimes []int64 `json:"ends,omitempty"`
 	// OverRateLimit is the largest number of requests in a window beyond what the stated rate
 	// limit allows. ArrivalsWhileLeaving is the number of requests that arrived although the
-	// stand-in had stated for some time that it is leaving.
+	// stand-in had stated for some time that it is leaving, or its withdrawal had been
+	// acknowledged.
 	OverRateLimit        int `json:"overRateLimit,omitempty"`
 	ArrivalsWhileLeaving int `json:"arrivalsWhileLeaving,omitempty"`
 	// Arrivals are the times at which requests with a MarkHeader arrived, by its value, in
@@ -231,17 +243,24 @@
 // MarkHeader is the header by whose value Runs.ByMark counts the runs of a request.
 const MarkHeader = "X-Mark"
 
-// serve handles a request: it waits for the service time and then responds.
+// serve handles a request: it waits for the service time, or for the milliseconds in the query
+// parameter "workMS", and then responds.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if strings.HasSuffix(r.URL.Path, CrashPathSuffix) {
 		s.crash(r)
 		return
 	}
+	if s.resetEarly(w, r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if len(body) >= LongUploadBytes {
+		body = nil // not repeated in the response
+	}
 	if s.refuse(w, r) {
 		return
 	}
@@ -251,7 +270,11 @@
 		<-r.Context().Done()
 		return
 	}
-	if !sleepFor(r.Context(), s.serviceTime(b)) {
+	serviceTime := s.serviceTime(b)
+	if ms, err := strconv.Atoi(r.URL.Query().Get("workMS")); err == nil {
+		serviceTime = time.Duration(ms) * time.Millisecond
+	}
+	if !sleepFor(r.Context(), serviceTime) {
 		return
 	}
 	s.respond(w, r, b, body)
@@ -345,10 +368,15 @@
 func (s *Server) announce(ctx context.Context) {
 	s.mu.Lock()
 	leaving, name, isDown := s.leaving || s.statements.announcesLeaving(time.Now()), s.instanceName(), s.server == nil
+	withdraws := s.behaviour.Departs && !s.statements.departed
 	s.mu.Unlock()
 	if s.cfg.Announce == "" || isDown {
 		return
 	}
+	if withdraws {
+		s.withdraw(ctx, name)
+		return
+	}
 	body, err := json.Marshal(guard.Announcement{
 		Service: s.cfg.Service, Address: s.cfg.Address, Slots: s.cfg.Slots,
 		Connections: maxConnections, Version: "1", Leaving: leaving,
