control: a departure is not stored by the record of an earlier attempt

A departure recorded while its host joins the fleet could count as stored, and be acknowledged, although the platform's record did not list it.

Cause: joining accepts a stored Host record with the host's addresses as its own, also one that an earlier attempt has written, and took the departures of the record that it had meant to write for stored.

Evidence: by reading the diff; TestDepartureIsNotStoredByRecordOfEarlierAttempt fails on the code before ("node.Stored("i") is true").

Change: they are taken for stored only if the stored record is the one that was meant.

Result: the test passes, and so do the other tests of control.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -187,6 +188,9 @@
 	}
 	obj, err = objects.PutConfirmed(ctx, c.store, key, value, conflict.Current.Version, isOwn)
 	if err == nil {
+		if !bytes.Equal(obj.Value, value) {
+			written = nil // the record of an earlier attempt is stored
+		}
 		c.ownRecordWritten(obj.Version, written)
 	}
 	return true, err
