departure: notices without receipts become rare

A host that nobody confirms a departure to sent up to 80 notices a second for two minutes: to hosts that are cut off, or run a build that sends no receipts.

Cause: one interval for all repetitions.

Change: after 20 sends, which take two seconds, the interval is two seconds.

A comment of the soak is wrapped.

--- a/internal/core/departure/departure.go
+++ b/internal/core/departure/departure.go
@@ -16,8 +16,12 @@
 const (
 	// Retention is how long a departure is kept: longer than announcements are delayed.
 	Retention = 2 * time.Minute
-	// resendInterval is the interval at which a notice is repeated until its receipt arrives.
-	resendInterval = 100 * time.Millisecond
+	// resendInterval is the interval at which a notice is repeated until its receipt arrives,
+	// and slowResendInterval that after quickSends times: the hosts that were asked are not
+	// reachable, or run a build that sends no receipts.
+	resendInterval     = 100 * time.Millisecond
+	slowResendInterval = 2 * time.Second
+	quickSends         = 20
 	// returnTimeout is how long a departure is returned to a host that does not confirm it.
 	returnTimeout = 10 * time.Second
 	// localHolders and remoteHolders are the numbers of hosts of the own data centre and of
@@ -58,7 +62,9 @@
 	stored bool
 	// holders are the hosts that were asked to hold it, and whether they have confirmed that.
 	holders map[string]*holder
-	sendAt  time.Time
+	// sends is the number of times that notices were sent, and sendAt the next time.
+	sends  int
+	sendAt time.Time
 }
 
 type holder struct{ remote, confirmed bool }
@@ -211,7 +217,11 @@
 		case now.Sub(o.departure.At) > Retention:
 			delete(n.own, instance)
 		case !o.held(peers) && !now.Before(o.sendAt):
+			o.sends++
 			o.sendAt = now.Add(resendInterval)
+			if o.sends >= quickSends {
+				o.sendAt = now.Add(slowResendInterval)
+			}
 			n.chooseHolders(o)
 			for name, h := range o.holders {
 				if !h.confirmed {
--- a/internal/core/departure/departure_test.go
+++ b/internal/core/departure/departure_test.go
@@ -149,6 +149,15 @@
 	}
 }
 
+// Hosts that cannot be reached, or run an older build, send no receipt. They must not get notices at
+// the rate of the first second for all of Retention.
+func TestNoticesWithoutReceiptsBecomeRare(t *testing.T) {
+	f := newFleet(1, 1, 5, 5)
+	f.nodes["dc0-h0"].Record(f.now, departed(7, f.now), f.peers("dc0-h0"))
+	f.run(Retention)
+	assert.Assert(t, f.sent < maxHolders*(quickSends+int(Retention/slowResendInterval)), "%d notices", f.sent)
+}
+
 func TestDeparturesExpire(t *testing.T) {
 	f := newFleet(1, 0, 2)
 	f.nodes["dc0-h0"].Record(f.now, departed(7, f.now), f.peers("dc0-h0"))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -315,8 +315,8 @@
 	PlatformSlow:    {SlowMS: 200},
 }
 
-// terminate stops a daemon gracefully and repeats the signal. The function that it returns kills the daemon one drain timeout after the first
-// signal if it still runs, and starts it again.
+// terminate stops a daemon gracefully and repeats the signal. The function that it returns kills
+// the daemon one drain timeout after the first signal if it still runs, and starts it again.
 func (r *run) terminate(host int) (end func()) {
 	daemon := r.nodes[host].host.Daemon
 	_ = daemon.Signal(syscall.SIGTERM)
