guard, departure: names of departures are bounded

A withdrawal of a name that no instance can have, of up to the size of a request header, would have filled the Host record and the notices of its host, so that none of its departures could be recorded; and a notice could make other hosts keep names of any length.

Cause: announcements check the name, withdrawals did not; notices were bounded in number only.

A comment of a test is worded plainly.

Result: TestWithdrawalOfLongNameIsRefused and TestLongNamesAreNotHeld pass, and so do the tests of guard. Found by reading.

--- a/internal/core/departure/departure.go
+++ b/internal/core/departure/departure.go
@@ -39,6 +39,8 @@
 	// maxHeld is the number of departures held for other hosts. Above it, further ones are
 	// not held.
 	maxHeld = 4096
+	// maxNameBytes limits the names of hosts and instances in departures that are held.
+	maxNameBytes = 256
 )
 
 // Peers holds the names of the live hosts.
@@ -309,7 +311,7 @@
 	key := heldKey{m.Host, m.Instance}
 	h, known := n.held[key]
 	switch {
-	case !known && len(n.held) >= maxHeld:
+	case !known && (len(n.held) >= maxHeld || len(m.Host) > maxNameBytes || len(m.Instance) > maxNameBytes):
 		return nil, nil
 	case !known:
 		n.held[key] = &held{departure: d, incarnation: m.Incarnation}
--- a/internal/core/departure/departure_test.go
+++ b/internal/core/departure/departure_test.go
@@ -210,3 +210,10 @@
 	assert.Assert(t, receipt != nil && restored == nil)
 	assert.Assert(t, n.Stored("i") && !n.Unstored())
 }
+
+// The names in a notice are the sender's, and must not use memory without bound.
+func TestLongNamesAreNotHeld(t *testing.T) {
+	n := New("h", 1, rand.New(rand.NewPCG(1, 1)))
+	receipt, _ := n.StepNotice(time.Unix(1000, 0), &msg.DepartureNotice{From: "p", Host: "p", Instance: string(make([]byte, maxNameBytes+1))})
+	assert.Assert(t, receipt == nil && len(n.held) == 0)
+}
--- a/internal/daemon/departure_test.go
+++ b/internal/daemon/departure_test.go
@@ -158,8 +158,8 @@
 	}
 }
 
-// The acknowledgement is a promise, so a host that nobody else hears must not give it. The
-// instance gets no requests all the same, and is asked to repeat the call.
+// The acknowledgement is a promise, so a host that reaches neither the platform nor another host
+// must not give it. The instance gets no requests all the same, and is asked to repeat the call.
 func TestUnrecordedDepartureIsNotAcknowledged(t *testing.T) {
 	platform := platformd.NewServer()
 	daemons := startDaemons(t, startPlatformOn(t, platform))
@@ -215,3 +215,13 @@
 	assert.Assert(t, took < 300*time.Millisecond, "%s", took)
 	platform.SetFaults(platformd.Faults{})
 }
+
+// A withdrawal of a long name, which no instance can have, must not fill the Host record or the
+// notices to other hosts, so that no departure of this host could be recorded any more.
+func TestWithdrawalOfLongNameIsRefused(t *testing.T) {
+	daemons := startDaemons(t, startPlatform(t))
+	defer killAll(daemons)
+	i := newManualInstance(t, strings.Repeat("x", 1000), daemons[1].cfg.Load())
+	status, _ := i.call(http.MethodDelete, nil)
+	assert.Equal(t, status, http.StatusBadRequest)
+}
--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -28,6 +28,11 @@
 
 var errTooManyInstances = errors.Errorf("this host has reached its limit of %d instances", maxInstances)
 
+var errInvalidName = errors.Errorf("instance name: must be 1 to %d bytes long", maxNameLength)
+
+// isValidName reports whether an instance may have the name.
+func isValidName(name string) bool { return name != "" && len(name) <= maxNameLength }
+
 // Announcement is the body by which an instance registers and refreshes itself
 // periodically.
 type Announcement struct {
@@ -170,8 +175,8 @@
 // the accepted values.
 func (a *Announcement) validate(name string) error {
 	switch {
-	case name == "" || len(name) > maxNameLength:
-		return errors.Errorf("instance name: must be 1 to %d bytes long", maxNameLength)
+	case !isValidName(name):
+		return errInvalidName
 	case a.Service == "" || len(a.Service) > maxNameLength:
 		return errors.Errorf("service: must be the name of a Service record, 1 to %d bytes long", maxNameLength)
 	case a.Slots < 1 || a.Slots > maxSlots:
@@ -282,6 +287,9 @@
 	name := r.PathValue("name")
 	var body withdrawal
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)).Decode(&body)
+	if !isValidName(name) {
+		err = errInvalidName
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		g.refuseAnnouncement(w, name, err)
 		return
