guard: an unnumbered instance that is ready again returns after a restart

An instance that does not number its announcements, drains, and is ready again was refused for two minutes after a restart of its host.

Cause: a later process cannot tell its announcements from those before the departure, and took it for gone.

Evidence: TestUnnumberedInstanceReturnsAfterRestart fails on the code before ("0 (int) != 1 (int)").

Found by reading.

--- a/internal/core/announce/announce.go
+++ b/internal/core/announce/announce.go
@@ -331,8 +331,7 @@
 	outdated = known && e.state == present
 	e.latest = Stamp{StartedMS: d.StartedMS, Sequence: max(e.latest.Sequence, d.Sequence)}
 	e.lastSeen, e.state = now, replaced
-	if d.Gone || d.Sequence == 0 {
-		// The announcements of an instance that does not number them cannot be ordered.
+	if d.Gone {
 		e.state = gone
 	}
 	return outdated
--- a/internal/daemon/departure_test.go
+++ b/internal/daemon/departure_test.go
@@ -225,3 +225,26 @@
 	status, _ := i.call(http.MethodDelete, nil)
 	assert.Equal(t, status, http.StatusBadRequest)
 }
+
+// An instance that does not number its announcements, drains and is ready again must be accepted
+// after a restart of its host.
+func TestUnnumberedInstanceReturnsAfterRestart(t *testing.T) {
+	daemons := startDaemons(t, startPlatform(t))
+	defer func() { killAll(daemons) }()
+	i := newManualInstance(t, "i", daemons[1].cfg.Load())
+	announce := func(state string) {
+		body, err := json.Marshal(guard.Announcement{Service: "s", Address: i.address, Slots: 4, State: state})
+		assert.NilError(t, err)
+		status, _ := i.call(http.MethodPut, body)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	announce("ready")
+	waitUntilServed(t, daemons[0])
+	announce("draining")
+	announce("ready")
+	killAll(daemons[1:])
+	daemons[1] = startAgain(t, daemons[1])
+	time.Sleep(500 * time.Millisecond)
+	announce("ready")
+	assert.Equal(t, len(daemons[1].guard.Instances()), 1)
+}
--- a/internal/guard/announce.go
+++ b/internal/guard/announce.go
@@ -275,7 +275,9 @@
 		g.refuseAnnouncement(w, name, err)
 		return
 	}
-	if a.isLeaving() && !g.acknowledgeDeparture(w, r, announce.Departure{Instance: name, Stamp: a.stamp(), At: now}) {
+	// A departure without a sequence number is not recorded: a later process could not tell it
+	// from an older one, and would refuse an instance that is ready again.
+	if a.isLeaving() && a.Sequence > 0 && !g.acknowledgeDeparture(w, r, announce.Departure{Instance: name, Stamp: a.stamp(), At: now}) {
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
