front: what callers' connections hold is bounded, and those without progress are closed

What callers saw: a crowd of bodies, headers or idle connections that stop just short ended the process for want of memory, or kept all other callers out until its timeouts.

Cause: each connection was bounded, the sum of all was not; a body was kept until its deadline in a buffer that doubles while it grows; beyond max_conns, new connections waited to be accepted.

Change: internal/core/membudget holds one budget of bytes and connections for all callers of a host. Bytes count when they arrive. When it is used up, the connections whose callers make no progress are closed, 408 for a body that no instance has seen; if there are none, the newcomer gets 503. A slow body that misses its deadline now gets 408, not 400. New setting request_memory, by default a fifth of memory_mb; max_conns is also bounded by three for each MB.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -87,7 +87,7 @@
 	return state.Dump{
 		Host: cfg.Host, DC: cfg.DC, Started: d.started.UTC().Format(time.RFC3339), Phase: d.phase(),
 		NotReadyReasons: d.notReadyReasons(), Instances: d.guard.State(), Suspects: d.guard.Suspects(), Services: d.front.Status(), Teams: d.teams.State(), TeamShares: d.guard.TeamShares(), Paths: d.front.Paths(),
-		Control: d.control.State(), Peers: d.pool.Stats(), Shards: d.keys.State(),
+		Control: d.control.State(), Peers: d.pool.Stats(), Memory: d.front.Memory(), Shards: d.keys.State(),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,7 +172,7 @@
 }
 
 func frontLimits(cfg *settings.Config) front.Limits {
-	return front.Limits{MaxBodyBytes: int64(cfg.MaxBodyBytes)}
+	return front.Limits{MaxBodyBytes: int64(cfg.MaxBodyBytes), RequestMemoryBytes: cfg.RequestMemoryBytes()}
 }
 
 func guardLimits(cfg *settings.Config) guard.Limits {
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -1,44 +1,55 @@
 package front
 
 import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
+	"github.com/radishhoist/radishhoist/internal/core/membudget"
 	"github.com/radishhoist/radishhoist/internal/pipeline"
 	"github.com/radishhoist/radishhoist/record"
 )
 
-// limitListener bounds the number of open connections. Further ones wait in the kernel's
-// accept queue.
+// limitListener accepts callers' connections within the front's budget of connections.
 type limitListener struct {
 	net.Listener
 	front *Front
-	sem   chan struct{}
 }
 
 // LimitListener wraps a listener. It bounds the number of connections and applies the header
 // and idle timeouts of the current configuration. Its connections read pipelined requests
 // ahead if the settings allow that.
 func (f *Front) LimitListener(l net.Listener) net.Listener {
-	limited := &limitListener{Listener: l, front: f, sem: make(chan struct{}, f.cfg.MaxConns)}
+	limited := &limitListener{Listener: l, front: f}
 	if f.pipeline == nil {
 		return limited
 	}
 	return f.pipeline.Listener(limited)
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. If there are too many connections, it closes the one that has
+// waited longest for its caller. If none may be closed, it refuses the new one: a caller that
+// waits to be accepted would not know for how long.
 func (l *limitListener) Accept() (net.Conn, error) {
-	l.sem <- struct{}{}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.sem
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &callerConn{Conn: nc, front: l.front}
+		if l.front.memory.open(c) {
+			return c, nil
+		}
+		l.front.refuseConn(nc)
 	}
-	return &callerConn{Conn: c, front: l.front, release: sync.OnceFunc(func() { <-l.sem })}, nil
 }
 
 // callerConn is a caller's connection. The HTTP server sets its read deadline from the
@@ -46,10 +57,20 @@
 // may change while the connection is open.
 type callerConn struct {
 	net.Conn
-	front   *Front
-	release func()
+	front     *Front
+	closeOnce sync.Once
 	// awaiting says what the next read deadline is for.
 	awaiting atomic.Uint32
+	// evicted says that the connection is being closed because the budget is used up.
+	evicted atomic.Bool
+	// bufferLimit is the size set for the receive buffer, 0 if the kernel chooses it.
+	bufferLimit atomic.Int32
+	// account is what the connection holds. It is guarded by the lock of callerMemory.
+	account membudget.Account
+	// headerBytes is the number of bytes read of the current header. headerHeld is the part of
+	// the account for it.
+	headerBytes int
+	headerHeld  int64
 }
 
 // Values of callerConn.awaiting.
@@ -59,14 +80,41 @@
 	awaitingNothing
 )
 
-// trackConnState records a connection's state: a new one awaits its first header, an idle
-// one the next request and then that request's header.
-func trackConnState(nc net.Conn, state http.ConnState) {
+// connKey is the context key of a request's callerConn.
+type connKey struct{}
+
+// connContext is the ConnContext of the HTTP server. It gives handlers access to their
+// connection.
+func (f *Front) connContext(ctx context.Context, nc net.Conn) context.Context {
+	if c := unwrapConn(nc); c != nil {
+		ctx = context.WithValue(ctx, connKey{}, c)
+	}
+	if f.pipeline == nil {
+		return ctx
+	}
+	return f.pipeline.ConnContext(ctx, nc)
+}
+
+// connOf returns the connection of a request, or nil if it did not arrive through LimitListener.
+func connOf(r *http.Request) *callerConn {
+	c, _ := r.Context().Value(connKey{}).(*callerConn)
+	return c
+}
+
+// unwrapConn returns the callerConn of a connection of the HTTP server, or nil.
+func unwrapConn(nc net.Conn) *callerConn {
 	if p, ok := nc.(*pipeline.Conn); ok {
 		nc = p.NetConn()
 	}
-	c, ok := nc.(*callerConn)
-	if !ok {
+	c, _ := nc.(*callerConn)
+	return c
+}
+
+// trackConnState records a connection's state: a new one awaits its first header, an idle
+// one the next request and then that request's header.
+func trackConnState(nc net.Conn, state http.ConnState) {
+	c := unwrapConn(nc)
+	if c == nil {
 		return
 	}
 	switch state {
@@ -74,9 +122,20 @@
 		c.awaiting.Store(awaitingHeader)
 	case http.StateIdle:
 		c.awaiting.Store(awaitingNextRequest)
+		c.startIdle()
 	case http.StateActive:
 		c.awaiting.Store(awaitingNothing)
+		c.endWait(0)
+	}
+}
+
+// Read implements net.Conn. It counts the bytes of headers towards the budget.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.awaiting.Load() != awaitingNothing && !c.receiveHeader(n) {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errMemoryExhausted}
 	}
+	return n, err
 }
 
 // SetReadDeadline implements net.Conn.
@@ -90,7 +149,11 @@
 	case awaitingHeader:
 		t = earlierDeadline(t, headerTimeoutMS(t, limits))
 	}
-	return c.Conn.SetReadDeadline(t)
+	err := c.Conn.SetReadDeadline(t)
+	if c.evicted.Load() {
+		c.interruptRead()
+	}
+	return err
 }
 
 // headerTimeoutMS is the header timeout, or 0 if t only clears the deadline.
@@ -114,8 +177,84 @@
 	return t
 }
 
+// CloseWrite sends the end of the stream, so that the caller reads the last response before
+// the connection is closed. The HTTP server uses it.
+func (c *callerConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	c.release()
+	c.closeOnce.Do(func() { c.front.memory.close(c) })
 	return c.Conn.Close()
 }
+
+const (
+	// maxRefusedConns is the maximum number of refused connections that are kept open until
+	// their callers have read the refusal.
+	maxRefusedConns = 64
+	// refusedConnTimeout bounds the time for that.
+	refusedConnTimeout = 500 * time.Millisecond
+)
+
+// refuseConn refuses a connection for which there is no room. Closing a connection with unread
+// data resets it, which may destroy the refusal, so what arrives is read for a short time.
+func (f *Front) refuseConn(nc net.Conn) {
+	f.memory.countRefusedConn()
+	select {
+	case f.refusedConns <- struct{}{}:
+	default:
+		_ = nc.Close()
+		return
+	}
+	go func() {
+		defer func() { <-f.refusedConns }()
+		defer func() { _ = nc.Close() }()
+		_ = nc.SetDeadline(time.Now().Add(refusedConnTimeout))
+		(&callerConn{Conn: nc}).limitReceiveBuffer(refusedBufferBytes)
+		if _, err := nc.Write(connRefusal()); err != nil {
+			return
+		}
+		if tcp, ok := nc.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		_, _ = io.Copy(io.Discard, nc)
+	}()
+}
+
+// connRefusal returns the response to a connection for which there is no room.
+var connRefusal = sync.OnceValue(func() []byte {
+	recorded := responseBuffer{header: make(http.Header)}
+	recorded.header.Set("Connection", "close")
+	memoryExhausted("this host has too many connections; retry on another host").Write(&recorded, uuid.NewString())
+	return recorded.bytes()
+})
+
+// responseBuffer is a ResponseWriter that keeps the response.
+type responseBuffer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (b *responseBuffer) Header() http.Header { return b.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (b *responseBuffer) WriteHeader(status int) { b.status = status }
+
+// Write implements http.ResponseWriter.
+func (b *responseBuffer) Write(p []byte) (int, error) { return b.body.Write(p) }
+
+// bytes returns the response as sent on a connection.
+func (b *responseBuffer) bytes() []byte {
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\n", b.status, http.StatusText(b.status))
+	_ = b.header.Write(&out)
+	out.WriteString("\r\n")
+	out.Write(b.body.Bytes())
+	return out.Bytes()
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -33,7 +33,8 @@
 	BufferBodyBytes int
 	// MaxHeaderBytes is the maximum size of a request header.
 	MaxHeaderBytes int
-	// MaxConns is the maximum number of caller connections.
+	// MaxConns is the maximum number of caller connections. Beyond it, idle connections and
+	// those whose callers make no progress are closed; without any, new ones are refused.
 	MaxConns int
 	// PipelineDepth is the maximum number of requests of one caller's connection that are
 	// handled at the same time. With 1 or less, each waits for the response before it.
@@ -65,6 +66,9 @@
 type Limits struct {
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
+	// RequestMemoryBytes bounds what requests and responses of all callers may hold; 0 means
+	// no limit.
+	RequestMemoryBytes int64
 }
 
 // Front serves callers' requests. It is safe for concurrent use.
@@ -81,6 +85,11 @@
 	// pipeline runs pipelined requests concurrently; nil if they are handled one by one.
 	pipeline *pipeline.Pipeline
 
+	// memory bounds what callers' connections hold, and refusedConns those that are being
+	// refused.
+	memory       *callerMemory
+	refusedConns chan struct{}
+
 	limits      atomic.Pointer[Limits]
 	dir         atomic.Pointer[directory.Directory]
 	rateLimiter RateLimiter
@@ -106,6 +115,8 @@
 	f.dir.Store(&directory.Directory{})
 	f.services.byName = make(map[string]*serviceState)
 	f.counts, f.loadQueries = newCounters(), newLoadQueries()
+	f.memory = newCallerMemory(limits.RequestMemoryBytes, cfg.MaxConns, f.counts.set)
+	f.refusedConns = make(chan struct{}, maxRefusedConns)
 	f.pipeline = f.newPipeline()
 	f.cfg.areas = newAreas(cfg, f.counts.set)
 	f.counts.set.NewGauge("radishhoist_spill", func() float64 { return f.services.spilledRoutes(time.Now()) })
@@ -115,6 +126,7 @@
 // SetLimits replaces the limits.
 func (f *Front) SetLimits(l Limits) {
 	f.limits.Store(&l)
+	f.memory.setLimit(l.RequestMemoryBytes)
 }
 
 // SetDirectory replaces the directory used to serve requests.
@@ -175,9 +187,10 @@
 		MaxHeaderBytes:    f.cfg.MaxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 		ConnState:         trackConnState,
+		ConnContext:       f.connContext,
 	}
 	if f.pipeline != nil {
-		s.Handler, s.ConnContext = f.pipeline, f.pipeline.ConnContext
+		s.Handler = f.pipeline
 	}
 	return s
 }
--- a/internal/front/hedge_test.go
+++ b/internal/front/hedge_test.go
@@ -87,7 +87,7 @@
 // A body that is too large to buffer is sent by one attempt only, even if several try to
 // send it at once.
 func TestUnbufferedBodyIsSentByOneAttempt(t *testing.T) {
-	req := &request{unbuffered: strings.NewReader("rest"), body: []byte("kept")}
+	req := &request{unbuffered: &callerBody{src: strings.NewReader("rest")}, body: []byte("kept")}
 	var attempts sync.WaitGroup
 	var mu sync.Mutex
 	senders := 0
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -1,9 +1,7 @@
 package front
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,7 +11,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/pkg/errors"
 
 	"github.com/radishhoist/radishhoist/internal/core/crash"
 	"github.com/radishhoist/radishhoist/internal/core/directory"
@@ -46,9 +43,11 @@
 	// body is the buffered request body. If the body is too large to buffer, unbuffered is
 	// the remainder, which only one attempt can send: the first to set unbufferedUsed.
 	body           []byte
-	unbuffered     io.Reader
+	unbuffered     *callerBody
 	unbufferedUsed atomic.Bool
 	length         int64
+	// held is what the request holds of the memory for requests, in bytes.
+	held int64
 	// nestedRetryChance and originIdle tell guards how likely the request is to be a call
 	// made by a retried run, see the fields of the same names in msg.AdmissionHints.
 	nestedRetryChance uint16
@@ -65,6 +64,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, fail := f.prepare(w, r)
+	defer f.releaseMemory(req)
 	if fail == nil {
 		f.counts.requests.Inc()
 		w.Header().Set(header.RequestID, req.id)
@@ -109,6 +109,9 @@
 	if f.refusing.Load() {
 		return nil, retryLater(verdict.ReasonDraining, "this host is shutting down; retry on another host", defaultRetryAfter)
 	}
+	if connOf(r).wasEvicted() {
+		return nil, memoryExhausted("this host has too many requests; retry on another host")
+	}
 	dir := f.dir.Load()
 	if !dir.Complete {
 		return nil, retryLater(verdict.ReasonNotReady, "this host has not loaded its whole configuration yet", time.Second)
@@ -205,48 +208,6 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// readBody reads the body and buffers it if it is small enough.
-func (f *Front) readBody(w http.ResponseWriter, req *request, limits record.Limits) *verdict.Error {
-	r := req.http
-	if limit := limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
-		return verdict.New(verdict.NotRun, verdict.ReasonHeaderTooLarge, "the request header is larger than "+strconv.Itoa(limit)+" bytes")
-	}
-	maxBody := f.limits.Load().MaxBodyBytes
-	if limits.MaxBodyBytes > 0 {
-		maxBody = limits.MaxBodyBytes
-	}
-	req.length = r.ContentLength
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		req.length = 0
-		return nil
-	}
-	if r.ContentLength > maxBody {
-		return bodyTooLarge(maxBody)
-	}
-	// A caller that sends its body slowly is not waited for beyond its own deadline.
-	_ = http.NewResponseController(w).SetReadDeadline(req.deadline)
-	reader := http.MaxBytesReader(w, r.Body, maxBody)
-	buffered, err := io.ReadAll(io.LimitReader(reader, int64(f.cfg.BufferBodyBytes)+1))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return bodyTooLarge(maxBody)
-	}
-	if err != nil {
-		return verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "cannot read the request body: "+err.Error())
-	}
-	req.body = buffered
-	if len(buffered) <= f.cfg.BufferBodyBytes {
-		req.length = int64(len(buffered))
-		return nil
-	}
-	req.unbuffered = reader
-	return nil
-}
-
-func bodyTooLarge(limit int64) *verdict.Error {
-	return verdict.New(verdict.NotRun, verdict.ReasonBodyTooLarge, "the request body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
-}
-
 // headerBytes is the approximate size of the request header as received: the request line
 // and each field with its separators.
 func headerBytes(r *http.Request) int {
@@ -260,21 +221,6 @@
 	return n
 }
 
-// bodyReader returns the body for one attempt, or false if the body was too large to
-// buffer and has been sent already.
-func (req *request) bodyReader() (io.Reader, bool) {
-	if req.unbuffered == nil {
-		return bytes.NewReader(req.body), true
-	}
-	if req.unbufferedUsed.Swap(true) {
-		return nil, false
-	}
-	return io.MultiReader(bytes.NewReader(req.body), req.unbuffered), true
-}
-
-// canResend reports whether another attempt can send the body.
-func (req *request) canResend() bool { return req.unbuffered == nil || !req.unbufferedUsed.Load() }
-
 // run executes the request and writes the response to the caller, or returns why there is
 // none.
 func (f *Front) run(w http.ResponseWriter, req *request) *verdict.Error {
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -379,6 +379,14 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
+// CloseWrite sends the end of the stream if the wrapped connection supports that.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn. It cancels the requests that have started ahead.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,9 @@
 	MaxConns int
 	// MemoryMB is the memory the process may use, in MB; 0 means no limit.
 	MemoryMB int
+	// RequestMemoryMB is the memory that requests and responses of callers may hold, in MB; 0
+	// means requestMemoryFraction of MemoryMB.
+	RequestMemoryMB int
 	// MaxFDs is the number of file descriptors the process may use; 0 means no limit.
 	MaxFDs int
 	// HeaderTimeout is the time a caller has to send a request header.
@@ -240,14 +243,59 @@
 	}
 }
 
+const (
+	// connsPerMB bounds the connections from callers by the memory: each needs some 25 KB, and
+	// the kernel holds up to 64 KB of what its caller sends while the process does not read.
+	connsPerMB = 3
+	// requestMemoryFraction is the fraction of the memory that requests and responses of
+	// callers may hold. The rest is for the process itself, for connections and for what the
+	// garbage collector has not collected yet.
+	requestMemoryFraction = 0.2
+)
+
 // ConnBound returns the maximum number of connections from callers: MaxConns, but at
 // most half of MaxFDs, because each request may need another connection to a peer or a
-// target.
+// target, and at most connsPerMB for each MB of memory.
 func (c *Config) ConnBound() int {
+	bound := c.MaxConns
+	if c.MaxFDs > 0 {
+		bound = min(bound, c.MaxFDs/2)
+	}
+	if c.MemoryMB > 0 {
+		bound = min(bound, connsPerMB*c.MemoryMB)
+	}
+	return max(bound, 1)
+}
+
+const (
+	// auxiliaryConnShare divides MaxFDs: the connections to one address other than that for
+	// callers may use that part.
+	auxiliaryConnShare = 16
+	// defaultAuxiliaryConns and minAuxiliaryConns are their number without MaxFDs, and the
+	// least with it.
+	defaultAuxiliaryConns = 512
+	minAuxiliaryConns     = 16
+)
+
+// AuxiliaryConnBound returns the maximum number of connections to each address for
+// announcements, readiness and operators.
+func (c *Config) AuxiliaryConnBound() int {
 	if c.MaxFDs == 0 {
-		return c.MaxConns
+		return defaultAuxiliaryConns
+	}
+	return max(c.MaxFDs/auxiliaryConnShare, minAuxiliaryConns)
+}
+
+// UnidentifiedPeerBound returns the maximum number of connections of other hosts that have not
+// said who they are. When many hosts start, many of them connect at the same time.
+func (c *Config) UnidentifiedPeerBound() int { return 2 * c.AuxiliaryConnBound() }
+
+// RequestMemoryBytes returns what requests and responses of callers may hold; 0 means no limit.
+func (c *Config) RequestMemoryBytes() int64 {
+	if c.RequestMemoryMB > 0 {
+		return int64(c.RequestMemoryMB) << 20
 	}
-	return max(min(c.MaxConns, c.MaxFDs/2), 1)
+	return int64(requestMemoryFraction * float64(c.MemoryMB<<20))
 }
 
 func unknownKeys(path string, file *ini.File) []string {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -42,6 +42,8 @@
 	Paths   []front.PathState `json:"paths"`
 	Control control.State     `json:"control"`
 	Peers   peer.Stats        `json:"peers"`
+	// Memory is what the connections of callers hold.
+	Memory front.MemoryState `json:"memory"`
 	// Shards are the key shards that this host owns.
 	Shards []once.OwnedShardState `json:"shards"`
 }
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// streamWindowBytes is the flow-control window of each direction of a stream, in
-	// body bytes.
-	streamWindowBytes = 256 << 10
+	// StreamWindowBytes is the flow-control window of each direction of a stream, in
+	// body bytes: what the receiver of a body holds at most while it is not read.
+	StreamWindowBytes = 256 << 10
 	// recvQueueMessages is the capacity of a stream's receive queue, in messages. Data
 	// messages take up at most half of it (see minCreditBytes); the rest is for other
 	// messages of the stream.
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -101,7 +101,7 @@
 		}
 	}
 	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "the sender was not blocked by flow control: %v", err)
-	assert.Assert(t, sent*ChunkSize <= streamWindowBytes)
+	assert.Assert(t, sent*ChunkSize <= StreamWindowBytes)
 
 	fast, err := sender.Open()
 	assert.NilError(t, err)
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -49,7 +49,7 @@
 		conn:        c,
 		id:          id,
 		recvQueue:   make(chan msg.Message, recvQueueMessages),
-		credit:      streamWindowBytes,
+		credit:      StreamWindowBytes,
 		creditAdded: make(chan struct{}, 1),
 	}
 }
@@ -62,7 +62,7 @@
 		s.addCredit(int(m.Bytes))
 		return nil
 	case *msg.Data:
-		if len(m.Bytes) > ChunkSize || s.buffered.Add(int64(len(m.Bytes))) > streamWindowBytes {
+		if len(m.Bytes) > ChunkSize || s.buffered.Add(int64(len(m.Bytes))) > StreamWindowBytes {
 			return errors.Errorf("stream %d: peer exceeded its flow-control window", s.id)
 		}
 	}
@@ -119,7 +119,7 @@
 
 // minCreditBytes is the minimum credit charged for a Data message, in bytes. It keeps a
 // full window of small chunks within half of the receive queue.
-const minCreditBytes = streamWindowBytes / (recvQueueMessages / 2)
+const minCreditBytes = StreamWindowBytes / (recvQueueMessages / 2)
 
 // Recv implements Stream.
 func (s *connStream) Recv(ctx context.Context) (msg.Message, error) {
@@ -152,7 +152,7 @@
 	}
 	s.buffered.Add(-int64(len(d.Bytes)))
 	s.unreturned += max(len(d.Bytes), minCreditBytes)
-	if s.unreturned < streamWindowBytes/2 {
+	if s.unreturned < StreamWindowBytes/2 {
 		return nil
 	}
 	returned := uint32(s.unreturned)
--- a/verdict/problem.go
+++ b/verdict/problem.go
@@ -24,7 +24,7 @@
 	RequestID string `json:"request"`
 }
 
-// Status returns the HTTP status code for the failure. Callers take 429 and 503
+// Status returns the HTTP status code for the failure. Callers take 408, 429 and 503
 // to mean that the request did not run, so only NotRun failures get these codes.
 func (e *Error) Status() int {
 	switch e.Reason {
@@ -46,6 +46,8 @@
 	switch {
 	case e.Verdict == NotRun && e.Reason == ReasonTeamLimit:
 		return http.StatusTooManyRequests
+	case e.Verdict == NotRun && e.Reason == ReasonBodyTimeout:
+		return http.StatusRequestTimeout
 	case e.Verdict == NotRun:
 		return http.StatusServiceUnavailable
 	case e.Reason == ReasonDeadline:
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -55,6 +55,8 @@
 	ReasonBadRequest       Reason = "bad-request"
 	ReasonBodyTooLarge     Reason = "body-too-large"
 	ReasonHeaderTooLarge   Reason = "header-too-large"
+	ReasonBodyTimeout      Reason = "body-timeout"
+	ReasonMemory           Reason = "memory"
 	ReasonNotReady         Reason = "not-ready"
 	ReasonTeamLimit        Reason = "team-limit"
 	ReasonNoTeam           Reason = "no-team"
