front: a refusal does not wait for the rest of the body

What callers saw: no response at all to a request that was refused before its body was read (no route, no team, over the rate), if the body stopped short; 800 such connections used up max_conns, and no other caller was served.

Cause: net/http reads up to 256 KB of an unread body before it sends the response, and no read deadline was set before the front reads a body.

Change: the rest of the body is discarded for 100 ms; if it does not end by then, the response closes the connection and is sent at once. A response that arrives during an upload is no longer preceded by a read of the upload's rest, which took bytes from the attempt.

--- a/internal/front/memory_test.go
+++ b/internal/front/memory_test.go
@@ -98,6 +98,41 @@
 	awaitMemory(t, f, func(m MemoryState) bool { return m.UsedBytes == 0 && m.Connections == 0 })
 }
 
+// Guards against refusals that are never sent: the HTTP server waits for the rest of a body
+// before it sends the response, and does not read what comes behind it.
+func TestRefusalDoesNotWaitForBody(t *testing.T) {
+	forEachPipelineDepth(t, func(t *testing.T, depth int) {
+		_, addr := serveFront(t, record.Limits{}, depth)
+		for _, request := range []string{
+			post("/nowhere/", 1000, 1),
+			post("/a/", 500<<10, 1),
+			"POST /nowhere/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nxxxx\r\n",
+			"POST /nowhere/ HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n",
+		} {
+			nc := sendOn(t, addr, request)
+			resp := readResponse(t, nc)
+			assert.Assert(t, resp.StatusCode >= http.StatusBadRequest)
+			assert.Assert(t, resp.Close)
+			timeUntilClosed(t, nc)
+		}
+	})
+}
+
+// A refused request whose body has arrived leaves its connection usable.
+func TestRefusalKeepsConnectionAfterWholeBody(t *testing.T) {
+	forEachPipelineDepth(t, func(t *testing.T, depth int) {
+		_, addr := serveFront(t, record.Limits{}, depth)
+		nc := sendOn(t, addr, "")
+		for range 2 {
+			_, err := io.WriteString(nc, post("/nowhere/", 1000, 0))
+			assert.NilError(t, err)
+			resp := readResponse(t, nc)
+			assert.Equal(t, resp.StatusCode, http.StatusNotFound)
+			assert.Assert(t, !resp.Close)
+		}
+	})
+}
+
 // Guards against connections that keep others out: the longest idle one is closed for a new one,
 // and a new one that finds none is refused at once.
 func TestIdleConnectionIsClosedForAnother(t *testing.T) {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -87,6 +87,7 @@
 	f.counts.countFailure(fail)
 	f.guard.RecordFailedCall(time.Now())
 	f.logFailure(req, fail)
+	endBody(w, req)
 	setWriteDeadline(w)
 	fail.Write(w, req.id)
 }
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -73,6 +73,9 @@
 	if !resp.streaming && !resp.hasLength() {
 		h.Set("Content-Length", strconv.Itoa(len(resp.buffered)))
 	}
+	if req.uploading() {
+		endBody(w, req)
+	}
 	setWriteDeadline(w)
 	w.WriteHeader(int(resp.head.Status))
 	if _, err := w.Write(resp.buffered); err != nil || !resp.streaming {
