guard: uploads that stop short do not keep slots, nor count against instances

What callers saw: no slot, refused with queue-full for 40 s, while uploads without their last byte occupied all slots of a service until their deadline; and healthy instances that looked as if they failed.

Cause: a running upload waited for the rest of its body without regard to requests that waited for the slot. An upload that its caller broke off was recorded as a failure of the instance, and one that was slow to arrive as overdue.

Evidence: TestCrowdOfUploadsWithoutLastByte and its chunked sibling on; TestUploadThatBreaksOffIsNoFailureOfInstance counted one failure on.

The time that a request waits for its body does not count as time of the instance, and its break-off is no failure.

--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -99,7 +98,11 @@
 	resp, err := x.inst.client.Do(ctx, x.buildRequest(m))
 	if err != nil {
 		x.reportPanic(err)
-		return result{failed: !errors.Is(err, errFrontGone), aborted: errors.Is(err, errFrontGone)}, callVerdict(err)
+		failure := callVerdict(err)
+		if cause := x.bodyFailure(); cause != nil {
+			return result{aborted: true}, bodyVerdict(failure, cause)
+		}
+		return result{failed: true}, failure
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.Status != http.StatusMisdirectedRequest {
@@ -122,6 +125,9 @@
 		Header: header.ToFields(resp.Header), Length: resp.Length,
 	}
 	if failure := x.relayBody(ctx, resp, head, res, started); failure != nil {
+		if cause := x.bodyFailure(); cause != nil {
+			return result{status: resp.Status, aborted: true}, bodyVerdict(failure, cause)
+		}
 		return result{status: resp.Status, failed: failure.Reason == verdict.ReasonTargetBroke, aborted: failure.Reason == verdict.ReasonLinkLost}, failure
 	}
 	return res, nil
@@ -200,7 +206,7 @@
 	set(req.Header, d.Timeout, strconv.FormatInt(max(timeLeft, 1), 10))
 	set(req.Header, d.ExpectedInstance, x.inst.name)
 	if m.BodyLength != 0 {
-		req.Body = &bodyReader{x: x, hash: xxhash.New()}
+		req.Body = newBodyReader(x)
 	}
 	return req
 }
@@ -212,62 +218,3 @@
 		h.Set(name, value)
 	}
 }
-
-// bodyReader reads the request body from the stream.
-type bodyReader struct {
-	x      *exchange
-	hash   *xxhash.Digest
-	length uint64
-	// unread is the rest of the last chunk, and done reports that the body is complete.
-	unread []byte
-	done   bool
-}
-
-// Read implements io.Reader. A body that is truncated, or whose length or hash is
-// wrong, is an error, which makes the HTTP client abort the request.
-func (b *bodyReader) Read(p []byte) (int, error) {
-	for len(b.unread) == 0 {
-		if b.done {
-			return 0, io.EOF
-		}
-		if err := b.next(); err != nil {
-			return 0, err
-		}
-	}
-	n := copy(p, b.unread)
-	b.unread = b.unread[n:]
-	return n, nil
-}
-
-// next receives the next chunk or the end of the body.
-func (b *bodyReader) next() error {
-	var m msg.Message
-	select {
-	case m = <-b.x.inbox:
-	case <-b.x.frontCtx.Done():
-		// Messages received before the disconnect are still in the inbox.
-		select {
-		case m = <-b.x.inbox:
-		default:
-			return errFrontGone
-		}
-	}
-	switch m := m.(type) {
-	case *msg.Data:
-		_, _ = b.hash.Write(m.Bytes)
-		b.length += uint64(len(m.Bytes))
-		b.unread = m.Bytes
-		return nil
-	case *msg.End:
-		if m.Length != b.length || m.Hash != b.hash.Sum64() {
-			return errors.Errorf("request body has the wrong length or hash: received %d of %d bytes", b.length, m.Length)
-		}
-		b.done = true
-		return nil
-	default:
-		return errors.Errorf("unexpected message kind %d in a request body", m.Kind())
-	}
-}
-
-// Close implements io.Closer.
-func (b *bodyReader) Close() error { return nil }
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -114,6 +114,8 @@
 	// overdue reports that the request has exceeded overdueAfter and has been counted
 	// against the instance.
 	overdue bool
+	// body is the time that the request waits for the rest of its body.
+	body bodyWait
 }
 
 // Counts are an instance's counters since its first announcement.
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -55,6 +55,8 @@
 	fingerprint crash.Fingerprint
 	// idempotent reports that the request may be sent again after it may have run.
 	idempotent bool
+	// body reads the request body, nil if there is none.
+	body *bodyReader
 	// nestedRetryChance is the probability that the run is a call made by a retried
 	// run, in thousandths.
 	nestedRetryChance uint16
@@ -117,7 +119,7 @@
 		r.Deadline = x.guard.latestEnd(r.Deadline, expected)
 	}
 	inst.observe(x.arrived, sample)
-	x.waiter = &waiter{fingerprint: x.fingerprint, overdueAfter: overdueAfter(hints)}
+	x.waiter = &waiter{fingerprint: x.fingerprint, overdueAfter: overdueAfter(hints), body: bodyWait{stalled: make(chan struct{})}}
 	x.queueID = inst.offer(x.arrived, r, x.waiter)
 	x.inbox = make(chan msg.Message, 1)
 	go x.read()
