daemon, peer: connections to the other addresses are bounded

What operators saw: connections that send nothing to the addresses for announcements, readiness, operators or other hosts used up the descriptors of the process, so that it could accept no caller.

Change: internal/connlimit closes the connection that has been silent for longest, 1 s at least, for a new one; peer does so with those without a Hello. The bounds follow from max_fds.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/radishhoist/radishhoist/internal/connlimit"
 	"github.com/radishhoist/radishhoist/internal/control"
 	"github.com/radishhoist/radishhoist/internal/core/announce"
 	"github.com/radishhoist/radishhoist/internal/core/config"
@@ -208,7 +209,7 @@
 	}
 	self := msg.Hello{Host: cfg.Host, DC: cfg.DC, Incarnation: uint64(d.started.UnixMilli())}
 	handlers := peer.Handlers{Stream: d.handleStream, Control: d.control.HandleControl}
-	pool, err := peer.Listen(cfg.Peer, self, handlers, d.log)
+	pool, err := peer.Listen(cfg.Peer, self, handlers, cfg.UnidentifiedPeerBound(), d.log)
 	if err != nil {
 		return err
 	}
@@ -216,17 +217,18 @@
 	d.control.SetSender(pool)
 	d.front.SetPeers(pool)
 	d.keys.SetPool(pool)
+	limitConns := func(l net.Listener) net.Listener { return connlimit.New(l, cfg.AuxiliaryConnBound()) }
 	d.announce = newHTTPServer(d.guard.AnnounceHandler())
-	if err := d.serve(cfg.Announce, "target announcements", d.announce, nil); err != nil {
+	if err := d.serve(cfg.Announce, "target announcements", d.announce, limitConns); err != nil {
 		return err
 	}
 	d.admin = newHTTPServer(d.adminHandler())
-	if err := d.serve(cfg.Admin, "operators", d.admin, nil); err != nil {
+	if err := d.serve(cfg.Admin, "operators", d.admin, limitConns); err != nil {
 		return err
 	}
 	if cfg.Ready != "" {
 		d.probes = newHTTPServer(d.readyHandler())
-		if err := d.serve(cfg.Ready, "readiness", d.probes, nil); err != nil {
+		if err := d.serve(cfg.Ready, "readiness", d.probes, limitConns); err != nil {
 			return err
 		}
 	}
@@ -246,10 +248,7 @@
 	if err != nil {
 		return err
 	}
-	if wrap != nil {
-		l = wrap(l)
-	}
-	d.startTask(func() { _ = s.Serve(l) })
+	d.startTask(func() { _ = s.Serve(wrap(l)) })
 	return nil
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -58,6 +58,10 @@
 	closed         bool
 	links          map[string]*link
 	inbound        map[*wire.Conn]*msg.Hello
+	// unidentified are the inbound connections without a Hello, by the time they were accepted.
+	// maxUnidentified is their maximum number.
+	unidentified    map[net.Conn]time.Time
+	maxUnidentified int
 }
 
 // dialFunc opens a connection to a peer address.
@@ -84,21 +88,23 @@
 	replaceBackoff time.Duration
 }
 
-// Listen starts a Pool that accepts connections on addr, given as IP:port.
-func Listen(addr string, self msg.Hello, h Handlers, log *slog.Logger) (*Pool, error) {
+// Listen starts a Pool that accepts connections on addr, given as IP:port. At most
+// maxUnidentified of them may not have said which host they are from.
+func Listen(addr string, self msg.Hello, h Handlers, maxUnidentified int, log *slog.Logger) (*Pool, error) {
 	listener, err := port.Listen("peers", addr)
 	if err != nil {
 		return nil, err
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	return newPool(listener, dialer.DialContext, self, h, log), nil
+	return newPool(listener, dialer.DialContext, self, h, maxUnidentified, log), nil
 }
 
-func newPool(listener net.Listener, dial dialFunc, self msg.Hello, h Handlers, log *slog.Logger) *Pool {
+func newPool(listener net.Listener, dial dialFunc, self msg.Hello, h Handlers, maxUnidentified int, log *slog.Logger) *Pool {
 	self.Proto = wire.ProtocolVersion
 	p := &Pool{
 		self: self, handlers: h, log: log, listener: listener, dialPeer: dial,
 		links: make(map[string]*link), inbound: make(map[*wire.Conn]*msg.Hello),
+		unidentified: make(map[net.Conn]time.Time), maxUnidentified: maxUnidentified,
 	}
 	p.wg.Add(1)
 	go p.acceptLoop()
@@ -139,10 +145,7 @@
 		if err != nil {
 			return
 		}
-		p.mu.Lock()
-		refuse := len(p.inbound) >= maxInbound || p.closed
-		p.mu.Unlock()
-		if refuse {
+		if !p.admit(time.Now(), nc) {
 			_ = nc.Close()
 			continue
 		}
@@ -151,6 +154,41 @@
 	}
 }
 
+// minUnidentifiedTime is how long a connection may take for its Hello before it can be closed for
+// a new one.
+const minUnidentifiedTime = time.Second
+
+// admit reports whether an accepted connection may be served. If too many have not sent a Hello,
+// the oldest of them is closed.
+func (p *Pool) admit(now time.Time, nc net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.inbound) >= maxInbound || p.closed {
+		return false
+	}
+	if len(p.unidentified) >= p.maxUnidentified {
+		oldest := p.oldestUnidentified()
+		if now.Sub(p.unidentified[oldest]) < minUnidentifiedTime {
+			return false
+		}
+		delete(p.unidentified, oldest)
+		_ = oldest.Close()
+	}
+	p.unidentified[nc] = now
+	return true
+}
+
+// oldestUnidentified returns the connection that has been without a Hello for longest. The caller
+// must hold p.mu.
+func (p *Pool) oldestUnidentified() (oldest net.Conn) {
+	for nc, at := range p.unidentified {
+		if oldest == nil || at.Before(p.unidentified[oldest]) {
+			oldest = nc
+		}
+	}
+	return oldest
+}
+
 // serve handles one inbound connection until it ends. The first message must be a Hello
 // with the same protocol version. Streams wait for it; other messages before it are
 // dropped.
@@ -197,15 +235,16 @@
 			slog.Uint64("proto", uint64(from.Proto)), slog.String("peer", from.Host))
 		conn.Close()
 	}
-	p.track(conn, from)
+	p.track(nc, conn, from)
 	close(ready)
 	<-conn.Done()
 	p.untrack(conn, from)
 }
 
-func (p *Pool) track(c *wire.Conn, from *msg.Hello) {
+func (p *Pool) track(nc net.Conn, c *wire.Conn, from *msg.Hello) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.unidentified, nc)
 	if p.closed {
 		c.Close()
 	}
--- a/internal/peer/suspect_test.go
+++ b/internal/peer/suspect_test.go
@@ -70,6 +70,9 @@
 	}
 }
 
+// testUnidentified is the bound of connections without a Hello in tests.
+const testUnidentified = 16
+
 // newPoolPair starts a pool that sends and one that receives. received returns the number
 // of Digest messages that have arrived.
 func newPoolPair(t *testing.T) (from *Pool, n *testNetwork, received func() int64, stop func()) {
@@ -81,8 +84,8 @@
 		if _, ok := m.(*msg.Digest); ok {
 			count.Add(1)
 		}
-	}}, log)
-	from = newPool(memnet.Listen(), n.dial, msg.Hello{Host: "a"}, Handlers{}, log)
+	}}, testUnidentified, log)
+	from = newPool(memnet.Listen(), n.dial, msg.Hello{Host: "a"}, Handlers{}, testUnidentified, log)
 	return from, n, count.Load, func() {
 		from.Close()
 		to.Close()
