guard: responses that nobody reads do not keep slots

What callers saw: queue-full for 40 s while 400 clients read nothing of responses of 8 MB: each kept the slot of its instance until its deadline.

Cause: a running request waited for room in its stream without regard to requests that waited for the slot; the time also counted as time of the instance.

Change: the rule for stalled uploads covers responses: for each request that waits for a slot, one of which nothing was read for 5 s is aborted. The request's context is cancelled with the cause, so that the upload needs no channel of its own.

--- a/internal/e2e/crowds_test.go
+++ b/internal/e2e/crowds_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/radishhoist/radishhoist/internal/lab"
+	"github.com/radishhoist/radishhoist/internal/standin/target"
 	"github.com/radishhoist/radishhoist/record"
 )
 
@@ -56,6 +58,13 @@
 	member  crowdMember
 	// port is where the crowd connects; 0 is the port for callers.
 	port int
+	// allHosts makes the crowd connect to all hosts in turn, and not only to the first.
+	allHosts bool
+	// stuck makes the targets unresponsive until the crowd has sent all. They never respond to
+	// requests of that time.
+	stuck bool
+	// routeTimeout is the timeout of the route; 0 is crowdRouteTimeout.
+	routeTimeout time.Duration
 }
 
 // head returns the head of a POST request with the given path and header lines.
@@ -144,6 +153,36 @@
 	testCrowd(t, 88, crowd{clients: 800, member: sendDeclared("/nowhere", 1*kB, 1)})
 }
 
+// The rest of a crowd's bytes arrives behind a whole request of its connection.
+func TestCrowdOfPipelinedHeadersWithoutEnd(t *testing.T) {
+	first := "GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n"
+	rest := sendHeaderOnly(60 * kB)
+	testCrowd(t, 92, crowd{clients: 800, member: func(c net.Conn) {
+		_, _ = io.WriteString(c, first)
+		rest(c)
+	}})
+}
+
+// The crowd reads nothing of its responses.
+func TestCrowdOfUnreadResponses(t *testing.T) {
+	request := "GET /plans/7?size=8000000 HTTP/1.1\r\nHost: a\r\n\r\n"
+	testCrowd(t, 93, crowd{clients: 400, member: func(c net.Conn) {
+		_ = c.(*net.TCPConn).SetReadBuffer(4 * kB)
+		_, _ = io.WriteString(c, request)
+		time.Sleep(500 * time.Millisecond)
+	}})
+}
+
+// Whole uploads that no instance reads.
+func TestCrowdOfUploadsToStuckInstances(t *testing.T) {
+	testCrowd(t, 94, crowd{clients: 200, member: sendDeclared("/plans/7", 7*mB, 0), stuck: true, routeTimeout: 10 * time.Second})
+}
+
+// Uploads that reach the instances of each host from all hosts.
+func TestCrowdOfUploadsAtAllHosts(t *testing.T) {
+	testCrowd(t, 95, crowd{clients: 300, member: sendDeclared("/plans/7", 4*mB, 1), allHosts: true})
+}
+
 func TestCrowdAtAnnounceAddress(t *testing.T) {
 	testCrowd(t, 89, crowd{clients: 1100, member: sendNothing, port: lab.AnnouncePort})
 }
@@ -157,52 +196,77 @@
 }
 
 func testCrowd(t *testing.T, octet int, c crowd) {
-	fleet := startCrowdFleet(t, octet)
-	attacked := fleet.Hosts[0]
-	usage := watchUsage(t, attacked)
+	fleet := startCrowdFleet(t, octet, cmp.Or(c.routeTimeout, crowdRouteTimeout))
+	watches := make([]*usageWatch, len(fleet.Hosts))
+	var addresses []string
+	for i, h := range fleet.Hosts {
+		watches[i] = watchUsage(t, h)
+		switch {
+		case i > 0 && !c.allHosts:
+		case c.port != 0:
+			addresses = append(addresses, fmt.Sprintf("%s:%d", h.IP, c.port))
+		default:
+			addresses = append(addresses, h.CallersAddress())
+		}
+	}
+	fleet.setStuck(c.stuck)
 	var conns openConns
 	defer conns.close()
-	address := attacked.CallersAddress()
-	if c.port != 0 {
-		address = fmt.Sprintf("%s:%d", attacked.IP, c.port)
-	}
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		conns.start(c, address)
+		conns.start(c, addresses)
 	}()
 	select {
 	case <-sent:
 	case <-time.After(ordinaryCallerTimeout): // some clients may wait to be accepted
 	}
-	served := awaitOrdinaryAnswer(attacked)
+	fleet.setStuck(false)
+	served := awaitOrdinaryAnswer(fleet.Hosts[0])
 	time.Sleep(settleTime)
-	peak := usage.stop()
-	t.Logf("%d clients: at most %.0f MB, %d descriptors", c.clients, peak.mb, peak.descriptors)
+	peaks := make([]usage, len(watches))
+	for i, w := range watches {
+		peaks[i] = w.stop()
+		t.Logf("%d clients: %s used at most %.0f MB, %d descriptors", c.clients, fleet.Hosts[i].Name, peaks[i].mb, peaks[i].descriptors)
+	}
 	for _, h := range fleet.Hosts {
 		exited, err := h.Daemon.Wait(0)
 		assert.Assert(t, !exited, "%s exited: %v", h.Name, err)
 	}
 	assert.NilError(t, served)
-	assert.Assert(t, peak.mb <= crowdMemoryMB, "%.0f MB", peak.mb)
-	assert.Assert(t, peak.descriptors <= crowdMaxFDs, "%d descriptors", peak.descriptors)
+	for i, peak := range peaks {
+		assert.Assert(t, peak.mb <= crowdMemoryMB, "%s: %.0f MB", fleet.Hosts[i].Name, peak.mb)
+		assert.Assert(t, peak.descriptors <= crowdMaxFDs, "%s: %d descriptors", fleet.Hosts[i].Name, peak.descriptors)
+	}
+}
+
+// setStuck makes all targets unresponsive, or normal again.
+func (fleet *testFleet) setStuck(stuck bool) {
+	mode := target.Good
+	if stuck {
+		mode = target.Stuck
+	}
+	for _, tg := range fleet.targets {
+		assert.NilError(fleet.t, tg.SetBehaviour(target.Behaviour{Mode: mode}))
+	}
 }
 
 // startCrowdFleet starts three hosts with the limits of these tests.
-func startCrowdFleet(t *testing.T, octet int) *testFleet {
+func startCrowdFleet(t *testing.T, octet int, routeTimeout time.Duration) *testFleet {
 	t.Helper()
 	f := newFleet(t, octet)
 	ctx := context.Background()
 	assert.NilError(t, f.PutDemoRecords(ctx))
-	route := &record.Route{PathPrefix: "/plans", Service: "plans", TimeoutMS: int(crowdRouteTimeout.Milliseconds())}
+	route := &record.Route{PathPrefix: "/plans", Service: "plans", TimeoutMS: int(routeTimeout.Milliseconds())}
 	assert.NilError(t, f.Put(ctx, record.Key{Kind: record.KindRoute, Name: "plans"}, route))
 	fleet := &testFleet{Fleet: f, t: t}
 	const hosts = 3
 	for i := range hosts {
 		h, err := f.StartHost(fmt.Sprintf("h%d", i+1), fmt.Sprintf("dc%d", i%2+1), fmt.Sprintf("127.0.%d.%d", octet, 11+i), crowdSettings)
 		assert.NilError(t, err)
-		_, err = f.StartTarget(h, "plans", 1, 4, 20*time.Millisecond)
+		tg, err := f.StartTarget(h, "plans", 1, 4, 20*time.Millisecond)
 		assert.NilError(t, err)
+		fleet.targets = append(fleet.targets, tg)
 	}
 	assert.NilError(t, f.WaitUntilServing(waitTimeout, map[string]int{"plans": hosts}))
 	return fleet
@@ -215,16 +279,16 @@
 	closed bool
 }
 
-// start connects all clients of a crowd and waits until each has sent what it sends.
-func (o *openConns) start(c crowd, address string) {
+// start connects all clients of a crowd, to the addresses in turn, and waits until each has sent what it sends.
+func (o *openConns) start(c crowd, addresses []string) {
 	const concurrency = 100
 	slots := make(chan struct{}, concurrency)
 	var wg sync.WaitGroup
-	for range c.clients {
+	for i := range c.clients {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			nc, err := net.DialTimeout("tcp", address, 5*time.Second)
+			nc, err := net.DialTimeout("tcp", addresses[i%len(addresses)], 5*time.Second)
 			if err != nil || !o.add(nc) {
 				return
 			}
--- a/internal/guard/call.go
+++ b/internal/guard/call.go
@@ -29,6 +29,8 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(x.ctx, x.deadline, errDeadline)
 	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
 	defer context.AfterFunc(x.inst.processCtx, cancel)()
 	if m.Idempotent {
 		// A request that is not idempotent continues when the front is gone: aborting it midway
@@ -37,7 +39,7 @@
 		defer context.AfterFunc(x.frontCtx, cancel)()
 	}
 	started := time.Now()
-	x.inst.start(started, x.waiter, m)
+	x.inst.start(started, x.waiter, m, abort)
 	run := x.guard.retryBudgets.begin(started, x.inst.service, x.retryReserved, m.Idempotent, x.hints)
 	if !x.retryReserved {
 		// A request without a reservation in the retry budget is a first attempt. An
@@ -64,6 +66,8 @@
 	case failure == nil || ctx.Err() == nil:
 	case errors.Is(context.Cause(ctx), errDeadline):
 		failure = verdict.New(failure.Verdict, verdict.ReasonDeadline, "the target did not respond within the deadline")
+	case stallFailure(ctx, failure) != nil:
+		failure = stallFailure(ctx, failure)
 	case x.inst.processCtx.Err() != nil:
 		failure = verdict.New(failure.Verdict, verdict.ReasonTargetBroke, "the target restarted; requests it was running are lost")
 	}
@@ -100,7 +104,7 @@
 		x.reportPanic(err)
 		failure := callVerdict(err)
 		if cause := x.bodyFailure(); cause != nil {
-			return result{aborted: true}, bodyVerdict(failure, cause)
+			return result{aborted: true}, verdict.New(failure.Verdict, verdict.ReasonCancelled, cause.Error())
 		}
 		return result{failed: true}, failure
 	}
@@ -126,7 +130,7 @@
 	}
 	if failure := x.relayBody(ctx, resp, head, res, started); failure != nil {
 		if cause := x.bodyFailure(); cause != nil {
-			return result{status: resp.Status, aborted: true}, bodyVerdict(failure, cause)
+			return result{status: resp.Status, aborted: true}, verdict.New(failure.Verdict, verdict.ReasonCancelled, cause.Error())
 		}
 		return result{status: resp.Status, failed: failure.Reason == verdict.ReasonTargetBroke, aborted: failure.Reason == verdict.ReasonLinkLost}, failure
 	}
@@ -168,7 +172,10 @@
 			end.Load = x.load()
 			unsent = append(unsent, end)
 		}
-		if err := x.stream.Send(ctx, unsent...); err != nil {
+		x.inst.beginCallerWait(x.waiter, errReaderStalled)
+		err = x.stream.Send(ctx, unsent...)
+		x.inst.endCallerWait(x.waiter)
+		if err != nil {
 			return verdict.New(verdict.Ran, verdict.ReasonLinkLost, err.Error())
 		}
 		if last {
--- a/internal/guard/upload.go
+++ b/internal/guard/callerwait.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"context"
 	"io"
 	"sync/atomic"
 	"time"
@@ -12,67 +13,86 @@
 	"github.com/radishhoist/radishhoist/verdict"
 )
 
-// uploadStallTimeout is how long a request that occupies a slot may wait for the rest of its body
-// while others wait for the slot. It is longer than most pauses of hosts.
-const uploadStallTimeout = 5 * time.Second
+// stallTimeout is how long a request that occupies a slot may wait for its caller, for the rest of
+// its body or for room to send its response, while others wait for the slot. It is longer than
+// most pauses of hosts.
+const stallTimeout = 5 * time.Second
 
-// errUploadStalled reports that the rest of a request body did not arrive while other requests
-// were waiting for the slot.
-var errUploadStalled = errors.New("the rest of the request body did not arrive")
+var (
+	// errUploadStalled reports that the rest of a request body did not arrive while other
+	// requests were waiting for the slot, and errReaderStalled that the response was not read.
+	errUploadStalled = errors.New("the rest of the request body did not arrive while other requests waited for the slot")
+	errReaderStalled = errors.New("the caller did not read the response while other requests waited for the slot")
+)
 
-// bodyWait is the time that a running request waits for the rest of its body. It is guarded by the
+// callerWait is the time that a running request waits for its caller. It is guarded by the
 // instance's lock.
-type bodyWait struct {
+type callerWait struct {
 	// since is when the current wait began, zero if there is none, and total the time of
-	// earlier ones.
+	// earlier ones. cause is the error if the wait is too long.
 	since time.Time
 	total time.Duration
-	// stalled is closed to abort the request.
-	stalled chan struct{}
-	aborted bool
+	cause error
+	// abort aborts the request, nil before it is sent to the instance and once it is aborted.
+	abort context.CancelCauseFunc
 }
 
-// duration returns the time for which the request has waited for its body. Its instance could do
+// duration returns the time for which the request has waited for its caller. Its instance could do
 // nothing in it.
-func (b *bodyWait) duration(now time.Time) time.Duration {
-	if b.since.IsZero() {
-		return b.total
+func (c *callerWait) duration(now time.Time) time.Duration {
+	if c.since.IsZero() {
+		return c.total
 	}
-	return b.total + now.Sub(b.since)
+	return c.total + now.Sub(c.since)
 }
 
-func (i *instance) beginBodyWait(w *waiter) {
+// beginCallerWait records that a running request waits for its caller. cause is the error if it
+// waits too long.
+func (i *instance) beginCallerWait(w *waiter, cause error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	w.body.since = time.Now()
+	w.caller.since, w.caller.cause = time.Now(), cause
 }
 
-func (i *instance) endBodyWait(w *waiter) {
+func (i *instance) endCallerWait(w *waiter) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	w.body.total, w.body.since = w.body.duration(time.Now()), time.Time{}
+	w.caller.total, w.caller.since = w.caller.duration(time.Now()), time.Time{}
 }
 
-// abortStalledUploads aborts as many requests that wait for the rest of their bodies as there are
-// requests that wait for a slot. The caller must hold i.mu.
-func (i *instance) abortStalledUploads(now time.Time) {
+// abortStalled aborts as many requests that wait for their callers as there are requests that wait
+// for a slot. The caller must hold i.mu.
+func (i *instance) abortStalled(now time.Time) {
 	needed := i.queue.Queued()
 	if needed == 0 {
 		return
 	}
 	for _, w := range i.waiters {
-		if w.body.since.IsZero() || w.body.aborted || now.Sub(w.body.since) < uploadStallTimeout {
+		c := &w.caller
+		if c.since.IsZero() || c.abort == nil || now.Sub(c.since) < stallTimeout {
 			continue
 		}
-		w.body.aborted = true
-		close(w.body.stalled)
-		i.guard.counts.stalledUploads.Inc()
+		c.abort(c.cause)
+		c.abort = nil
+		i.guard.counts.stalledCallers.Inc()
 		if needed--; needed == 0 {
 			return
 		}
 	}
 }
 
+// stallFailure returns the failure of a request that was aborted because it waited for its caller,
+// or nil. Whether it may have run is known from the failure of its exchange.
+func stallFailure(ctx context.Context, failure *verdict.Error) *verdict.Error {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errUploadStalled):
+		return verdict.New(failure.Verdict, verdict.ReasonBodyTimeout, cause.Error())
+	case errors.Is(cause, errReaderStalled):
+		return verdict.New(failure.Verdict, verdict.ReasonCancelled, cause.Error())
+	}
+	return nil
+}
+
 // bodyReader reads the request body from the stream.
 type bodyReader struct {
 	x      *exchange
@@ -138,13 +158,11 @@
 		return m, nil
 	default:
 	}
-	x.inst.beginBodyWait(x.waiter)
-	defer x.inst.endBodyWait(x.waiter)
+	x.inst.beginCallerWait(x.waiter, errUploadStalled)
+	defer x.inst.endCallerWait(x.waiter)
 	select {
 	case m := <-x.inbox:
 		return m, nil
-	case <-x.waiter.body.stalled:
-		return nil, errUploadStalled
 	case <-x.frontCtx.Done():
 	}
 	// Messages received before the disconnect are still in the inbox.
@@ -170,13 +188,3 @@
 	}
 	return nil
 }
-
-// bodyVerdict returns the failure of a request whose body ended with the given error. Whether it
-// may have run is known from the failure of its exchange.
-func bodyVerdict(failure *verdict.Error, cause error) *verdict.Error {
-	reason := verdict.ReasonCancelled
-	if errors.Is(cause, errUploadStalled) {
-		reason = verdict.ReasonBodyTimeout
-	}
-	return verdict.New(failure.Verdict, reason, cause.Error())
-}
--- a/internal/guard/upload_test.go
+++ b/internal/guard/callerwait_test.go
@@ -45,14 +45,14 @@
 	return m
 }
 
-// awaitBodyWaits waits until n running requests wait for the rest of their bodies.
-func awaitBodyWaits(t *testing.T, inst *instance, n int) {
+// awaitCallerWaits waits until n running requests wait for their callers.
+func awaitCallerWaits(t *testing.T, inst *instance, n int) {
 	t.Helper()
 	waits := func() (count int) {
 		inst.mu.Lock()
 		defer inst.mu.Unlock()
 		for _, w := range inst.waiters {
-			if !w.body.since.IsZero() {
+			if !w.caller.since.IsZero() {
 				count++
 			}
 		}
@@ -71,10 +71,10 @@
 	g := newTestGuard(t, target.listener.Addr().String())
 	uploads := []partialUpload{startPartialUpload(t, g), startPartialUpload(t, g)}
 	inst := g.all()[0]
-	awaitBodyWaits(t, inst, len(uploads))
-	later := time.Now().Add(uploadStallTimeout + time.Second)
+	awaitCallerWaits(t, inst, len(uploads))
+	later := time.Now().Add(stallTimeout + time.Second)
 	inst.tick(later)
-	awaitBodyWaits(t, inst, len(uploads)) // nobody needs the slots
+	awaitCallerWaits(t, inst, len(uploads)) // nobody needs the slots
 
 	end := make(chan msg.Message, 1)
 	go func() {
@@ -86,18 +86,18 @@
 		inst.mu.Unlock()
 	}
 	inst.tick(time.Now())
-	awaitBodyWaits(t, inst, len(uploads)) // not long enough
+	awaitCallerWaits(t, inst, len(uploads)) // not long enough
 	inst.tick(later)
 	_, ok := (<-end).(*msg.End)
 	assert.Assert(t, ok)
-	awaitBodyWaits(t, inst, 1)
+	awaitCallerWaits(t, inst, 1)
 
 	inst.mu.Lock()
 	failed, estimate := inst.counts.Failed, inst.failureEstimate.SickForSelection(time.Now(), g.model)
 	inst.mu.Unlock()
 	assert.Equal(t, failed, uint64(0))
 	assert.Assert(t, estimate < trialFailureThreshold, "%v", estimate)
-	assert.Equal(t, g.counts.stalledUploads.Get(), uint64(1))
+	assert.Equal(t, g.counts.stalledCallers.Get(), uint64(1))
 }
 
 // An upload that its caller breaks off is no failure of the instance, and may have run.
@@ -106,7 +106,7 @@
 	g := newTestGuard(t, target.listener.Addr().String())
 	upload := startPartialUpload(t, g)
 	inst := g.all()[0]
-	awaitBodyWaits(t, inst, 1)
+	awaitCallerWaits(t, inst, 1)
 	assert.NilError(t, upload.near.Send(context.Background(), &msg.Cancel{}))
 	fail, ok := recv(t, upload.near).(*msg.Fail)
 	assert.Assert(t, ok)
--- a/internal/guard/concurrency_test.go
+++ b/internal/guard/concurrency_test.go
@@ -34,7 +34,7 @@
 		for n, r := range requests {
 			select {
 			case <-r.waiter.decisions:
-				i.start(now, r.waiter, nil)
+				i.start(now, r.waiter, nil, nil)
 				service := expected + time.Duration(n)*step
 				if i.queue.BusySlots() > 6 {
 					service *= 4
--- a/internal/guard/counters.go
+++ b/internal/guard/counters.go
@@ -19,9 +19,9 @@
 	// responsePanics counts the requests that failed because the handling of their response
 	// panicked.
 	responsePanics *metrics.Counter
-	// stalledUploads counts the requests that were aborted because the rest of their body did
-	// not arrive while others waited for the slot.
-	stalledUploads *metrics.Counter
+	// stalledCallers counts the requests that were aborted because their caller sent no more of
+	// the body, or read no more of the response, while others waited for the slot.
+	stalledCallers *metrics.Counter
 	// shareReportsIn counts the share reports of other guards that were accepted, and
 	// shareReportsOut those sent.
 	shareReportsIn, shareReportsOut *metrics.Counter
@@ -36,7 +36,7 @@
 		terminated:  set.NewCounter("radishhoist_instances_ended_total"),
 
 		responsePanics: set.NewCounter("radishhoist_response_panics_total"),
-		stalledUploads: set.NewCounter("radishhoist_uploads_stalled_total"),
+		stalledCallers: set.NewCounter("radishhoist_callers_stalled_total"),
 
 		shareReportsIn:  set.NewCounter(`radishhoist_share_reports_total{direction="in"}`),
 		shareReportsOut: set.NewCounter(`radishhoist_share_reports_total{direction="out"}`),
--- a/internal/guard/health.go
+++ b/internal/guard/health.go
@@ -94,17 +94,17 @@
 	i.reference.Add(now, ratio, false)
 }
 
-// tick expires grants, aborts stalled uploads, counts overdue requests against the instance and passes the ages of
+// tick expires grants, aborts stalled requests, counts overdue requests against the instance and passes the ages of
 // running requests to the detector. It reports whether the instance's health has changed.
 func (i *instance) tick(now time.Time) bool {
 	i.mu.Lock()
 	i.deliver(i.queue.Tick(now))
-	i.abortStalledUploads(now)
+	i.abortStalled(now)
 	i.applyConcurrency(now)
 	ref := i.reference.At(now)
 	changed := false
 	for _, w := range i.waiters {
-		age := now.Sub(w.started) - w.body.duration(now)
+		age := now.Sub(w.started) - w.caller.duration(now)
 		if !w.started.IsZero() && !w.overdue && w.overdueAfter > 0 && age > w.overdueAfter {
 			w.overdue = true
 			i.failureEstimate.Observe(now, true, i.guard.model)
--- a/internal/guard/instance.go
+++ b/internal/guard/instance.go
@@ -114,8 +114,8 @@
 	// overdue reports that the request has exceeded overdueAfter and has been counted
 	// against the instance.
 	overdue bool
-	// body is the time that the request waits for the rest of its body.
-	body bodyWait
+	// caller is the time that the request waits for its caller.
+	caller callerWait
 }
 
 // Counts are an instance's counters since its first announcement.
@@ -348,11 +348,11 @@
 	return v
 }
 
-// start records that the request is sent to the target.
-func (i *instance) start(now time.Time, w *waiter, m *msg.Run) {
+// start records that the request is sent to the target. abort ends it there.
+func (i *instance) start(now time.Time, w *waiter, m *msg.Run, abort context.CancelCauseFunc) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	w.started, w.run = now, m
+	w.started, w.run, w.caller.abort = now, m, abort
 	i.lastStarted = now
 	if i.concurrency.limiter != nil {
 		i.concurrency.limiter.Begin()
--- a/internal/guard/serve.go
+++ b/internal/guard/serve.go
@@ -119,7 +119,7 @@
 		r.Deadline = x.guard.latestEnd(r.Deadline, expected)
 	}
 	inst.observe(x.arrived, sample)
-	x.waiter = &waiter{fingerprint: x.fingerprint, overdueAfter: overdueAfter(hints), body: bodyWait{stalled: make(chan struct{})}}
+	x.waiter = &waiter{fingerprint: x.fingerprint, overdueAfter: overdueAfter(hints)}
 	x.queueID = inst.offer(x.arrived, r, x.waiter)
 	x.inbox = make(chan msg.Message, 1)
 	go x.read()
