front: responses count towards the memory for requests

What callers saw: 300 callers that read a byte a second of a large response made a host of 184 MB hold 194 to 211 MB, above which its process is killed.

Cause: each response was buffered up to 256 KB and its stream's window let as much again follow; nothing bounded the sum.

Change: the buffer of a response is counted as it grows, and 288 KB while it is streamed. Without memory it is streamed earlier; without room for the window the request fails with 502, verdict ran. A caller that does not read may be evicted like one that does not send.

Test: TestSlowReadersFitSmallHost says in its settings that the host has 184 MB, as its comment did; until now the daemons of the test had no limit at all. The crowd and the bound stay, and each host must serve a request afterwards, which is new.

--- a/internal/core/membudget/membudget.go
+++ b/internal/core/membudget/membudget.go
@@ -44,6 +44,8 @@
 	ForHeader
 	// ForBody means that the caller has not sent the whole body of its request.
 	ForBody
+	// ForReader means that the caller does not read its response.
+	ForReader
 )
 
 // Account is what one connection holds. It must not be copied after Open.
@@ -64,6 +66,9 @@
 // Held returns the bytes that the account holds.
 func (a *Account) Held() int64 { return a.held }
 
+// Waiting returns what the host waits for.
+func (a *Account) Waiting() Wait { return a.wait }
+
 // Evicted reports whether the connection was chosen to be closed.
 func (a *Account) Evicted() bool { return a.evicted }
 
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -137,3 +137,37 @@
 		})
 	}
 }
+
+// BenchmarkTransfer measures the speed of one large upload and one large download, through the
+// daemon on the target's host and through the front of another host.
+func BenchmarkTransfer(b *testing.B) {
+	const size = 24 << 20
+	p := startDaemonPair(b)
+	for _, via := range []struct {
+		name   string
+		daemon *Daemon
+	}{{"sameHost", p.host}, {"otherHost", p.front}} {
+		url := "http://" + via.daemon.cfg.Load().Callers + "/x"
+		b.Run("upload/"+via.name, func(b *testing.B) {
+			b.SetBytes(size)
+			for b.Loop() {
+				resp, err := http.Post(url, "application/octet-stream", io.LimitReader(zeros{}, size))
+				if err != nil {
+					b.Fatal(err)
+				}
+				_ = resp.Body.Close()
+				if resp.StatusCode != http.StatusOK {
+					b.Fatalf("status %d", resp.StatusCode)
+				}
+			}
+		})
+		b.Run("download/"+via.name, func(b *testing.B) {
+			b.SetBytes(size)
+			for b.Loop() {
+				if err := get(http.DefaultClient, fmt.Sprintf("%s?size=%d", url, size)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/daemon/transfer_test.go
+++ b/internal/daemon/transfer_test.go
@@ -128,8 +128,8 @@
 
 // Callers may read slowly, and whatever a host holds for them is its memory. 300 callers that
 // read a byte a second of a large response must fit a host of 184 MB: the garbage collector
-// keeps the live heap below seven tenths of that, and the process itself needs some 24 MB. In
-// the failure, a stream held 0.5 MB for each of them: what the front had buffered, and as much
+// keeps the live heap below seven tenths of that, and the process itself needs some 24 MB. Others
+// must be served afterwards. In the failure, a stream held 0.5 MB for each of them: what the front had buffered, and as much
 // again that the guard had sent meanwhile.
 func TestSlowReadersFitSmallHost(t *testing.T) {
 	const readers, maxGrowth = 300, (184*7/10 - 24) << 20
@@ -137,12 +137,13 @@
 		if r.URL.Path == "/large" {
 			_, _ = io.CopyN(w, zeros{}, 64<<20)
 		}
-	})
+	}, func(cfg *settings.Config) { cfg.MemoryMB = 184 })
 	for _, d := range []*Daemon{front, host} {
 		t.Run("instance on "+host.cfg.Load().Host+", callers at "+d.cfg.Load().Host, func(t *testing.T) {
 			growth := heldForSlowReaders(t, d, readers)
 			t.Logf("%d readers: live heap grew by %.1f MB", readers, float64(growth)/(1<<20))
 			assert.Assert(t, growth < maxGrowth)
+			waitUntilServed(t, d)
 		})
 	}
 }
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -254,11 +254,13 @@
 	if a.response == nil {
 		return a.rejectResponse(verdict.ReasonTargetBroke, "response body received before the response header")
 	}
-	a.response.add(m.Bytes)
-	if len(a.response.buffered) <= a.req.service.Record.ResponseBufferBytes() {
+	if a.response.add(m.Bytes) && len(a.response.buffered) <= a.req.service.Record.ResponseBufferBytes() {
 		return nil
 	}
-	// Too large to buffer: stream it to the caller.
+	// Too large to buffer, or no memory is left for that: stream it to the caller.
+	if !a.req.hold(streamedResponseBytes) {
+		return a.responseRefused()
+	}
 	a.response.streaming = true
 	return &outcome{response: a.response}
 }
@@ -306,6 +308,14 @@
 	return o
 }
 
+// responseRefused ends the attempt because there is no memory to receive its response.
+func (a *attempt) responseRefused() *outcome {
+	a.front.memory.refused.Inc()
+	o := a.abort(nil)
+	o.fail = verdict.New(verdict.Ran, verdict.ReasonMemory, "this host has no memory left for the response")
+	return o
+}
+
 // abort ends the attempt from this side, and sends Cancel if the guard may still be working
 // on it.
 func (a *attempt) abort(cause error) *outcome {
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -160,12 +161,26 @@
 	return retryLater(verdict.ReasonBodyTimeout, detail, defaultRetryAfter)
 }
 
-// hold lets the request hold n bytes more, and returns false if there is no room for them.
+// heldMemory is what a request holds of the memory for requests. Its attempts may run at the same
+// time, and end after it.
+type heldMemory struct {
+	mu       sync.Mutex
+	bytes    int64
+	released bool
+}
+
+// hold lets the request hold n bytes more, and returns false if there is no room for them or if
+// the request is over.
 func (req *request) hold(n int64) bool {
-	if !connOf(req.http).hold(n) {
+	if n <= 0 {
+		return true
+	}
+	req.held.mu.Lock()
+	defer req.held.mu.Unlock()
+	if req.held.released || !connOf(req.http).hold(n) {
 		return false
 	}
-	req.held += n
+	req.held.bytes += n
 	return true
 }
 
@@ -174,7 +189,10 @@
 	if req == nil {
 		return
 	}
-	connOf(req.http).release(req.held)
+	req.held.mu.Lock()
+	connOf(req.http).release(req.held.bytes)
+	req.held.bytes, req.held.released = 0, true
+	req.held.mu.Unlock()
 	if req.unbuffered != nil {
 		f.memory.uploads.Add(-1)
 	}
--- a/internal/front/conns.go
+++ b/internal/front/conns.go
@@ -63,14 +63,16 @@
 	awaiting atomic.Uint32
 	// evicted says that the connection is being closed because the budget is used up.
 	evicted atomic.Bool
+	// unread says that it was evicted because the caller does not read.
+	unread atomic.Bool
 	// bufferLimit is the size set for the receive buffer, 0 if the kernel chooses it.
 	bufferLimit atomic.Int32
 	// account is what the connection holds. It is guarded by the lock of callerMemory.
 	account membudget.Account
 	// headerBytes is the number of bytes read of the current header. headerHeld is the part of
-	// the account for it.
-	headerBytes int
-	headerHeld  int64
+	// the account for it, and aheadHeld that for what was read behind the current request.
+	headerBytes           int
+	headerHeld, aheadHeld int64
 }
 
 // Values of callerConn.awaiting.
@@ -177,6 +179,15 @@
 	return t
 }
 
+// SetWriteDeadline implements net.Conn.
+func (c *callerConn) SetWriteDeadline(t time.Time) error {
+	err := c.Conn.SetWriteDeadline(t)
+	if c.unread.Load() {
+		c.interruptWrite()
+	}
+	return err
+}
+
 // CloseWrite sends the end of the stream, so that the caller reads the last response before
 // the connection is closed. The HTTP server uses it.
 func (c *callerConn) CloseWrite() error {
--- a/internal/front/memory.go
+++ b/internal/front/memory.go
@@ -113,13 +113,20 @@
 
 func (m *callerMemory) countRefusedConn() { m.refusedConns.Inc() }
 
-// evict interrupts reading from the caller. The caller of it holds the lock of callerMemory.
+// evict interrupts reading from the caller, and writing if that is what waits for it. The caller
+// of evict must hold the lock of callerMemory.
 func (c *callerConn) evict() {
 	c.evicted.Store(true)
 	c.front.memory.evicted.Inc()
 	c.interruptRead()
+	if c.account.Waiting() == membudget.ForReader {
+		c.unread.Store(true)
+		c.interruptWrite()
+	}
 }
 
+func (c *callerConn) interruptWrite() { _ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) }
+
 func (c *callerConn) interruptRead() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
 
 // hold lets the connection hold n bytes more, and returns false if there is no room for them.
@@ -168,13 +175,26 @@
 	c.account.Progress(now, n)
 }
 
-// startIdle records that the connection waits for its next request and holds none.
+// holdAhead lets the connection hold n bytes more for what follows the current request.
+func (c *callerConn) holdAhead(n int64) bool {
+	m := c.front.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.budget.Grow(time.Now(), &c.account, n) {
+		return false
+	}
+	c.aheadHeld += n
+	return true
+}
+
+// startIdle records that the connection waits for its next request. What it holds is what was read
+// ahead of that.
 func (c *callerConn) startIdle() {
 	m, now := c.front.memory, time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.budget.Shrink(&c.account, c.headerHeld)
-	c.headerBytes, c.headerHeld = 0, 0
+	c.headerBytes, c.headerHeld, c.aheadHeld = 0, c.aheadHeld, 0
 	c.account.EndWait(now)
 	c.account.ResetProgress(now)
 	c.account.StartWait(now, membudget.ForRequest)
@@ -189,11 +209,12 @@
 	c.account.StartWait(now, membudget.ForHeader)
 	c.account.Progress(now, n)
 	more := headerCopies*int64(max(c.headerBytes-uncountedHeaderBytes, 0)) - c.headerHeld
-	if more > 0 && !m.budget.Grow(now, &c.account, more) {
+	more = max(more, 0)
+	if !m.budget.Grow(now, &c.account, more) {
 		m.refused.Inc()
 		return false
 	}
-	c.headerHeld += max(more, 0)
+	c.headerHeld += more
 	return true
 }
 
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -46,8 +46,7 @@
 	unbuffered     *callerBody
 	unbufferedUsed atomic.Bool
 	length         int64
-	// held is what the request holds of the memory for requests, in bytes.
-	held int64
+	held           heldMemory
 	// nestedRetryChance and originIdle tell guards how likely the request is to be a call
 	// made by a retried run, see the fields of the same names in msg.AdmissionHints.
 	nestedRetryChance uint16
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -10,8 +10,10 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/radishhoist/radishhoist/internal/core/header"
+	"github.com/radishhoist/radishhoist/internal/core/membudget"
 	"github.com/radishhoist/radishhoist/internal/event"
 	"github.com/radishhoist/radishhoist/internal/msg"
+	"github.com/radishhoist/radishhoist/internal/wire"
 	"github.com/radishhoist/radishhoist/verdict"
 )
 
@@ -29,17 +31,50 @@
 }
 
 func newResponse(att *attempt, head *msg.Head) *response {
-	resp := &response{attempt: att, head: head, hash: xxhash.New()}
-	if head.Length > 0 {
-		resp.buffered = make([]byte, 0, min(head.Length, int64(att.req.service.Record.ResponseBufferBytes())))
-	}
-	return resp
+	return &response{attempt: att, head: head, hash: xxhash.New()}
 }
 
-func (resp *response) add(b []byte) {
+const (
+	// uncountedResponseBytes is the part of the buffer for a response that is not counted
+	// towards the memory for requests: most responses need no more.
+	uncountedResponseBytes = 4 << 10
+	// firstResponseBytes is the size from which the buffer for a response grows, by
+	// responseGrowthFactor each time.
+	firstResponseBytes   = 32 << 10
+	responseGrowthFactor = 4
+	// streamedResponseBytes is what a response that is streamed holds beside its buffer: a
+	// full stream window and the chunk in progress.
+	streamedResponseBytes = wire.StreamWindowBytes + wire.ChunkSize
+)
+
+// add appends a part of the body. It returns false if there is no memory to buffer more; the
+// part itself is kept.
+func (resp *response) add(b []byte) (buffered bool) {
 	_, _ = resp.hash.Write(b)
 	resp.length += uint64(len(b))
+	buffered = resp.grow(len(resp.buffered) + len(b))
 	resp.buffered = append(resp.buffered, b...)
+	return buffered
+}
+
+// grow makes room for n bytes in the buffer, which needs no more than the declared length.
+func (resp *response) grow(n int) bool {
+	if n <= cap(resp.buffered) {
+		return true
+	}
+	most := int64(resp.attempt.req.service.Record.ResponseBufferBytes() + wire.ChunkSize)
+	if resp.head.Length >= 0 {
+		most = min(most, resp.head.Length)
+	}
+	capacity := max(min(max(responseGrowthFactor*int64(cap(resp.buffered)), firstResponseBytes), most), int64(n))
+	counted := max(capacity-uncountedResponseBytes, 0) - max(int64(cap(resp.buffered))-uncountedResponseBytes, 0)
+	if !resp.attempt.req.hold(counted) {
+		return false
+	}
+	grown := make([]byte, len(resp.buffered), capacity)
+	copy(grown, resp.buffered)
+	resp.buffered = grown
+	return true
 }
 
 // complete checks the received body against the length and hash in end and against the
@@ -78,7 +113,7 @@
 	}
 	setWriteDeadline(w)
 	w.WriteHeader(int(resp.head.Status))
-	if _, err := w.Write(resp.buffered); err != nil || !resp.streaming {
+	if _, err := writeToCaller(w, req, resp.buffered); err != nil || !resp.streaming {
 		resp.close()
 		return nil
 	}
@@ -112,7 +147,7 @@
 			_, _ = resp.hash.Write(m.Bytes)
 			resp.length += uint64(len(m.Bytes))
 			setWriteDeadline(w)
-			if _, err := w.Write(m.Bytes); err != nil {
+			if _, err := writeToCaller(w, req, m.Bytes); err != nil {
 				return verdict.New(verdict.Ran, verdict.ReasonCancelled, err.Error())
 			}
 		case *msg.End:
@@ -127,6 +162,18 @@
 	}
 }
 
+// writeToCaller writes a part of the body, which may have to wait for the caller to read.
+func writeToCaller(w http.ResponseWriter, req *request, p []byte) (int, error) {
+	if len(p) < uncountedResponseBytes {
+		return w.Write(p)
+	}
+	conn := connOf(req.http)
+	conn.startWait(membudget.ForReader)
+	n, err := w.Write(p)
+	conn.endWait(n)
+	return n, err
+}
+
 // callerWriteTimeout bounds one write to a caller that does not read.
 const callerWriteTimeout = 30 * time.Second
 
