pipeline: what is read ahead counts towards the memory for requests

What callers saw: nothing yet; read from the code. A connection reads up to 68 KB behind a request that is being handled, on each of its connections, and no bound covered the sum: 480 connections of a host of 160 MB could hold 32 MB that nothing counted.

Change: beyond the first 4 KB a connection asks before it reads ahead; without room it goes on after the current request. What it holds becomes part of the next header. The records of responses are also bounded by half of the memory for requests. TestReadAheadNeedsPermission shows the bound and that all requests are answered.

--- a/internal/front/pipelined.go
+++ b/internal/front/pipelined.go
@@ -1,13 +1,14 @@
 package front
 
 import (
+	"net"
 	"net/http"
 
 	"github.com/radishhoist/radishhoist/internal/pipeline"
 )
 
 // maxRecordBytes bounds what responses to pipelined requests record until their turn, over all
-// callers. Without a bound, 100 connections of 16 requests held 510 MB.
+// callers, together with half of the memory for requests. Without a bound, 100 connections of 16 requests held 510 MB.
 const maxRecordBytes = 16 << 20
 
 // newPipeline returns what runs pipelined requests concurrently, or nil if the settings do
@@ -16,12 +17,22 @@
 	if f.cfg.PipelineDepth <= 1 {
 		return nil
 	}
+	recordBytes := int64(maxRecordBytes)
+	if limit := f.limits.Load().RequestMemoryBytes; limit > 0 {
+		recordBytes = min(recordBytes, limit/2)
+	}
 	return pipeline.New(pipeline.Config{
 		Depth: f.cfg.PipelineDepth, MaxHeaderBytes: f.cfg.MaxHeaderBytes,
-		MaxRecordBytes: maxRecordBytes, MayOverlap: f.mayOverlap, Started: f.counts.pipelined.Inc,
+		MaxRecordBytes: recordBytes, HoldAhead: holdAhead, MayOverlap: f.mayOverlap, Started: f.counts.pipelined.Inc,
 	}, f)
 }
 
+// holdAhead counts what a connection reads ahead as part of its next header.
+func holdAhead(nc net.Conn, n int) bool {
+	c := unwrapConn(nc)
+	return c == nil || c.holdAhead(int64(headerCopies*n))
+}
+
 // mayOverlap reports whether a request may run at the same time as others of its connection:
 // it must be idempotent, and this host must not be draining, because the responses of a
 // draining host close their connections. It returns the response buffer of the request's
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -244,7 +244,7 @@
 	if c.startBuffered() {
 		return c.await(func() bool { return c.current != nil || !c.serving })
 	}
-	if len(c.buf) >= c.maxBuffered() {
+	if len(c.buf) >= c.maxBuffered() || !c.mayHoldAhead() {
 		return c.await(func() bool { return !c.serving })
 	}
 	var err error
@@ -264,6 +264,13 @@
 	return err
 }
 
+// mayHoldAhead reports whether one more part may be read ahead. The first is always permitted:
+// without it, the end of the connection would go unnoticed.
+func (c *Conn) mayHoldAhead() bool {
+	hold := c.pipeline.cfg.HoldAhead
+	return len(c.buf) < readAheadBytes || hold == nil || hold(c.Conn, readAheadBytes)
+}
+
 // startBuffered starts the requests in the buffer that may start ahead. It returns true if
 // that depends on the current request, whose handler has not begun.
 func (c *Conn) startBuffered() (wait bool) {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -30,6 +30,10 @@
 	// connection. It returns the number of bytes of its response that may be recorded.
 	// It must not block.
 	MayOverlap func(r *http.Request) (recordBytes int, ok bool)
+	// HoldAhead asks to hold n bytes more of what a caller sends while a request of its connection
+	// is handled. If it returns false, nothing more is read before the request's turn is over. nil
+	// permits all.
+	HoldAhead func(nc net.Conn, n int) bool
 	// Started is called for each request that starts ahead of its turn.
 	Started func()
 }
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -405,6 +405,29 @@
 	})
 }
 
+// Without permission to hold more, a connection reads one part ahead and goes on after the
+// current request.
+func TestReadAheadNeedsPermission(t *testing.T) {
+	run(t, testDepth, sleepHandler, func(t *testing.T, s *server) {
+		s.http.Handler.(*Pipeline).cfg.HoldAhead = func(net.Conn, int) bool { return false }
+		const long = 3 * readAheadBytes
+		nc := s.send()
+		var sent atomic.Int64
+		go func() {
+			for _, part := range []string{get("/alone?1000"), get("/0?0&" + strings.Repeat("x", long/2)), get("/1?0&" + strings.Repeat("x", long/2)), lastGet} {
+				n, err := io.WriteString(nc, part)
+				sent.Add(int64(n))
+				if err != nil {
+					return
+				}
+			}
+		}()
+		synctest.Wait()
+		assert.Assert(t, sent.Load() <= int64(len(get("/alone?1000")))+2*readAheadBytes, "%d bytes", sent.Load())
+		assert.Equal(t, len(readBodies(nc)), 4)
+	})
+}
+
 // A read deadline must end a read also while nothing more is read ahead; net/http waits for
 // that when a handler takes over the connection.
 func TestReadDeadlineAppliesWhileBufferIsFull(t *testing.T) {
