targetconn, front: an invalid status line is no response

What callers saw: a 504 at their deadline where an instance answered 000, 099, -00 or 101 and left the connection open, the response behind it where there was one, and 600 or 999 as responses of the instance. No 000 reached a caller.

Cause: every status below 200 was skipped as an interim response, every other one and any version of HTTP were passed on. The front trusted the status that another host sent; net/http panics for 0.

Change: a status outside 100 to 599, 101, and another major version than 1 fail the request at once: target-broke, may-have-run, which is a failure of the instance, and an idempotent request is retried. Interim responses are skipped as before. The tests pass.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -137,6 +138,9 @@
 	}
 }
 
+// maxStatus is the greatest status of a response.
+const maxStatus = 599
+
 // errWakeup is returned by nextMessage when the claim has finished or a frame check is due
 // and no message has arrived.
 var errWakeup = errors.New("woken")
@@ -224,6 +228,9 @@
 		if m.RequestID != a.req.id {
 			return a.rejectResponse(verdict.ReasonResponseMismatch, "the response carries the id of another request")
 		}
+		if m.Status < http.StatusOK || m.Status > maxStatus {
+			return a.rejectResponse(verdict.ReasonTargetBroke, "the response has an invalid status")
+		}
 		a.state.HandleResponseStart()
 		if a.front.statesLeaving(m) {
 			a.req.state.recordLeaving(time.Now(), a.target)
--- a/internal/front/attempt_test.go
+++ b/internal/front/attempt_test.go
@@ -43,3 +43,15 @@
 	assert.Equal(t, o.fail.Reason, verdict.ReasonDraining)
 	assert.Equal(t, o.fail.Verdict, verdict.NotRun)
 }
+
+// Another host may pass on a status that is none, for which the HTTP server panics.
+func TestInvalidStatusFromGuardIsRejected(t *testing.T) {
+	for _, status := range []uint16{0, 99, 101, 199, 600, 999, 1000, 65535} {
+		client, _ := wire.Pipe()
+		a := &attempt{req: &request{id: "r"}, stream: client}
+		o := a.handle(context.Background(), &msg.Head{RequestID: "r", Status: status})
+		assert.Assert(t, o != nil, "%d", status)
+		assert.Equal(t, o.fail.Reason, verdict.ReasonTargetBroke)
+		assert.Assert(t, o.failed)
+	}
+}
--- a/internal/guard/classify.go
+++ b/internal/guard/classify.go
@@ -82,6 +82,8 @@
 		return verdict.New(verdict.NotRun, verdict.ReasonTargetDown, "nothing was sent: "+err.Error())
 	case errors.Is(err, targetconn.ErrHeaderTooLarge):
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonTargetBroke, targetconn.ErrHeaderTooLarge.Error())
+	case errors.Is(err, targetconn.ErrInvalidStatus):
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonTargetBroke, targetconn.ErrInvalidStatus.Error())
 	case errors.As(err, &failed) && failed.Mismatched:
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonResponseMismatch, "the target sent only responses to other requests")
 	default:
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -87,6 +87,11 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// ErrInvalidStatus is the cause of the Error of a request whose response has a status line that is
+// none in HTTP/1: of another version, or a status outside 100 to 599. 101 is invalid too, because
+// no request asks for another protocol.
+var ErrInvalidStatus = errors.New("the status line of the response is invalid")
+
 // ErrHeaderTooLarge is the cause of the Error of a request whose response has a header of more
 // than 64 KiB, the interim responses before it included.
 var ErrHeaderTooLarge = errors.New("the response header is larger than 64 KiB")
@@ -103,6 +108,8 @@
 	// maxStrayBodyBytes is the body length from which such a response is not skipped:
 	// the request fails and the connection is closed.
 	maxStrayBodyBytes = 1 << 20
+	// maxStatus is the greatest status of a response.
+	maxStatus = 599
 	// maxHeadBytes is the maximum size of the header of a response, together with the 1xx
 	// responses before it.
 	maxHeadBytes = 64 << 10
@@ -201,12 +208,18 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch {
+		case resp.ProtoMajor != 1 || resp.StatusCode == http.StatusSwitchingProtocols || !validStatus(resp.StatusCode):
+			return nil, ErrInvalidStatus
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 	}
 }
 
+// validStatus reports whether a response may have the status.
+func validStatus(status int) bool { return status >= http.StatusContinue && status <= maxStatus }
+
 func (x *exchange) newResponse(resp *http.Response) *Response {
 	x.keepAlive = !resp.Close
 	x.conn.idleUntil = time.Now().Add(x.pool.idleTimeout(resp.Header))
