membudget: a new wait for a caller starts anew

What callers saw: nothing yet; found by reading. Beside a crowd, a caller whose connection had been idle for a second or more could be evicted as soon as it sent its request.

Cause: the time without progress went on when an idle connection received a header, or a header was followed by a body.

Evidence: TestEachWaitStartsAnew failed (1 h of stall right after the request).

Change: a wait for something else than the last one starts at zero.

--- a/internal/core/membudget/membudget.go
+++ b/internal/core/membudget/membudget.go
@@ -54,8 +54,9 @@
 	Evict func()
 
 	held    int64
-	wait    Wait
 	evicted bool
+	// wait is what the host waits for now, and lastWait what it waited for last.
+	wait, lastWait Wait
 	// waitSince is when the current wait began. stalled is the time of earlier waits without
 	// progress, and transferred what has been transferred since the last progress.
 	waitSince   time.Time
@@ -75,12 +76,12 @@
 // StartWait records that the host waits for the caller. A change of what it waits for counts as
 // progress.
 func (a *Account) StartWait(now time.Time, wait Wait) {
-	if a.wait != wait {
-		a.EndWait(now)
-	}
-	if a.wait == NotWaiting {
-		a.wait, a.waitSince = wait, now
+	if a.lastWait != wait {
+		a.stalled, a.transferred = 0, 0
+	} else if a.wait == wait {
+		return
 	}
+	a.wait, a.lastWait, a.waitSince = wait, wait, now
 }
 
 // EndWait records that the host no longer waits for the caller.
--- a/internal/core/membudget/membudget_test.go
+++ b/internal/core/membudget/membudget_test.go
@@ -75,6 +75,19 @@
 	assert.Equal(t, a.stall(start.Add(time.Hour)), time.Millisecond)
 }
 
+// Guards against callers that are evicted as soon as they send a request, because their connection
+// had been idle before.
+func TestEachWaitStartsAnew(t *testing.T) {
+	a := &Account{}
+	a.StartWait(start, ForRequest)
+	now := start.Add(time.Hour)
+	a.StartWait(now, ForHeader)
+	assert.Equal(t, a.stall(now), time.Duration(0))
+	a.EndWait(now.Add(time.Second))
+	a.StartWait(now.Add(time.Second), ForBody)
+	assert.Equal(t, a.stall(now.Add(2*time.Second)), time.Second)
+}
+
 func TestNothingIsEvictedInVain(t *testing.T) {
 	b := New(limit, 0)
 	a := open(t, b, start, 1, SmallBytes)[0]
