--- a/internal/core/membudget/membudget.go
+++ b/internal/core/membudget/membudget.go
@@ -34,7 +34,7 @@
 // Wait is what a host waits for on a connection.
 type Wait uint8
 
-// What a host may wait for, in the order in which connections are closed for want of a free one.
+// What a host may wait for, in the order in which connections are closed if there are too many.
 const (
 	// NotWaiting means that the caller is waiting for the host.
 	NotWaiting Wait = iota
@@ -227,8 +227,8 @@
 	return true
 }
 
-// longestWait returns the connection to close for want of a free one: an idle one if there is
-// any, and of several the one that has waited longest for its caller.
+// longestWait returns the connection to close if there are too many: an idle one if there is any,
+// and of several the one whose caller has been waited for longest.
 func (b *Budget) longestWait(now time.Time, except *Account) *Account {
 	var longest *Account
 	for _, a := range b.accounts {
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -203,9 +203,9 @@
 	return req.unbuffered != nil && !req.unbuffered.ended.Load()
 }
 
-// endBody prepares for a response to a request whose body may not have been read. The server
+// discardBody prepares for a response to a request whose body may not have been read. The server
 // would wait for the rest before it sends the response, and without a time limit.
-func endBody(w http.ResponseWriter, req *request) {
+func discardBody(w http.ResponseWriter, req *request) {
 	r := req.http
 	control := http.NewResponseController(w)
 	if !hasBody(r) || req.unbuffered != nil && !req.uploading() {
--- a/internal/front/memory.go
+++ b/internal/front/memory.go
@@ -20,7 +20,7 @@
 	// headerCopies is how often a header is held while it is read: as received and as parsed,
 	// each in a buffer that doubles while it grows.
 	headerCopies = 4
-	// memoryRetryAfter is the Retry-After of refusals for want of memory. After this time,
+	// memoryRetryAfter is the Retry-After of refusals because of the memory. After this time,
 	// callers without progress are evicted.
 	memoryRetryAfter = membudget.MinStall
 )
@@ -68,7 +68,7 @@
 	UsedBytes   int64 `json:"usedBytes"`
 	LimitBytes  int64 `json:"limitBytes"`
 	// Evicted, Refused and RefusedConnections count since the start the connections that were
-	// closed for want of room, the requests refused and the connections refused.
+	// closed to make room, the requests refused and the connections refused.
 	Evicted            uint64 `json:"evicted"`
 	Refused            uint64 `json:"refused"`
 	RefusedConnections uint64 `json:"refusedConnections"`
@@ -111,8 +111,6 @@
 	m.budget.Close(&c.account)
 }
 
-func (m *callerMemory) countRefusedConn() { m.refusedConns.Inc() }
-
 // evict interrupts reading from the caller, and writing if that is what waits for it. The caller
 // of evict must hold the lock of callerMemory.
 func (c *callerConn) evict() {
@@ -221,7 +219,7 @@
 // wasEvicted reports whether the connection is being closed because the budget is used up.
 func (c *callerConn) wasEvicted() bool { return c != nil && c.evicted.Load() }
 
-// memoryExhausted refuses a request for which there is no room.
+// memoryExhausted refuses a request because there is no room for it.
 func memoryExhausted(detail string) *verdict.Error {
 	return retryLater(verdict.ReasonMemory, detail, memoryRetryAfter)
 }
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -86,7 +86,7 @@
 	f.counts.countFailure(fail)
 	f.guard.RecordFailedCall(time.Now())
 	f.logFailure(req, fail)
-	endBody(w, req)
+	discardBody(w, req)
 	setWriteDeadline(w)
 	fail.Write(w, req.id)
 }
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -109,7 +109,7 @@
 		h.Set("Content-Length", strconv.Itoa(len(resp.buffered)))
 	}
 	if req.uploading() {
-		endBody(w, req)
+		discardBody(w, req)
 	}
 	setWriteDeadline(w)
 	w.WriteHeader(int(resp.head.Status))
--- a/internal/front/send.go
+++ b/internal/front/send.go
@@ -78,7 +78,7 @@
 	if err := a.stream.Send(ctx, run); err != nil {
 		return err
 	}
-	go func() { _ = sendBody(ctx, a.stream, body) }()
+	go func() { _ = sdiscardBody(ctx, a.stream, body) }()
 	return nil
 }
 
@@ -99,7 +99,7 @@
 
 // sendBody sends a body in chunks, followed by its length and hash. If the body cannot be
 // read to its end, Cancel is sent in place of End.
-func sendBody(ctx context.Context, s wire.Stream, body io.Reader) error {
+func sdiscardBody(ctx context.Context, s wire.Stream, body io.Reader) error {
 	hash := xxhash.New()
 	end := &msg.End{}
 	for {
