membudget: a closed account does not grow

What callers saw: nothing yet; found by reading. A connection that was closed while bytes read from it were being counted left them in the budget for good, so that a host would refuse large requests earlier and earlier.

Evidence: TestClosedAccountDoesNotGrow failed.

Change: as for evicted accounts, a closed one is granted nothing more.

--- a/internal/core/membudget/membudget.go
+++ b/internal/core/membudget/membudget.go
@@ -53,8 +53,8 @@
 	// Evict is called when the connection is chosen to be closed. It must not call the Budget.
 	Evict func()
 
-	held    int64
-	evicted bool
+	held            int64
+	evicted, closed bool
 	// wait is what the host waits for now, and lastWait what it waited for last.
 	wait, lastWait Wait
 	// waitSince is when the current wait began. stalled is the time of earlier waits without
@@ -159,6 +159,7 @@
 		return
 	}
 	b.Shrink(a, a.held)
+	a.closed = true
 	if a.evicted {
 		b.evictingConns--
 	}
@@ -170,9 +171,9 @@
 
 // Grow lets an account hold n bytes more. If they exceed the budget, connections that have
 // waited longest for their callers are evicted; if that is not enough, it returns false and
-// evicts none. An evicted account cannot grow.
+// evicts none. An evicted or closed account cannot grow.
 func (b *Budget) Grow(now time.Time, a *Account, n int64) bool {
-	if a.evicted {
+	if a.evicted || a.closed {
 		return false
 	}
 	if excess := b.used - b.evicting + n - b.limitFor(a.held+n); b.limit > 0 && excess > 0 && !b.makeRoom(now, a, excess) {
--- a/internal/core/membudget/membudget_test.go
+++ b/internal/core/membudget/membudget_test.go
@@ -88,6 +88,16 @@
 	assert.Equal(t, a.stall(now.Add(2*time.Second)), time.Second)
 }
 
+// Guards against memory that is lost to the budget: a connection may be closed while what arrived
+// on it is being counted.
+func TestClosedAccountDoesNotGrow(t *testing.T) {
+	b := New(limit, 0)
+	a := open(t, b, start, 1, 1000)[0]
+	b.Close(a)
+	assert.Assert(t, !b.Grow(start, a, 1000))
+	assert.Equal(t, b.Used(), int64(0))
+}
+
 func TestNothingIsEvictedInVain(t *testing.T) {
 	b := New(limit, 0)
 	a := open(t, b, start, 1, SmallBytes)[0]
